--- /dev/null
+++ b/limenotch/config.py
@@ -0,0 +1,130 @@
+"""The one place where configuration is read, checked and given defaults.
+
+A fault raises ConfigError, whose text names the faulty key.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from switchthread import interface as face
+from switchthread.settings import read_settings
+
+Address = tuple[str, int]
+
+DEFAULT_SOCKETS = 1024
+DEFAULT_MAX_OPEN = 20_000
+DEFAULT_IDLE_MS = 60_000.0
+DEFAULT_CONNECT_MS = 250.0
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text names the key."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    name: str
+    listen: Address
+    directory: Address
+    seed: int
+    settings: face.Settings
+    zones: tuple[str, ...] = ()
+    kinds: tuple[str, ...] = ()
+    known: dict[str, Any] = field(default_factory=dict)  # the list as held last, in the directory's form
+    sockets: int = DEFAULT_SOCKETS
+    max_open: int = DEFAULT_MAX_OPEN
+    idle_ms: float = DEFAULT_IDLE_MS
+    connect_ms: float = DEFAULT_CONNECT_MS
+
+
+def address(text: object, key: str) -> Address:
+    """HOST:PORT with a numeric host: there is no name service to ask."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not colon or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"{key}: expected HOST:PORT, not {text!r}")
+    return host.strip("[]"), int(port)
+
+
+def host_port(at: Address) -> str:
+    return f"[{at[0]}]:{at[1]}" if ":" in at[0] else f"{at[0]}:{at[1]}"
+
+
+def _object(source: Mapping[str, Any], key: str, path: str) -> dict[str, Any]:
+    value = source.get(key)
+    if value is None:
+        return {}
+    if not isinstance(value, dict):
+        raise ConfigError(f"{path}: expected an object")
+    return value
+
+
+def _number(source: Mapping[str, Any], key: str, path: str, default: float, least: float) -> float:
+    value = source.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not value >= least:
+        raise ConfigError(f"{path}: expected a number of {least:g} or more, not {value!r}")
+    return float(value)
+
+
+def _names(source: Mapping[str, Any], key: str, path: str) -> tuple[str, ...]:
+    value = source.get(key, [])
+    if not isinstance(value, list) or not all(isinstance(name, str) for name in value):
+        raise ConfigError(f"{path}: expected a list of names")
+    return tuple(value)
+
+
+def _seed(value: object) -> int:
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        raise ConfigError(f"seed: expected a hexadecimal number, not {value!r}") from None
+
+
+def parse(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
+    """What the file holds; LB_NAME, LB_LISTEN and LB_DISCOVERY override it where they are set."""
+    env = _object(raw, "settings", "settings")
+    if not env:
+        raise ConfigError("settings: missing")
+    limits = _object(raw, "limits", "limits")
+    allowed = _object(env, "permissions", "settings.permissions")
+    try:
+        settings = read_settings(env)
+    except (ValueError, TypeError, AttributeError) as error:
+        raise ConfigError(f"settings.{error}") from None
+    listen = environ.get("LB_LISTEN") or raw.get("listen")
+    directory = environ.get("LB_DISCOVERY") or raw.get("discovery")
+    path = "settings.permissions."
+    return Config(
+        name=str(environ.get("LB_NAME") or raw.get("name") or "limenotch"),
+        listen=address(listen, "LB_LISTEN" if environ.get("LB_LISTEN") else "listen"),
+        directory=address(directory, "LB_DISCOVERY" if environ.get("LB_DISCOVERY") else "discovery"),
+        seed=_seed(raw.get("seed", "0")),
+        settings=settings,
+        zones=_names(env, "zones", "settings.zones"),
+        kinds=_names(env, "skus", "settings.skus"),
+        known=_object(raw, "known", "known"),
+        sockets=int(_number(limits, "sockets", "limits.sockets", DEFAULT_SOCKETS, 64)),
+        max_open=int(_number(allowed, "max_open", path + "max_open", DEFAULT_MAX_OPEN, 1)),
+        idle_ms=_number(allowed, "conn_idle_ms", path + "conn_idle_ms", DEFAULT_IDLE_MS, 1),
+        connect_ms=_number(allowed, "connect_timeout_ms", path + "connect_timeout_ms", DEFAULT_CONNECT_MS, 1),
+    )
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """The configuration that the environment points to."""
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG: missing, expected the path of the configuration file")
+    try:
+        with open(path, encoding="utf-8") as file:
+            raw = json.load(file)
+    except OSError as error:
+        raise ConfigError(f"LB_CONFIG: {path}: {error.strerror}") from None
+    except ValueError as error:
+        raise ConfigError(f"LB_CONFIG: {path}: not JSON: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError(f"LB_CONFIG: {path}: expected an object")
+    return parse(raw, environ)
--- /dev/null
+++ b/limenotch/facade.py
@@ -0,0 +1,229 @@
+"""The decision module in blocking style: plain calls in, what is to be done out, in house terms.
+
+The network code tells the facade of calls (`pick`, `depart`), of how invoker calls ended (`report`), of
+wakes that are due (`tick`) and of the directory (`heard`, `broken`). Each returns Orders. Only this module
+knows the decision module's events and actions, its indexes and its clock.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from switchthread import Balancer
+from switchthread import interface as face
+
+
+class Status(Enum):
+    """What the directory says of a provider."""
+
+    IN_SERVICE = "in_service"
+    TERMINATING = "terminating"
+    TERMINATED = "terminated"
+
+
+class Provider(NamedTuple):
+    """One entry of the directory."""
+
+    name: str
+    address: tuple[str, int]
+    status: Status
+    zone: str = ""
+    kind: str = ""
+    group: int = 0
+    weight: float = 1.0
+    since_ms: float = 0.0
+
+    @property
+    def takes_new(self) -> bool:
+        return self.status is Status.IN_SERVICE
+
+
+class Ending(Enum):
+    """How an invoker call ended."""
+
+    SERVED = "served"
+    ERROR = "error"
+    TURNED_AWAY = "turned away"
+    TIMED_OUT = "timed out"
+    CONNECT_FAILED = "connect failed"
+    RESET = "reset"
+    ABANDONED = "abandoned"
+    NOT_SENT = "not sent"
+
+
+class Invoke(NamedTuple):
+    """Make an invoker call. Those of one call are numbered from 0 in the order they are given."""
+
+    call: int
+    provider: str
+    wait_ms: float
+
+
+class Abandon(NamedTuple):
+    call: int
+    number: int
+
+
+class Reject(NamedTuple):
+    """Final answer: a rejection; trying again is harmless, best after `retry_after_ms`."""
+
+    call: int
+    retry_after_ms: float
+
+
+class GiveUp(NamedTuple):
+    """Final answer: a failure."""
+
+    call: int
+
+
+class Wake(NamedTuple):
+    """Come back with `tick(ticket)` after `delay_ms`."""
+
+    delay_ms: float
+    ticket: int
+
+
+class Watch(NamedTuple):
+    """Ask the directory for its list and all changes from now on."""
+
+
+Order = Invoke | Abandon | Reject | GiveUp | Wake | Watch
+Orders = list[Order]
+
+OUTCOMES = {
+    Ending.SERVED: face.Outcome.OK,
+    Ending.ERROR: face.Outcome.ERROR,
+    Ending.TURNED_AWAY: face.Outcome.REFUSED,
+    Ending.TIMED_OUT: face.Outcome.TIMEOUT,
+    Ending.CONNECT_FAILED: face.Outcome.CONNECT_FAILED,
+    Ending.RESET: face.Outcome.RESET,
+    Ending.ABANDONED: face.Outcome.CANCELLED,
+    Ending.NOT_SENT: face.Outcome.NOT_SENT,
+}
+STAGES = {
+    Status.IN_SERVICE: face.Stage.READY,
+    Status.TERMINATING: face.Stage.DRAINING,
+    Status.TERMINATED: face.Stage.GONE,
+}
+
+
+class Clock:
+    """Unix time in milliseconds that never runs back: the wall is read once, the rest is monotonic."""
+
+    def __init__(self) -> None:
+        self._ahead = time.time() - time.monotonic()
+
+    def __call__(self) -> float:
+        return (self._ahead + time.monotonic()) * 1000.0
+
+
+@dataclass(slots=True)
+class _Names:
+    """Indexes of names; a name that the settings lack gets the next free index, the same from then on."""
+
+    index: dict[str, int] = field(default_factory=dict)
+
+    def __getitem__(self, name: str) -> int:
+        return self.index.setdefault(name, len(self.index))
+
+
+class Facade:
+    """One balancer, its names and its clock."""
+
+    def __init__(
+        self,
+        settings: face.Settings,
+        seed: int,
+        zones: Iterable[str] = (),
+        kinds: Iterable[str] = (),
+        clock: Callable[[], float] | None = None,
+    ) -> None:
+        self._balancer = Balancer(settings, seed)
+        self._clock = clock or Clock()
+        self._classes = {cls.name: number for number, cls in enumerate(settings.classes)}
+        self._tenants = {tenant.name: number for number, tenant in enumerate(settings.tenants)}
+        self._zones = _Names({name: number for number, name in enumerate(zones)})
+        self._kinds = _Names({name: number for number, name in enumerate(kinds)})
+
+    def knows_class(self, name: str) -> bool:
+        return name in self._classes
+
+    def knows_tenant(self, name: str) -> bool:
+        """Where the settings name no tenants, calls need none."""
+        return name in self._tenants or not self._tenants
+
+    def start(self) -> Orders:
+        return self._handle(face.Started())
+
+    def pick(self, call: int, class_name: str, tenant: str, left_ms: float, resent: bool = False) -> Orders:
+        """A call was taken: exactly one final answer is owed within `left_ms`."""
+        party = self._tenants.get(tenant, 0)
+        return self._handle(face.Arrival(str(call), self._classes[class_name], left_ms, party, resent))
+
+    def depart(self, call: int) -> Orders:
+        """The consumer is gone."""
+        return self._handle(face.Departure(str(call)))
+
+    def report(
+        self,
+        call: int,
+        number: int,
+        provider: str,
+        spent_ms: float,
+        ending: Ending,
+        closed: bool,
+        utilisation: float | None = None,
+    ) -> Orders:
+        """An invoker call ended; `closed` says that its call has its final answer."""
+        outcome = OUTCOMES[ending]
+        return self._handle(
+            face.Finished(str(call), provider, number, spent_ms, outcome, closed, utilisation)
+        )
+
+    def tick(self, ticket: int) -> Orders:
+        """A wake is due."""
+        return self._handle(face.TimerFired(ticket))
+
+    def heard(self, providers: Iterable[Provider], whole: bool) -> Orders:
+        """The directory told its whole list, or what changed."""
+        upstreams = tuple(
+            face.Upstream(
+                p.name,
+                STAGES[p.status],
+                p.weight,
+                self._kinds[p.kind],
+                self._zones[p.zone],
+                p.group,
+                p.since_ms,
+            )
+            for p in providers
+        )
+        listing = face.Listing.WHOLE if whole else face.Listing.CHANGES
+        return self._handle(face.Membership(listing, upstreams))
+
+    def broken(self) -> Orders:
+        """A watch of the directory failed or ended."""
+        return self._handle(face.Membership(face.Listing.BROKEN))
+
+    def _handle(self, event: face.Event) -> Orders:
+        now = self._clock()
+        return [_order(action, now) for action in self._balancer.handle(now, event)]
+
+
+def _order(action: face.Action, now: float) -> Order:
+    if isinstance(action, face.Send):
+        return Invoke(int(action.call), action.upstream, action.timeout_ms)
+    if isinstance(action, face.SetTimer):
+        return Wake(max(action.at_ms - now, 0.0), action.token)
+    if isinstance(action, face.Cancel):
+        return Abandon(int(action.call), action.attempt)
+    if isinstance(action, face.Refuse):
+        return Reject(int(action.call), action.retry_after_ms)
+    if isinstance(action, face.Fail):
+        return GiveUp(int(action.call))
+    return Watch()
--- /dev/null
+++ b/limenotch/net/calls.py
@@ -0,0 +1,191 @@
+"""The life of one call, in no protocol: taken, placed by invoker calls, answered exactly once.
+
+A protocol takes calls here with whatever message it wants carried (`payload`), and gives an invoker that
+carries payloads to providers. Calls are kept by a counter of their own: ids of the consumers may repeat.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+from tornado.ioloop import IOLoop
+
+from .. import facade as house
+from ..facade import Ending, Facade, Orders
+
+# The answer must be with the consumer when its budget ends: what the way there and a busy core may take.
+MARGIN_MS = 20.0
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REJECTED = "rejected"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Final:
+    """The one final answer of a call."""
+
+    verdict: Verdict
+    payload: Any = None  # of the provider that served it
+    retry_after_ms: float = 0.0
+    timed_out: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class InvokerCall:
+    call: Call
+    number: int
+    provider: str
+    began: float  # of the loop's clock
+    end: float
+    over: bool = False
+
+    @property
+    def wanted(self) -> bool:
+        """Not yet over, and its call still waits for an answer."""
+        return not self.over and self.call.final is None and not self.call.gone
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    number: int
+    payload: Any
+    end: float  # of the loop's clock
+    answer: Callable[[Final], None]
+    made: list[InvokerCall] = field(default_factory=list)
+    final: Final | None = None
+    gone: bool = False
+
+
+class Invoker(Protocol):
+    """Carries invoker calls to providers; tells Calls.ended of each once, never from within `make`."""
+
+    def make(self, invoker_call: InvokerCall) -> None: ...
+
+    def abandon(self, invoker_call: InvokerCall) -> None: ...
+
+
+class Calls:
+    """Owns all open calls; carries out what the facade orders."""
+
+    def __init__(self, facade: Facade, max_open: int) -> None:
+        self.facade, self.max_open = facade, max_open
+        self.open: dict[int, Call] = {}
+        self.invoker: Invoker
+        self.watch: Callable[[], None]
+        self._loop = IOLoop.current()
+        self._count = 0
+        self._out: dict[tuple[int, int], InvokerCall] = {}
+        self._todo: deque[house.Order] = deque()
+        self._working = False
+
+    def take(
+        self,
+        payload: Any,
+        class_name: str,
+        tenant: str,
+        budget_ms: float,
+        answer: Callable[[Final], None],
+        resent: bool = False,
+        room: bool = True,
+    ) -> Call:
+        """A call was taken; `answer` is called once unless it departs. Without `room`: rejected at once."""
+        left = budget_ms - min(MARGIN_MS, budget_ms / 4)
+        self._count += 1
+        call = Call(self._count, payload, self._loop.time() + left / 1000.0, answer)
+        if not room or len(self.open) >= self.max_open:
+            self._close(call, Final(Verdict.REJECTED, retry_after_ms=1000.0))
+            return call
+        self.open[call.number] = call
+        self.carry_out(self.facade.pick(call.number, class_name, tenant, left, resent))
+        return call
+
+    def depart(self, call: Call) -> None:
+        """The consumer is gone: nothing is owed, its invoker calls end."""
+        if call.final is None and not call.gone:
+            call.gone = True
+            self.open.pop(call.number, None)
+            self.carry_out(self.facade.depart(call.number))
+            for invoker_call in call.made:  # those the module may not cancel
+                if not invoker_call.over:
+                    self.invoker.abandon(invoker_call)
+
+    def ended(
+        self, invoker_call: InvokerCall, ending: Ending, payload: Any = None, utilisation: float | None = None
+    ) -> None:
+        """An invoker call ended; the first that served its call is its answer."""
+        if invoker_call.over:
+            return
+        invoker_call.over = True
+        call = invoker_call.call
+        del self._out[call.number, invoker_call.number]
+        if ending is Ending.SERVED and call.final is None and not call.gone:
+            self._close(call, Final(Verdict.SERVED, payload))
+        spent = (self._loop.time() - invoker_call.began) * 1000.0
+        closed = call.final is not None or call.gone
+        self.carry_out(
+            self.facade.report(
+                call.number, invoker_call.number, invoker_call.provider, spent, ending, closed, utilisation
+            )
+        )
+
+    def tick(self, ticket: int) -> None:
+        self.carry_out(self.facade.tick(ticket))
+
+    def carry_out(self, orders: Orders) -> None:
+        """In the order given, also where carrying out one brings further ones."""
+        self._todo.extend(orders)
+        if self._working:
+            return
+        self._working = True
+        try:
+            while self._todo:
+                self._carry_out(self._todo.popleft())
+        finally:
+            self._working = False
+
+    def _carry_out(self, order: house.Order) -> None:
+        if isinstance(order, house.Invoke):
+            self._invoke(order)
+        elif isinstance(order, house.Wake):
+            self._loop.call_later(order.delay_ms / 1000.0, self.tick, order.ticket)
+        elif isinstance(order, house.Watch):
+            self.watch()
+        elif isinstance(order, house.Abandon):
+            self._abandon(order)
+        else:
+            call = self.open.get(order.call)
+            if call is None:
+                return
+            if isinstance(order, house.Reject):
+                self._close(call, Final(Verdict.REJECTED, retry_after_ms=order.retry_after_ms))
+            else:
+                self._close(call, Final(Verdict.FAILED, timed_out=self._loop.time() >= call.end))
+
+    def _invoke(self, order: house.Invoke) -> None:
+        call = self.open.get(order.call)
+        if call is None:
+            return
+        now = self._loop.time()
+        end = min(now + order.wait_ms / 1000.0, call.end)
+        invoker_call = InvokerCall(call, len(call.made), order.provider, now, end)
+        call.made.append(invoker_call)
+        self._out[call.number, invoker_call.number] = invoker_call
+        self.invoker.make(invoker_call)
+
+    def _abandon(self, order: house.Abandon) -> None:
+        # Kept apart from the open calls: a loser is abandoned after its call was answered.
+        invoker_call = self._out.get((order.call, order.number))
+        if invoker_call is not None:
+            self.invoker.abandon(invoker_call)
+
+    def _close(self, call: Call, final: Final) -> None:
+        call.final = final
+        self.open.pop(call.number, None)
+        call.answer(final)
--- /dev/null
+++ b/limenotch/net/consumers.py
@@ -0,0 +1,216 @@
+"""Consumers: the listener, their connections, and the calls they make."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import socket
+from collections.abc import Callable
+
+from tornado.gen import sleep
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
+
+from ..config import Address
+from ..facade import Facade
+from . import http1
+from .calls import Call, Calls, Final, Verdict
+from .sockets import Sockets
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 1024
+LINGER_S = 1.0  # a consumer that still writes gets this long to read why it is turned off
+ACCEPT_S = 0.5  # after SIGTERM new connections still arrive
+LEAVE_S = 0.9  # after SIGTERM, connections without a call close
+
+READY = b"/up"
+
+
+def budget_ms(text: bytes) -> float:
+    """`480m` and `480000u`, in milliseconds."""
+    unit = {b"m": 1.0, b"u": 0.001}.get(text[-1:])
+    try:
+        value = float(text[:-1]) * unit if unit else math.nan
+    except ValueError:
+        value = math.nan
+    if not 0 < value < 1e9:
+        raise http1.MalformedError(400, "X-Budget: expected a number and m or u")
+    return value
+
+
+def answer_of(final: Final, close: bool) -> bytes:
+    """A final answer as this protocol words it; a provider's 200 goes on with its body unchanged."""
+    if final.verdict is Verdict.SERVED:
+        response: http1.Message = final.payload
+        headers = [pair for pair in response.end_to_end() if pair[0].lower() != b"x-load-report"]
+        return http1.write_response(200, headers, response.body, close)
+    if final.verdict is Verdict.REJECTED:
+        advice: http1.Headers = []
+        if final.retry_after_ms > 0:
+            advice = [(b"Retry-After", b"%.3f" % (final.retry_after_ms / 1000.0))]
+        return http1.write_response(503, advice, b"", close)
+    return http1.write_response(504 if final.timed_out else 502, [], b"", close)
+
+
+class Consumer:
+    """One connection of a consumer; one call at a time."""
+
+    def __init__(self, stream: IOStream, consumers: Consumers) -> None:
+        self.stream, self._all = stream, consumers
+        self._parser = http1.RequestParser()
+        self._call: Call | None = None
+        self._final: asyncio.Future[Final] | None = None
+        stream.set_close_callback(self._closed)
+
+    @property
+    def idle(self) -> bool:
+        return self._final is None and self._parser.idle
+
+    async def serve(self) -> None:
+        try:
+            while True:
+                request = await self._request()
+                keep = request.keep_alive and not self._all.leaving
+                response = await self._respond(request, keep)
+                if response is None:
+                    return
+                keep = keep and not self._all.leaving
+                await self.stream.write(response)
+                self._final = None
+                if not keep:
+                    return
+        except http1.MalformedError as error:
+            await self._turn_off(error)
+        except StreamClosedError:
+            pass
+        except Exception:
+            log.exception("consumer")
+        finally:
+            self.stream.close()
+
+    async def _request(self) -> http1.Message:
+        while True:
+            request = self._parser.take()
+            if request is not None:
+                return request
+            self._parser.feed(await self.stream.read_bytes(65536, partial=True))
+
+    async def _respond(self, request: http1.Message, keep: bool) -> bytes | None:
+        if request.target == READY:
+            return http1.write_response(200 if self._all.ready() else 503, [], b"", not keep)
+        self._take(request)
+        assert self._final is not None
+        final = await self._final
+        self._call = None
+        if self.stream.closed():
+            return None
+        return answer_of(final, not keep or self._all.leaving)
+
+    def _take(self, request: http1.Message) -> None:
+        fields, facade = request.fields, self._all.facade
+        class_name = fields.get(b"x-call-class", b"").decode("latin-1")
+        tenant = fields.get(b"x-caller", b"").decode("latin-1")
+        if not fields.get(b"x-call-id"):
+            raise http1.MalformedError(400, "X-Call-Id: missing")
+        if not facade.knows_class(class_name):
+            raise http1.MalformedError(400, "X-Call-Class: unknown")
+        if not facade.knows_tenant(tenant):
+            raise http1.MalformedError(400, "X-Caller: unknown")
+        left = budget_ms(fields.get(b"x-budget", b""))
+        final = self._final = asyncio.get_running_loop().create_future()
+        resent = fields.get(b"x-again") == b"1"
+        self._call = self._all.calls.take(
+            request, class_name, tenant, left, final.set_result, resent, self._all.sockets.room
+        )
+
+    def _closed(self) -> None:
+        self._all.left(self)
+        if self._call is not None and self._final is not None and not self._final.done():
+            self._all.calls.depart(self._call)
+            self._final.cancel()
+
+    async def _turn_off(self, error: http1.MalformedError) -> None:
+        """Say why and close, reading on for a while: closing on unread bytes would drop the answer."""
+        body = (str(error) + "\n").encode()
+        timer = IOLoop.current().call_later(LINGER_S, self.stream.close)
+        try:
+            await self.stream.write(http1.write_response(error.status, [], body, close=True))
+            self.stream.socket.shutdown(socket.SHUT_WR)
+            while True:
+                await self.stream.read_bytes(65536, partial=True)
+        except (StreamClosedError, OSError):
+            pass
+        finally:
+            IOLoop.current().remove_timeout(timer)
+
+
+class Consumers:
+    """Owns the listener and the consumers' connections."""
+
+    def __init__(self, calls: Calls, facade: Facade, sockets: Sockets, has_list: Callable[[], bool]) -> None:
+        self.calls, self.facade, self.sockets = calls, facade, sockets
+        self.leaving = False
+        self._has_list = has_list
+        self._loop = IOLoop.current()
+        self._listener: socket.socket | None = None
+        self._open: dict[Consumer, asyncio.Task[None]] = {}
+        sockets.drop_idle.append(self._drop_idle)
+
+    def listen(self, at: Address) -> None:
+        """On this address only. Raises OSError if it can't be had."""
+        self._listener = bind_sockets(at[1], at[0], backlog=BACKLOG)[0]
+        self._loop.add_handler(self._listener, lambda *_: self._accept(), IOLoop.READ)
+
+    def ready(self) -> bool:
+        return self._listener is not None and self._has_list()
+
+    def _accept(self) -> None:
+        """All that wait."""
+        while self._listener is not None:
+            try:
+                sock, _ = self._listener.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:  # aborted by the consumer, or no descriptor left
+                log.warning("listener: %s", error)
+                return
+            self._admit(sock)
+
+    def _admit(self, sock: socket.socket) -> None:
+        if not self.sockets.take(consumer=True):
+            sock.close()
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        consumer = Consumer(IOStream(sock), self)
+        self._open[consumer] = asyncio.get_running_loop().create_task(consumer.serve())
+
+    def left(self, consumer: Consumer) -> None:
+        """Its connection closed."""
+        if self._open.pop(consumer, None) is not None:
+            self.sockets.give_back()
+
+    def _drop_idle(self) -> bool:
+        consumer = next((c for c in self._open if c.idle), None)
+        if consumer is not None:
+            consumer.stream.close()
+        return consumer is not None
+
+    async def leave(self) -> None:
+        """Take no more, once those under way have arrived; return when every call is answered."""
+        self.leaving = True
+        for consumer in [c for c in self._open if c.idle]:
+            consumer.stream.close()
+        await sleep(ACCEPT_S)
+        if self._listener is not None:
+            self._accept()  # what waits in the queue would be reset with the listener
+            self._loop.remove_handler(self._listener)
+            self._listener.close()
+            self._listener = None
+        await sleep(LEAVE_S - ACCEPT_S)
+        for consumer in [c for c in self._open if c.idle]:
+            consumer.stream.close()
+        while self._open:
+            await asyncio.wait(list(self._open.values()))
--- /dev/null
+++ b/limenotch/net/directory.py
@@ -0,0 +1,131 @@
+"""The directory: a watch on the list of providers, for as long as its connection lives."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import math
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream, StreamClosedError
+
+from ..config import Address, ConfigError, address, host_port
+from ..facade import Provider, Status
+from . import http1
+
+log = logging.getLogger(__name__)
+
+# An empty line comes every 2 s while nothing changes: two of them missed, and the watch is dead though
+# its connection may stay open and silent.
+SILENCE_S = 5.0
+
+Heard = Callable[[list[Provider], bool], None]
+
+
+def provider_of(entry: Any) -> Provider | None:
+    """One entry of the list; None if it can't be understood, which is logged."""
+    try:
+        weight, since = float(entry.get("weight", 1.0)), float(entry.get("since_ms") or 0.0)
+        if not (math.isfinite(weight) and weight >= 0 and math.isfinite(since)):
+            raise ValueError("not a finite number")
+        return Provider(
+            name=str(entry["name"]),
+            address=address(entry["address"], "address"),
+            status=Status(entry["status"]),
+            zone=str(entry.get("zone", "")),
+            kind=str(entry.get("type", "")),
+            group=int(entry.get("group") or 0),
+            weight=weight,
+            since_ms=since,
+        )
+    except (ConfigError, KeyError, ValueError, TypeError, AttributeError) as error:
+        log.warning("directory: entry %r skipped: %s", entry, error)
+        return None
+
+
+def list_of(raw: Any) -> tuple[int, bool, list[Provider]] | None:
+    """A list or a change of it: version, whether whole, entries. None if it can't be understood."""
+    if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
+        log.warning("directory: line skipped: no list")
+        return None
+    version = raw.get("index")
+    entries = [provider_of(entry) for entry in raw["endpoints"]]
+    return (
+        version if isinstance(version, int) else 0,
+        raw.get("snapshot") is True,
+        [entry for entry in entries if entry is not None],
+    )
+
+
+class Directory:
+    """Owns the watch. Each watch that fails or ends is told once, by `broken`."""
+
+    def __init__(self, at: Address, heard: Heard, broken: Callable[[], None]) -> None:
+        self._at, self._heard, self._broken = at, heard, broken
+        self._loop = IOLoop.current()
+        self._version = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def known(self, raw: dict[str, Any]) -> None:
+        """The list as it was held at an earlier time: served from until the directory answers."""
+        self._tell(raw, whole=True)
+
+    def watch(self) -> None:
+        """Start a watch unless one is on."""
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._watch())
+
+    async def _watch(self) -> None:
+        try:
+            await self._follow()
+        except (StreamClosedError, OSError, http1.MalformedError) as error:
+            log.warning("directory: %s", error)
+        except Exception:
+            log.exception("directory")
+        finally:
+            self._task = None
+        self._broken()
+
+    async def _follow(self) -> None:
+        family = socket.AF_INET6 if ":" in self._at[0] else socket.AF_INET
+        stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
+        timer = self._loop.call_later(SILENCE_S, stream.close)
+        try:
+            await stream.connect(self._at)
+            host = host_port(self._at).encode()
+            target = b"/discovery/hosts?follow=1"
+            if self._version:
+                target += b"&since=%d" % self._version
+            await stream.write(http1.write_request(b"GET", target, [(b"Host", host)]))
+            answer = http1.ChunkStream()
+            while not answer.done:
+                lines = answer.feed(await stream.read_bytes(65536, partial=True))
+                self._loop.remove_timeout(timer)
+                timer = self._loop.call_later(SILENCE_S, stream.close)
+                if answer.head is not None and answer.head.status != 200:
+                    log.warning("directory: answered %d", answer.head.status)
+                    return
+                for line in lines:
+                    if line.strip():
+                        self._line(line)
+        finally:
+            self._loop.remove_timeout(timer)
+            stream.close()
+
+    def _line(self, line: bytes) -> None:
+        try:
+            raw = json.loads(line)
+        except ValueError as error:
+            log.warning("directory: line skipped: %s", error)
+            return
+        self._tell(raw)
+
+    def _tell(self, raw: Any, whole: bool = False) -> None:
+        told = list_of(raw)
+        if told is not None:
+            self._version = told[0]
+            self._heard(told[2], told[1] or whole)
--- /dev/null
+++ b/limenotch/net/http1.py
@@ -0,0 +1,302 @@
+"""HTTP/1.1 messages: incremental parsers and writers. Bytes in, messages out; no sockets here."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+MAX_HEAD = 16 * 1024
+MAX_BODY = 64 * 1024
+MAX_LINE = 1024  # of a chunk's size line
+
+TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+TARGET = re.compile(rb"[!-~\x80-\xff]+")
+FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*")
+STATUS = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?")
+SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?", re.DOTALL)
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+# Of one connection only, or written anew by whoever frames the message.
+HOP_BY_HOP = frozenset(
+    b"connection content-length expect keep-alive proxy-connection te trailer transfer-encoding upgrade"
+    .split()
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class MalformedError(Exception):
+    """Bytes that are no message within the limits; `status` is what a server answers to them."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(slots=True)
+class Message:
+    """A request (method, target) or a response (status), whole."""
+
+    headers: Headers
+    fields: dict[bytes, bytes]  # by lower-case name; of repeated ones the last
+    method: bytes = b""
+    target: bytes = b""
+    status: int = 0
+    minor: int = 1
+    body: bytes = b""
+
+    @property
+    def keep_alive(self) -> bool:
+        options = self.fields.get(b"connection", b"").lower()
+        return b"close" not in options and (self.minor == 1 or b"keep-alive" in options)
+
+    def end_to_end(self) -> Headers:
+        """The headers that concern more than one connection."""
+        named = self.fields.get(b"connection", b"").lower()
+        dropped = HOP_BY_HOP.union(name.strip() for name in named.split(b",")) if named else HOP_BY_HOP
+        return [pair for pair in self.headers if pair[0].lower() not in dropped]
+
+
+class _Body:
+    """A body's bytes as they come: of a known length, chunked, or all until the end (`length` None)."""
+
+    def __init__(self, chunked: bool, length: int | None) -> None:
+        self.chunked, self.length = chunked, length
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.left = 0 if chunked else length  # of the body or of the present chunk
+        self.state = "size" if chunked else "data"
+        self.done = not chunked and length == 0
+        self.trailers = 0
+
+    def take(self, buffer: bytearray) -> None:
+        while not self.done:
+            if self.state == "data":
+                piece = bytes(buffer) if self.left is None else bytes(buffer[: self.left])
+                del buffer[: len(piece)]
+                self.size += len(piece)
+                if self.size > MAX_BODY:
+                    raise MalformedError(413, "body too large")
+                self.parts.append(piece)
+                if self.left is None:
+                    return
+                self.left -= len(piece)
+                if self.left:
+                    return
+                self.done = not self.chunked
+                self.state = "mark"
+                continue
+            end = buffer.find(b"\r\n")
+            if end < 0:
+                if len(buffer) > MAX_LINE:
+                    raise MalformedError(400, "chunk line too long")
+                return
+            line = bytes(buffer[:end])
+            del buffer[: end + 2]
+            self._line(line)
+
+    def _line(self, line: bytes) -> None:
+        if self.state == "mark":
+            if line:
+                raise MalformedError(400, "chunk without its end")
+            self.state = "size"
+        elif self.state == "size":
+            match = SIZE.fullmatch(line)
+            if match is None:
+                raise MalformedError(400, "bad chunk size")
+            self.left = int(match[1], 16)
+            if self.size + self.left > MAX_BODY:
+                raise MalformedError(413, "body too large")
+            self.state = "data" if self.left else "trailer"
+        else:
+            self.trailers += len(line)
+            if self.trailers > MAX_HEAD:
+                raise MalformedError(431, "trailers too large")
+            self.done = not line
+
+
+class _Parser:
+    """Feed it bytes as they come and take messages as they become whole."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+        self._message: Message | None = None
+        self._body = _Body(False, 0)
+        self._seen = 0
+
+    @property
+    def idle(self) -> bool:
+        """Between messages, with nothing left over."""
+        return not self.buffer and self._message is None
+
+    def feed(self, data: bytes) -> None:
+        self.buffer += data
+
+    def take(self) -> Message | None:
+        """The next whole message, if it is there."""
+        if self._message is None:
+            self._message = self._head()
+            if self._message is None:
+                return None
+            self._body = self._framing(self._message)
+        self._body.take(self.buffer)
+        return self._whole() if self._body.done else None
+
+    def _whole(self) -> Message | None:
+        message, self._message = self._message, None
+        if message is not None:
+            message.body = b"".join(self._body.parts)
+        return message
+
+    def _head(self) -> Message | None:
+        while self.buffer.startswith(b"\r\n"):
+            del self.buffer[:2]
+        end = self.buffer.find(b"\r\n\r\n", max(self._seen - 3, 0))
+        if end < 0:
+            self._seen = len(self.buffer)
+            if self._seen > MAX_HEAD:
+                raise MalformedError(431, "headers too large")
+            return None
+        if end > MAX_HEAD:
+            raise MalformedError(431, "headers too large")
+        first, *lines = bytes(self.buffer[:end]).split(b"\r\n")
+        del self.buffer[: end + 4]
+        self._seen = 0
+        headers: Headers = []
+        fields: dict[bytes, bytes] = {}
+        for line in lines:
+            match = FIELD.fullmatch(line)
+            if match is None:
+                raise MalformedError(400, "bad header line")
+            name, value = match.groups()
+            key = name.lower()
+            if key in fields and key in (b"content-length", b"transfer-encoding") and fields[key] != value:
+                raise MalformedError(400, "contradicting framing")
+            headers.append((name, value))
+            fields[key] = value
+        message = Message(headers, fields)
+        self._first(first, message)
+        return message
+
+    def _first(self, line: bytes, message: Message) -> None:
+        raise NotImplementedError
+
+    def _framing(self, message: Message) -> _Body:
+        raise NotImplementedError
+
+    def _length(self, message: Message, default: int | None) -> _Body:
+        """By the rules that requests and responses share."""
+        coding, length = message.fields.get(b"transfer-encoding"), message.fields.get(b"content-length")
+        if coding is not None:
+            if length is not None or coding.lower() != b"chunked":
+                raise MalformedError(400, "framing not understood")
+            return _Body(True, None)
+        if length is None:
+            return _Body(False, default)
+        if not length.isdigit() or len(length) > 15:
+            raise MalformedError(400, "bad Content-Length")
+        if int(length) > MAX_BODY:
+            raise MalformedError(413, "body too large")
+        return _Body(False, int(length))
+
+
+class RequestParser(_Parser):
+    def _first(self, line: bytes, message: Message) -> None:
+        parts = line.split(b" ")
+        if len(parts) != 3 or not TOKEN.fullmatch(parts[0]) or not TARGET.fullmatch(parts[1]):
+            raise MalformedError(400, "bad request line")
+        if parts[2] not in (b"HTTP/1.1", b"HTTP/1.0"):
+            raise MalformedError(400, "not HTTP/1.1")
+        message.method, message.target, message.minor = parts[0], parts[1], parts[2][-1] - 48
+
+    def _framing(self, message: Message) -> _Body:
+        return self._length(message, 0)
+
+
+class ResponseParser(_Parser):
+    def take(self) -> Message | None:
+        message = super().take()
+        while message is not None and 100 <= message.status < 200:  # interim: the response is yet to come
+            message = super().take()
+        return message
+
+    def end(self) -> Message | None:
+        """The connection ended: the response that only this end completes, if one was under way."""
+        return self._whole() if self._message is not None and self._endless else None
+
+    @property
+    def _endless(self) -> bool:
+        return not self._body.chunked and self._body.length is None
+
+    def _first(self, line: bytes, message: Message) -> None:
+        match = STATUS.fullmatch(line)
+        if match is None:
+            raise MalformedError(400, "bad status line")
+        message.minor, message.status = int(match[1]), int(match[2])
+
+    def _framing(self, message: Message) -> _Body:
+        if message.status < 200 or message.status in (204, 304):
+            return _Body(False, 0)
+        return self._length(message, None)
+
+
+class ChunkStream:
+    """A response whose chunks are of interest before its end: the head first, then lines as they come."""
+
+    def __init__(self) -> None:
+        self._parser = ResponseParser()
+        self._body: _Body | None = None
+        self._rest = bytearray()
+        self.head: Message | None = None
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The lines that `data` completes."""
+        parser = self._parser
+        parser.feed(data)
+        if self.head is None:
+            self.head = parser._head()
+            if self.head is None:
+                return []
+            self._body = parser._framing(self.head)
+        assert self._body is not None
+        self._body.size = 0  # a stream has no length to limit; its lines have
+        self._body.take(parser.buffer)
+        self._rest += b"".join(self._body.parts)
+        self._body.parts.clear()
+        *lines, rest = self._rest.split(b"\n")
+        self._rest = bytearray(rest)
+        if len(rest) > 64 * MAX_BODY:
+            raise MalformedError(413, "line too long")
+        return [bytes(line) for line in lines]
+
+    @property
+    def done(self) -> bool:
+        return self._body is not None and self._body.done
+
+
+def _lines(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    return b"".join(name + b": " + value + b"\r\n" for name, value in headers)
+
+
+def write_request(method: bytes, target: bytes, headers: Headers, body: bytes = b"") -> bytes:
+    length = b"Content-Length: %d\r\n" % len(body) if body or method not in (b"GET", b"HEAD") else b""
+    return b"%b %b HTTP/1.1\r\n%b%b\r\n%b" % (method, target, _lines(headers), length, body)
+
+
+def write_response(status: int, headers: Headers, body: bytes = b"", close: bool = False) -> bytes:
+    reason = REASONS.get(status, b"")
+    last = b"Connection: close\r\n" if close else b""
+    return b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
+        status, reason, _lines(headers), len(body), last, body,
+    )
--- /dev/null
+++ b/limenotch/net/providers.py
@@ -0,0 +1,263 @@
+"""Providers: connections to them, and the invoker calls that these carry."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Iterable
+
+from tornado.ioloop import IOLoop
+from tornado.iostream import IOStream, StreamClosedError
+
+from ..facade import Ending, Provider, Status
+from . import http1
+from .calls import Calls, InvokerCall
+from .sockets import Sockets
+
+log = logging.getLogger(__name__)
+
+# Part of the provider's own idle time after which we close first: a request that crosses the provider's
+# closing ends in a reset, after which only calls that are safe to repeat can go out again.
+IDLE_PART = 0.4
+
+
+class Connection:
+    """One connection to a provider; owned by the pool while idle, by one invoker call otherwise.
+
+    It reads all the time, so that an idle one that the provider closed is never used again.
+    """
+
+    def __init__(self, stream: IOStream, provider: str, address: tuple[str, int]) -> None:
+        self.stream, self.provider, self.address = stream, provider, address
+        self.idle_timer: object = None
+        self._parser = http1.ResponseParser()
+        self._answer: asyncio.Future[http1.Message | None] | None = None
+
+    async def read(self) -> None:
+        """Until the connection ends."""
+        try:
+            while True:
+                self._parser.feed(await self.stream.read_bytes(65536, partial=True))
+                if self._answer is None or self._answer.done():
+                    break  # bytes that nobody asked for
+                message = self._parser.take()
+                if message is not None:
+                    self._answer.set_result(message)
+        except StreamClosedError:
+            if self._answer is not None and not self._answer.done():
+                self._answer.set_result(self._parser.end())
+        except http1.MalformedError as error:
+            log.warning("provider %s: %s", self.provider, error)
+        finally:
+            self.stream.close()
+            if self._answer is not None and not self._answer.done():
+                self._answer.set_result(None)
+
+    def expect(self) -> asyncio.Future[http1.Message | None]:
+        """The next response; None if the connection ends without a whole one."""
+        self._answer = asyncio.get_running_loop().create_future()
+        return self._answer
+
+    def reusable(self, response: http1.Message) -> bool:
+        return response.keep_alive and self._parser.idle and not self.stream.closed()
+
+
+class Providers:
+    """Owns the connections to providers and makes invoker calls over them."""
+
+    def __init__(self, calls: Calls, sockets: Sockets, connect_ms: float, idle_ms: float) -> None:
+        self._calls, self._sockets = calls, sockets
+        self._connect_s, self._idle_s = connect_ms / 1000.0, idle_ms * IDLE_PART / 1000.0
+        self._loop = IOLoop.current()
+        self._listed: dict[str, Provider] = {}
+        self._idle: dict[str, list[Connection]] = {}
+        self._streams: dict[InvokerCall, IOStream] = {}  # of those that have one now
+        self._cut: dict[InvokerCall, Ending] = {}  # those that end at our wish, and as what
+        self._tasks: set[asyncio.Task[None]] = set()
+        sockets.drop_idle.append(self._drop_oldest)
+
+    # The directory's list
+
+    def listed(self, providers: Iterable[Provider], whole: bool) -> None:
+        """What the directory told; to be called before the facade hears of it."""
+        held = {} if whole else dict(self._listed)
+        held.update((p.name, p) for p in providers)
+        self._listed = {n: p for n, p in held.items() if p.status is not Status.TERMINATED}
+        for name in list(self._idle):
+            provider = self._listed.get(name)
+            for connection in list(self._idle[name]):
+                if provider is None or not provider.takes_new or provider.address != connection.address:
+                    connection.stream.close()
+
+    # Invoker calls
+
+    def make(self, invoker_call: InvokerCall) -> None:
+        task = asyncio.get_running_loop().create_task(self._run(invoker_call))
+        self._tasks.add(task)  # the loop itself holds tasks by weak references only
+        task.add_done_callback(self._tasks.discard)
+
+    def abandon(self, invoker_call: InvokerCall) -> None:
+        self._cut_off(invoker_call, Ending.ABANDONED)
+
+    def _cut_off(self, invoker_call: InvokerCall, ending: Ending) -> None:
+        """Ends it by closing its connection, which is how providers learn of it."""
+        if invoker_call.over:
+            return
+        self._cut.setdefault(invoker_call, ending)
+        stream = self._streams.get(invoker_call)
+        if stream is not None:
+            stream.close()
+
+    async def _run(self, invoker_call: InvokerCall) -> None:
+        timer = self._loop.call_at(invoker_call.end, self._cut_off, invoker_call, Ending.TIMED_OUT)
+        ending, response = Ending.RESET, None
+        try:
+            ending, response = await self._exchange(invoker_call)
+        except Exception:
+            log.exception("invoker call to %s", invoker_call.provider)
+        finally:
+            self._loop.remove_timeout(timer)
+            self._streams.pop(invoker_call, None)
+            self._cut.pop(invoker_call, None)
+            utilisation = None
+            if response is not None:
+                utilisation = utilisation_of(response.fields.get(b"x-load-report", b""))
+            self._calls.ended(invoker_call, ending, response, utilisation)
+
+    async def _exchange(self, invoker_call: InvokerCall) -> tuple[Ending, http1.Message | None]:
+        connection = await self._connection(invoker_call)
+        if connection is None:
+            return self._unsent(invoker_call, Ending.CONNECT_FAILED), None
+        response = None
+        try:
+            # Getting a connection takes time in which the call may end or the provider begin to drain:
+            # nothing may be written then, or a drain is broken or a finished call runs.
+            if not self._may_write(invoker_call, connection):
+                return self._unsent(invoker_call, Ending.NOT_SENT), None
+            answer, written = connection.expect(), False
+            try:
+                await connection.stream.write(self._request(invoker_call))
+                written = True
+            except StreamClosedError:
+                pass  # an answer may have come before the request was written whole
+            response = await answer
+            if response is not None:
+                return ending_of(response), response
+            if invoker_call in self._cut:
+                return self._cut[invoker_call], None
+            return (Ending.RESET if written else Ending.CONNECT_FAILED), None
+        finally:
+            self._streams.pop(invoker_call, None)
+            self._release(connection, response)
+
+    def _may_write(self, invoker_call: InvokerCall, connection: Connection) -> bool:
+        provider = self._listed.get(invoker_call.provider)
+        return (
+            invoker_call.wanted
+            and invoker_call not in self._cut
+            and provider is not None
+            and provider.takes_new
+            and provider.address == connection.address
+            and self._loop.time() < invoker_call.end
+        )
+
+    def _unsent(self, invoker_call: InvokerCall, else_: Ending) -> Ending:
+        """What ended it before its first byte: one whose time is over then was never sent."""
+        ending = self._cut.get(invoker_call, else_)
+        return Ending.NOT_SENT if ending is Ending.TIMED_OUT else ending
+
+    def _request(self, invoker_call: InvokerCall) -> bytes:
+        message: http1.Message = invoker_call.call.payload
+        left_us = max(int((invoker_call.end - self._loop.time()) * 1e6), 1)
+        headers = [pair for pair in message.end_to_end() if pair[0].lower() != b"x-budget"]
+        headers.append((b"X-Budget", b"%du" % left_us))
+        return http1.write_request(message.method, message.target, headers, message.body)
+
+    # Connections
+
+    async def _connection(self, invoker_call: InvokerCall) -> Connection | None:
+        """An idle connection or a new one; None if there is none in time."""
+        provider = self._listed.get(invoker_call.provider)
+        if provider is None or not provider.takes_new or invoker_call in self._cut:
+            self._cut.setdefault(invoker_call, Ending.NOT_SENT)
+            return None
+        idle = self._idle.get(provider.name, [])
+        while idle:
+            connection = idle.pop()  # the latest used: the others get to be closed
+            self._loop.remove_timeout(connection.idle_timer)
+            if not connection.stream.closed():
+                self._streams[invoker_call] = connection.stream
+                return connection
+        if not self._sockets.take():
+            self._cut.setdefault(invoker_call, Ending.NOT_SENT)
+            return None
+        stream = self._open(provider.address)
+        self._streams[invoker_call] = stream
+        timer = self._loop.call_later(self._connect_s, stream.close)
+        try:
+            await stream.connect(provider.address)
+        except (StreamClosedError, OSError):
+            stream.close()
+            return None
+        finally:
+            self._loop.remove_timeout(timer)
+        connection = Connection(stream, provider.name, provider.address)
+        task = asyncio.get_running_loop().create_task(connection.read())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return connection
+
+    def _open(self, address: tuple[str, int]) -> IOStream:
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        try:
+            sock = socket.socket(family, socket.SOCK_STREAM)
+        except OSError:
+            self._sockets.give_back()
+            raise
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        stream = IOStream(sock)
+        stream.set_close_callback(self._sockets.give_back)
+        return stream
+
+    def _release(self, connection: Connection, response: http1.Message | None) -> None:
+        """Back to the idle ones if the exchange left it clean, else closed."""
+        provider = self._listed.get(connection.provider)
+        wanted = provider is not None and provider.takes_new
+        if response is None or not wanted or not connection.reusable(response):
+            connection.stream.close()
+            return
+        connection.idle_timer = self._loop.call_later(self._idle_s, connection.stream.close)
+        self._idle.setdefault(connection.provider, []).append(connection)
+
+    def _drop_oldest(self) -> bool:
+        for idle in self._idle.values():
+            while idle:
+                connection = idle.pop(0)
+                self._loop.remove_timeout(connection.idle_timer)
+                if not connection.stream.closed():
+                    connection.stream.close()
+                    return True
+        return False
+
+
+def ending_of(response: http1.Message) -> Ending:
+    """Only a response marked as rejected says that the call never ran."""
+    if response.status == 200:
+        return Ending.SERVED
+    if response.status in (503, 504) and response.fields.get(b"x-rejected") == b"1":
+        return Ending.TURNED_AWAY
+    return Ending.ERROR
+
+
+def utilisation_of(report: bytes) -> float | None:
+    """`util` of a load report; None if there is none or the report is malformed."""
+    for pair in report.removeprefix(b"TEXT ").split(b","):
+        name, _, value = pair.strip().partition(b"=")
+        if name == b"util":
+            try:
+                number = float(value)
+            except ValueError:
+                return None
+            return number if 0.0 <= number <= 1e6 else None
+    return None
--- a/switchthread/benchlink.py
+++ b/switchthread/benchlink.py
@@ -7,11 +7,12 @@
 
 import json
 import sys
-from collections.abc import Callable, Iterator
-from typing import Any, TextIO
+from collections.abc import Iterator
+from typing import TextIO
 
 from . import interface as face
 from .decide import Balancer
+from .settings import read_settings
 
 OUTCOMES = {
     "100": face.Outcome.OK,
@@ -38,83 +39,6 @@
     """A line that breaks the wire's grammar; says what was expected."""
 
 
-def _get(source: dict[str, Any], key: str, default: Any = None) -> Any:
-    value = source.get(key, default)
-    if value is None:
-        raise ValueError(f"{key}: missing")
-    return value
-
-
-def _section(source: dict[str, Any], key: str) -> dict[str, Any]:
-    section = source.get(key, {})
-    if not isinstance(section, dict):
-        raise ValueError(f"{key}: expected an object")
-    return section
-
-
-def _number(source: dict[str, Any], key: str, default: float | None = None) -> float:
-    value = _get(source, key, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise ValueError(f"{key}: expected a number")
-    return float(value)
-
-
-def _choice(kind: Callable[[Any], Any], source: dict[str, Any], key: str, default: str) -> Any:
-    try:
-        return kind(source.get(key, default))
-    except ValueError:
-        raise ValueError(f"{key}: not one of the known values") from None
-
-
-def read_settings(env: dict[str, Any]) -> face.Settings:
-    """The settings as the wire names them; keys that are not known are skipped."""
-    classes = []
-    for entry in _get(env, "classes"):
-        if not isinstance(entry, dict):
-            raise ValueError("classes: expected objects")
-        classes.append(
-            face.TrafficClass(
-                name=str(entry.get("name", "")),
-                effect=_choice(face.Effect, entry, "effect", ""),
-                aim_ms=_number(entry, "target_ms"),
-                deadline_ms=_number(entry, "hard_limit_ms"),
-                worth=_number(entry, "worth", 1.0),
-                late_worth=_number(entry, "late_worth", 0.0),
-                scope=_choice(face.Scope, entry, "dedup_scope", "all"),
-                window_ms=_number(entry, "window_ms", 0.0),
-                streaming=bool(entry.get("streaming", False)),
-            )
-        )
-    tenants = tuple(
-        face.Tenant(str(entry.get("name", "")), _number(entry, "quota_per_s", 0.0))
-        for entry in env.get("tenants") or ()
-    )
-    allowed, rules = _section(env, "permissions"), _section(env, "rules")
-    advice = _number(allowed, "max_retry_after_ms", 0.0) if allowed.get("retry_after") else 0.0
-    return face.Settings(
-        classes=tuple(classes),
-        tenants=tenants,
-        balancers=int(_number(env, "balancers", 1)),
-        rank=int(_number(env, "rank", 0)),
-        layer=int(_number(env, "layer", 0)),
-        zone=int(_number(env, "locality", 0)),
-        over_share_worth=_number(env, "over_share_worth", 1.0),
-        must_ask=env.get("registry_mode") == "ask",
-        weights_listed=env.get("weights", "off") != "off",
-        max_attempts=int(_number(allowed, "max_attempts", 3)),
-        may_cancel=bool(allowed.get("cancel", True)),
-        may_copy=bool(allowed.get("parallel_tries", True)),
-        max_retry_after_ms=advice,
-        crossing_cost=_number(_section(env, "costs"), "cross_zone", 0.0),
-        cold=face.ColdStart(
-            _number(rules, "start_capacity", 1.0),
-            _number(rules, "cold_ms", 0.0),
-            _number(rules, "fall_multiple", 2.0),
-            _number(rules, "overload_for_ms", 1000.0),
-        ),
-    )
-
-
 def _fields(parts: list[str]) -> dict[str, str]:
     try:
         return dict([part.split("=", 1) for part in parts])
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from switchthread.benchlink import read_settings
+from switchthread.settings import read_settings
 
 ROOT = Path(__file__).parent.parent
 ENV = {
