Bound buffers, give connections back in one place, answer faults of our own with 502

A header value of 16 KB of blanks cost the field pattern quadratic time (the lazy group against the trailing blanks); lines are now cut at the colon and stripped. Closed idle connections stayed in the pool's lists until taken: one close callback now removes them and gives the descriptor back. A call is no longer rejected for want of sockets while an idle connection could serve it.

--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -143,6 +143,7 @@
         kinds: Iterable[str] = (),
         clock: Callable[[], float] | None = None,
     ) -> None:
+        self.classes = settings.classes
         self._balancer = Balancer(settings, seed)
         self._clock = clock or Clock()
         self._classes = {cls.name: number for number, cls in enumerate(settings.classes)}
--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -22,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
+MAX_BUFFER = 512 * 1024
 LINGER_S = 1.0  # a consumer that still writes gets this long to read why it is turned off
 ACCEPT_S = 0.5  # after SIGTERM new connections still arrive
 LEAVE_S = 0.9  # after SIGTERM, connections without a call close
@@ -86,16 +87,21 @@
             await self._turn_off(error)
         except StreamClosedError:
             pass
-        except Exception:
+        except Exception:  # a fault of ours: the consumer is told so rather than left without an answer
             log.exception("consumer")
+            await self._turn_off(http1.MalformedError(502, "internal fault"))
         finally:
             self.stream.close()
 
     async def _request(self) -> http1.Message:
+        asked = False
         while True:
             request = self._parser.take()
             if request is not None:
                 return request
+            if self._parser.asked and not asked:
+                asked = True
+                await self.stream.write(http1.CONTINUE)
             self._parser.feed(await self.stream.read_bytes(65536, partial=True))
 
     async def _respond(self, request: http1.Message, keep: bool) -> bytes | None:
@@ -111,6 +117,8 @@
 
     def _take(self, request: http1.Message) -> None:
         fields, facade = request.fields, self._all.facade
+        if request.method in (b"HEAD", b"CONNECT"):  # framed by other rules, and no call has them
+            raise http1.MalformedError(405, "GET or POST expected")
         class_name = fields.get(b"x-call-class", b"").decode("latin-1")
         tenant = fields.get(b"x-caller", b"").decode("latin-1")
         if not fields.get(b"x-call-id"):
@@ -176,6 +184,7 @@
                 return
             except OSError as error:  # aborted by the consumer, or no descriptor left
                 log.warning("listener: %s", error)
+                self._drop_idle()
                 return
             self._admit(sock)
 
@@ -184,7 +193,7 @@
             sock.close()
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        consumer = Consumer(IOStream(sock), self)
+        consumer = Consumer(IOStream(sock, max_buffer_size=MAX_BUFFER), self)
         self._open[consumer] = asyncio.get_running_loop().create_task(consumer.serve())
 
     def left(self, consumer: Consumer) -> None:
@@ -212,5 +221,8 @@
         await sleep(LEAVE_S - ACCEPT_S)
         for consumer in [c for c in self._open if c.idle]:
             consumer.stream.close()
-        while self._open:
-            await asyncio.wait(list(self._open.values()))
+        # Every call is answered by its deadline; who has not read its answer by then is not waited for.
+        longest = max(cls.deadline_ms for cls in self.facade.classes) / 1000.0
+        end = self._loop.time() + longest
+        while self._open and self._loop.time() < end:
+            await asyncio.wait(list(self._open.values()), timeout=end - self._loop.time())
--- a/limenotch/net/directory.py
+++ b/limenotch/net/directory.py
@@ -55,7 +55,7 @@
     version = raw.get("index")
     entries = [provider_of(entry) for entry in raw["endpoints"]]
     return (
-        version if isinstance(version, int) else 0,
+        version if isinstance(version, int) and version >= 0 else 0,
         raw.get("snapshot") is True,
         [entry for entry in entries if entry is not None],
     )
@@ -127,5 +127,5 @@
     def _tell(self, raw: Any, whole: bool = False) -> None:
         told = list_of(raw)
         if told is not None:
-            self._version = told[0]
+            self._version = told[0] or self._version
             self._heard(told[2], told[1] or whole)
--- a/limenotch/net/http1.py
+++ b/limenotch/net/http1.py
@@ -12,7 +12,7 @@
 
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 TARGET = re.compile(rb"[!-~\x80-\xff]+")
-FIELD = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*")
+CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 STATUS = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?")
 SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?", re.DOTALL)
 
@@ -20,6 +20,7 @@
     200: b"OK",
     400: b"Bad Request",
     404: b"Not Found",
+    405: b"Method Not Allowed",
     413: b"Content Too Large",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
@@ -176,10 +177,10 @@
         headers: Headers = []
         fields: dict[bytes, bytes] = {}
         for line in lines:
-            match = FIELD.fullmatch(line)
-            if match is None:
+            name, colon, value = line.partition(b":")
+            if not colon or not TOKEN.fullmatch(name) or CONTROL.search(value):
                 raise MalformedError(400, "bad header line")
-            name, value = match.groups()
+            value = value.strip(b" \t")
             key = name.lower()
             if key in fields and key in (b"content-length", b"transfer-encoding") and fields[key] != value:
                 raise MalformedError(400, "contradicting framing")
@@ -212,6 +213,12 @@
 
 
 class RequestParser(_Parser):
+    @property
+    def asked(self) -> bool:
+        """A request's head is there and its sender waits for a word before it sends the body."""
+        message = self._message
+        return message is not None and message.fields.get(b"expect", b"").lower() == b"100-continue"
+
     def _first(self, line: bytes, message: Message) -> None:
         parts = line.split(b" ")
         if len(parts) != 3 or not TOKEN.fullmatch(parts[0]) or not TARGET.fullmatch(parts[1]):
@@ -285,6 +292,9 @@
         return self._body is not None and self._body.done
 
 
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+
 def _lines(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
     return b"".join(name + b": " + value + b"\r\n" for name, value in headers)
 
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -22,6 +22,9 @@
 IDLE_PART = 0.4
 
 
+MAX_BUFFER = 512 * 1024
+
+
 class Connection:
     """One connection to a provider; owned by the pool while idle, by one invoker call otherwise.
 
@@ -182,18 +185,17 @@
         if provider is None or not provider.takes_new or invoker_call in self._cut:
             self._cut.setdefault(invoker_call, Ending.NOT_SENT)
             return None
-        idle = self._idle.get(provider.name, [])
-        while idle:
-            connection = idle.pop()  # the latest used: the others get to be closed
-            self._loop.remove_timeout(connection.idle_timer)
+        while idle := self._idle.get(provider.name):
+            connection = idle[-1]  # the latest used: the others get to be closed
+            self._not_idle(connection)
             if not connection.stream.closed():
                 self._streams[invoker_call] = connection.stream
                 return connection
         if not self._sockets.take():
             self._cut.setdefault(invoker_call, Ending.NOT_SENT)
             return None
-        stream = self._open(provider.address)
-        self._streams[invoker_call] = stream
+        connection = self._open(provider)
+        stream = self._streams[invoker_call] = connection.stream
         timer = self._loop.call_later(self._connect_s, stream.close)
         try:
             await stream.connect(provider.address)
@@ -202,23 +204,23 @@
             return None
         finally:
             self._loop.remove_timeout(timer)
-        connection = Connection(stream, provider.name, provider.address)
         task = asyncio.get_running_loop().create_task(connection.read())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return connection
 
-    def _open(self, address: tuple[str, int]) -> IOStream:
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    def _open(self, provider: Provider) -> Connection:
+        family = socket.AF_INET6 if ":" in provider.address[0] else socket.AF_INET
         try:
             sock = socket.socket(family, socket.SOCK_STREAM)
         except OSError:
             self._sockets.give_back()
             raise
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        stream = IOStream(sock)
-        stream.set_close_callback(self._sockets.give_back)
-        return stream
+        stream = IOStream(sock, max_buffer_size=MAX_BUFFER)
+        connection = Connection(stream, provider.name, provider.address)
+        stream.set_close_callback(lambda: self._closed(connection))
+        return connection
 
     def _release(self, connection: Connection, response: http1.Message | None) -> None:
         """Back to the idle ones if the exchange left it clean, else closed."""
@@ -229,12 +231,26 @@
             return
         connection.idle_timer = self._loop.call_later(self._idle_s, connection.stream.close)
         self._idle.setdefault(connection.provider, []).append(connection)
+        self._sockets.idle += 1
+
+    def _not_idle(self, connection: Connection) -> None:
+        idle = self._idle.get(connection.provider, [])
+        if connection in idle:
+            idle.remove(connection)
+            self._sockets.idle -= 1
+            self._loop.remove_timeout(connection.idle_timer)
+            if not idle:
+                del self._idle[connection.provider]
+
+    def _closed(self, connection: Connection) -> None:
+        """The one place where a connection's descriptor is given back."""
+        self._not_idle(connection)
+        self._sockets.give_back()
 
     def _drop_oldest(self) -> bool:
-        for idle in self._idle.values():
-            while idle:
-                connection = idle.pop(0)
-                self._loop.remove_timeout(connection.idle_timer)
+        for idle in list(self._idle.values()):
+            for connection in list(idle):
+                self._not_idle(connection)
                 if not connection.stream.closed():
                     connection.stream.close()
                     return True
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -15,12 +15,14 @@
 
     def __init__(self, limit: int) -> None:
         self.limit = max(limit - RESERVE, 8)
+        self.for_providers = int(self.limit * (1 - FOR_CONSUMERS))
         self.used = 0
+        self.idle = 0  # of providers' connections: each can serve one more invoker call, or give way
         self.drop_idle: list[Callable[[], bool]] = []  # each closes one idle connection, if it has any
 
     def take(self, consumer: bool = False) -> bool:
         """One more, if there is room or an idle connection gives way."""
-        limit = self.limit if consumer else int(self.limit * (1 - FOR_CONSUMERS))
+        limit = self.limit if consumer else self.for_providers
         if self.used >= limit and not any(drop() for drop in self.drop_idle):
             return False
         self.used += 1
@@ -32,4 +34,4 @@
     @property
     def room(self) -> bool:
         """Whether an invoker call could get a connection of its own."""
-        return self.used < int(self.limit * (1 - FOR_CONSUMERS))
+        return self.idle > 0 or self.used < self.for_providers
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -42,6 +42,7 @@
     calls.carry_out(facade.start())
     if config.known:
         directory.known(config.known)
+    directory.watch()  # also where the module expects the list unasked: nobody else brings it here
     consumers.listen(config.listen)
     log.info("%s: listening on %s:%d, layer %d", config.name, *config.listen, config.settings.layer)
     gc.freeze()  # what stays for good is not looked through again
