--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,76 @@
+"""Configuration: defaults, overrides, and messages that name the faulty key."""
+
+from __future__ import annotations
+
+import copy
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from limenotch.__main__ import main
+from limenotch.config import ConfigError, load, parse
+
+CLASS = {"name": "look", "effect": "idempotent", "target_ms": 400.0, "hard_limit_ms": 900.0}
+RAW: dict[str, Any] = {
+    "name": "n3", "listen": "127.0.0.1:5000", "discovery": "127.0.0.2:8500", "seed": "8c1f30d27a5be964",
+    "limits": {"sockets": 256, "of_tomorrow": 1}, "known": {"index": 1, "endpoints": []}, "of_tomorrow": [],
+    "settings": {"classes": [CLASS], "zones": ["a"], "skus": ["m2"], "permissions": {"conn_idle_ms": 9000}},
+}
+
+
+def test_what_the_file_says_and_what_it_leaves_out() -> None:
+    config = parse(RAW, {"LB_LISTEN": "127.0.0.9:1"})
+    assert config.listen == ("127.0.0.9", 1) and config.directory == ("127.0.0.2", 8500)
+    assert config.seed == 0x8C1F30D27A5BE964  # the seed is hexadecimal also where it looks decimal
+    assert (config.sockets, config.idle_ms, config.connect_ms, config.max_open) == (256, 9000, 250, 20000)
+
+
+@pytest.mark.parametrize(("path", "value", "key"), [
+    ("listen", "nowhere", "listen"),
+    ("discovery", None, "discovery"),
+    ("seed", "xyz", "seed"),
+    ("limits", 3, "limits"),
+    ("limits.sockets", "many", "limits.sockets"),
+    ("known", [], "known"),
+    ("settings", None, "settings"),
+    ("settings.classes", None, "settings.classes"),
+    ("settings.classes", [{**CLASS, "effect": "odd"}], "settings.effect"),
+    ("settings.zones", "a", "settings.zones"),
+    ("settings.permissions.conn_idle_ms", -1, "settings.permissions.conn_idle_ms"),
+    ("settings.permissions.max_attempts", 0, "settings.max_attempts"),
+])
+def test_a_fault_names_its_key(path: str, value: object, key: str) -> None:
+    raw = copy.deepcopy(RAW)
+    *outer, last = path.split(".")
+    at = raw
+    for name in outer:
+        at = at[name]
+    at[last] = value
+    with pytest.raises(ConfigError, match=f"^{key}: "):
+        parse(raw, {})
+
+
+@pytest.mark.parametrize("text", ["{", "[]", None])
+def test_a_file_that_is_none(tmp_path: Path, text: str | None) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    for environ in ({"LB_CONFIG": str(path)}, {}):
+        with pytest.raises(ConfigError, match="^LB_CONFIG: "):
+            load(environ)
+
+
+def test_commands(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "config.json"
+    monkeypatch.setenv("LB_CONFIG", str(path))
+    for name in ("LB_LISTEN", "LB_DISCOVERY", "LB_NAME"):
+        monkeypatch.delenv(name, raising=False)
+    path.write_text(json.dumps(RAW))
+    assert main(["check-config"]) == 0 and "listen: 127.0.0.1:5000" in capsys.readouterr().out
+    path.write_text(json.dumps({**RAW, "seed": "?"}))
+    assert main(["serve"]) == 2 and capsys.readouterr().err.startswith("limenotch: seed: ")
+    assert main(["version"]) == 0
--- /dev/null
+++ b/tests/test_http1.py
@@ -0,0 +1,133 @@
+"""The parsers: the same messages however they are cut, and no crash on garbage."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limenotch.net import http1
+from limenotch.net.http1 import MalformedError, Message, RequestParser, ResponseParser
+
+BODIES = st.binary(max_size=300)
+VALUES = st.text("abcXYZ019 =,;-", max_size=30).map(lambda text: text.strip().encode())
+NAMES = st.sampled_from([b"X-Call-Id", b"Accept", b"x-caller", b"Idempotency-Key"])
+HEADERS = st.lists(st.tuples(NAMES, VALUES), max_size=6)
+CUTS = st.lists(st.integers(0, 2000), max_size=12)
+
+
+def chunked(body: bytes) -> bytes:
+    pieces = [body[at : at + 7] for at in range(0, len(body), 7)]
+    return b"".join(b"%x;n=1\r\n%b\r\n" % (len(p), p) for p in pieces) + b"0\r\nX-Last: 1\r\n\r\n"
+
+
+def fed(parser: RequestParser | ResponseParser, wire: bytes, cuts: list[int]) -> list[Message]:
+    found = []
+    edges = [0, *sorted(cut % (len(wire) + 1) for cut in cuts), len(wire)]
+    for start, end in zip(edges, edges[1:], strict=False):
+        parser.feed(wire[start:end])
+        while (message := parser.take()) is not None:
+            found.append(message)
+    return found
+
+
+@given(st.lists(st.tuples(HEADERS, BODIES, st.booleans()), min_size=1, max_size=3), CUTS)
+def test_requests_however_cut(messages: list[tuple[http1.Headers, bytes, bool]], cuts: list[int]) -> None:
+    wire = b""
+    for headers, body, in_chunks in messages:
+        if in_chunks:
+            coded = [*headers, (b"Transfer-Encoding", b"chunked")]
+            wire += http1.write_request(b"GET", b"/api?a=%20", coded) + chunked(body)
+        else:
+            wire += http1.write_request(b"POST", b"/api?a=%20", headers, body)
+    parser = RequestParser()
+    found = fed(parser, wire, cuts)
+    assert [(m.end_to_end(), m.body) for m in found] == [(h, b) for h, b, _ in messages]
+    assert all(m.target == b"/api?a=%20" for m in found) and parser.idle
+
+
+@given(st.sampled_from([200, 500, 503, 504]), HEADERS, BODIES, st.booleans(), CUTS)
+def test_responses_however_cut(
+    status: int, headers: http1.Headers, body: bytes, in_chunks: bool, cuts: list[int]
+) -> None:
+    if in_chunks:
+        head = b"HTTP/1.1 %d \r\nTransfer-Encoding: chunked\r\n\r\n" % status
+        wire = head + chunked(body)
+    else:
+        wire = http1.write_response(status, headers, body)
+    (found,) = fed(ResponseParser(), b"HTTP/1.1 100 Continue\r\n\r\n" + wire, cuts)
+    assert (found.status, found.body, found.keep_alive) == (status, body, True)
+
+
+@given(BODIES, st.integers(1, 400))
+def test_a_body_cut_off_is_no_response(body: bytes, less: int) -> None:
+    # Guards the outcome reset: what an ended connection leaves unfinished must not pass for a 200.
+    wire = http1.write_response(200, [], body + b"!")
+    parser = ResponseParser()
+    parser.feed(wire[: max(len(wire) - less, 0)])
+    assert parser.take() is None and parser.end() is None
+
+
+def test_a_body_that_the_end_completes() -> None:
+    parser = ResponseParser()
+    parser.feed(b"HTTP/1.0 200 OK\r\n\r\nall")
+    assert parser.take() is None
+    message = parser.end()
+    assert message is not None and message.body == b"all" and not message.keep_alive
+
+
+@given(st.lists(st.sampled_from([b"GET / HTTP/1.1\r\n", b"HTTP/1.1 200 OK\r\n", b"\r\n", b": ", b"a" * 90,
+                                 b"Transfer-Encoding: chunked\r\n", b"Content-Length: 9\r\n", b"\xff\x00",
+                                 b"ffffffff\r\n"]) | st.binary(max_size=40), max_size=30))
+def test_garbage_is_malformed_or_waited_on(pieces: list[bytes]) -> None:
+    for parser in (RequestParser(), ResponseParser()):
+        try:
+            fed(parser, b"".join(pieces), [])
+        except MalformedError as error:
+            assert error.status in (400, 413, 431)
+    try:
+        http1.ChunkStream().feed(b"".join(pieces))
+    except MalformedError:
+        pass
+
+
+@pytest.mark.parametrize(("wire", "status"), [
+    (b"GET / HTTP/1.1\r\nX: " + b"a" * http1.MAX_HEAD, 431),
+    (b"POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n", 413),
+    (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", 400),
+    (b"GET / HTTP/2.0\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nX : 1\r\n\r\n", 400),
+    (b"GET /a b HTTP/1.1\r\n\r\n", 400),
+])
+def test_limits_and_framing(wire: bytes, status: int) -> None:
+    with pytest.raises(MalformedError) as caught:
+        fed(RequestParser(), wire, [])
+    assert caught.value.status == status
+
+
+def test_a_long_run_of_blanks_is_no_work() -> None:
+    # Guards against patterns that go over a value once for each of its blanks: 16 KB then took a second.
+    parser = RequestParser()
+    parser.feed(b"GET / HTTP/1.1\r\nX: a" + b" " * 16000 + b"b\r\n\r\n")
+    assert parser.take() is not None
+
+
+def test_hop_by_hop_headers_stay_behind() -> None:
+    parser = RequestParser()
+    parser.feed(b"GET / HTTP/1.1\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nTE: x\r\nAccept: a\r\n\r\n")
+    message = parser.take()
+    assert message is not None and message.end_to_end() == [(b"Accept", b"a")] and not message.keep_alive
+
+
+@given(st.lists(st.text("ab{}:", max_size=20).map(str.encode), max_size=8), CUTS)
+def test_watch_lines_however_cut(lines: list[bytes], cuts: list[int]) -> None:
+    body = b"".join(line + b"\n" for line in lines)
+    wire = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body)
+    stream, found = http1.ChunkStream(), []
+    edges = [0, *sorted(cut % (len(wire) + 1) for cut in cuts), len(wire)]
+    for start, end in zip(edges, edges[1:], strict=False):
+        found += stream.feed(wire[start:end])
+    assert found == lines and stream.done
