Time calls by the monotonic clock; keep new connections open through a SIGTERM

A probe showed the call timer firing at once: IOLoop.time() is the wall clock, so a clock set back or forth would have stretched or ended every open call. The lines: call_at in providers.py, loop.time() in calls.py and consumers.py; now time.monotonic and call_later. - A connection accepted just before SIGTERM was closed as idle before its first request had arrived (Consumers.leave). Only connections that have had a request are closed then. Tests of the whole sidecar on loopback: final answers by outcome, bad input, SIGTERM, a consumer that goes, a drain during a connect, a refused connection, descriptors, the watch.

--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
+from time import monotonic
 from typing import Any, Protocol
 
 from tornado.ioloop import IOLoop
@@ -42,7 +43,7 @@
     call: Call
     number: int
     provider: str
-    began: float  # of the loop's clock
+    began: float  # by time.monotonic: the loop's own clock is the wall's, which may be set
     end: float
     over: bool = False
 
@@ -56,7 +57,7 @@
 class Call:
     number: int
     payload: Any
-    end: float  # of the loop's clock
+    end: float  # by time.monotonic
     answer: Callable[[Final], None]
     made: list[InvokerCall] = field(default_factory=list)
     final: Final | None = None
@@ -98,7 +99,7 @@
         """A call was taken; `answer` is called once unless it departs. Without `room`: rejected at once."""
         left = budget_ms - min(MARGIN_MS, budget_ms / 4)
         self._count += 1
-        call = Call(self._count, payload, self._loop.time() + left / 1000.0, answer)
+        call = Call(self._count, payload, monotonic() + left / 1000.0, answer)
         if not room or len(self.open) >= self.max_open:
             self._close(call, Final(Verdict.REJECTED, retry_after_ms=1000.0))
             return call
@@ -127,7 +128,7 @@
         del self._out[call.number, invoker_call.number]
         if ending is Ending.SERVED and call.final is None and not call.gone:
             self._close(call, Final(Verdict.SERVED, payload))
-        spent = (self._loop.time() - invoker_call.began) * 1000.0
+        spent = (monotonic() - invoker_call.began) * 1000.0
         closed = call.final is not None or call.gone
         self.carry_out(
             self.facade.report(
@@ -166,13 +167,13 @@
             if isinstance(order, house.Reject):
                 self._close(call, Final(Verdict.REJECTED, retry_after_ms=order.retry_after_ms))
             else:
-                self._close(call, Final(Verdict.FAILED, timed_out=self._loop.time() >= call.end))
+                self._close(call, Final(Verdict.FAILED, timed_out=monotonic() >= call.end))
 
     def _invoke(self, order: house.Invoke) -> None:
         call = self.open.get(order.call)
         if call is None:
             return
-        now = self._loop.time()
+        now = monotonic()
         end = min(now + order.wait_ms / 1000.0, call.end)
         invoker_call = InvokerCall(call, len(call.made), order.provider, now, end)
         call.made.append(invoker_call)
--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -7,6 +7,7 @@
 import math
 import socket
 from collections.abc import Callable
+from time import monotonic
 
 from tornado.gen import sleep
 from tornado.ioloop import IOLoop
@@ -64,6 +65,7 @@
         self._parser = http1.RequestParser()
         self._call: Call | None = None
         self._final: asyncio.Future[Final] | None = None
+        self.used = False
         stream.set_close_callback(self._closed)
 
     @property
@@ -74,6 +76,7 @@
         try:
             while True:
                 request = await self._request()
+                self.used = True
                 keep = request.keep_alive and not self._all.leaving
                 response = await self._respond(request, keep)
                 if response is None:
@@ -210,7 +213,8 @@
     async def leave(self) -> None:
         """Take no more, once those under way have arrived; return when every call is answered."""
         self.leaving = True
-        for consumer in [c for c in self._open if c.idle]:
+        # A new connection's first request is still on its way: only those that had one are idle.
+        for consumer in [c for c in self._open if c.idle and c.used]:
             consumer.stream.close()
         await sleep(ACCEPT_S)
         if self._listener is not None:
@@ -223,6 +227,6 @@
             consumer.stream.close()
         # Every call is answered by its deadline; who has not read its answer by then is not waited for.
         longest = max(cls.deadline_ms for cls in self.facade.classes) / 1000.0
-        end = self._loop.time() + longest
-        while self._open and self._loop.time() < end:
-            await asyncio.wait(list(self._open.values()), timeout=end - self._loop.time())
+        end = monotonic() + longest
+        while self._open and monotonic() < end:
+            await asyncio.wait(list(self._open.values()), timeout=end - monotonic())
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -6,6 +6,7 @@
 import logging
 import socket
 from collections.abc import Iterable
+from time import monotonic
 
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
@@ -113,7 +114,8 @@
             stream.close()
 
     async def _run(self, invoker_call: InvokerCall) -> None:
-        timer = self._loop.call_at(invoker_call.end, self._cut_off, invoker_call, Ending.TIMED_OUT)
+        wait = max(invoker_call.end - monotonic(), 0.0)
+        timer = self._loop.call_later(wait, self._cut_off, invoker_call, Ending.TIMED_OUT)
         ending, response = Ending.RESET, None
         try:
             ending, response = await self._exchange(invoker_call)
@@ -162,7 +164,7 @@
             and provider is not None
             and provider.takes_new
             and provider.address == connection.address
-            and self._loop.time() < invoker_call.end
+            and monotonic() < invoker_call.end
         )
 
     def _unsent(self, invoker_call: InvokerCall, else_: Ending) -> Ending:
@@ -172,7 +174,7 @@
 
     def _request(self, invoker_call: InvokerCall) -> bytes:
         message: http1.Message = invoker_call.call.payload
-        left_us = max(int((invoker_call.end - self._loop.time()) * 1e6), 1)
+        left_us = max(int((invoker_call.end - monotonic()) * 1e6), 1)
         headers = [pair for pair in message.end_to_end() if pair[0].lower() != b"x-budget"]
         headers.append((b"X-Budget", b"%du" % left_us))
         return http1.write_request(message.method, message.target, headers, message.body)
--- /dev/null
+++ b/tests/test_sidecar.py
@@ -0,0 +1,365 @@
+"""The whole sidecar on loopback sockets, and its peers one at a time. Nothing here waits on a clock."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+from collections.abc import Awaitable, Callable, Coroutine
+from time import monotonic
+from typing import Any
+
+import pytest
+
+from limenotch import config, program
+from limenotch.facade import Ending, Facade, Provider, Status
+from limenotch.net import http1
+from limenotch.net.calls import Call, Calls, Final, InvokerCall, Verdict
+from limenotch.net.consumers import budget_ms
+from limenotch.net.directory import Directory, list_of
+from limenotch.net.providers import Connection, Providers, ending_of, utilisation_of
+from limenotch.net.sockets import Sockets
+from switchthread.settings import read_settings
+
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+Handler = Callable[[Reader, Writer], Awaitable[None]]
+HEADERS = b"X-Call-Id: 1\r\nX-Caller: acme\r\nX-Budget: 20000m\r\n"
+LOOK = b"GET /api HTTP/1.1\r\nX-Call-Class: look\r\n" + HEADERS + b"\r\n"
+DELIVER = b"POST /api HTTP/1.1\r\nX-Call-Class: deliver\r\nIdempotency-Key: k\r\n" + HEADERS
+DELIVER += b"Content-Length: 3\r\n\r\ndoc"
+SETTINGS = {
+    "classes": [
+        {"name": "look", "effect": "idempotent", "target_ms": 9000.0, "hard_limit_ms": 20000.0},
+        {"name": "deliver", "effect": "deduplicated", "dedup_scope": "zone", "window_ms": 9000.0,
+         "target_ms": 9000.0, "hard_limit_ms": 20000.0, "late_worth": 0.5},
+    ],
+    "tenants": [{"name": "acme", "quota_per_s": 100.0}],
+    "permissions": {"cancel": True, "parallel_tries": True, "max_attempts": 2, "connect_timeout_ms": 9000.0},
+    "registry_mode": "ask",
+}
+
+
+def run(case: Coroutine[Any, Any, None]) -> None:
+    """A case that goes wrong may wait for what never comes; one that goes right is far from this limit."""
+    asyncio.run(asyncio.wait_for(case, 60))
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def answering(*answers: bytes) -> tuple[Handler, list[http1.Message]]:
+    """A provider that answers its requests with these in turn, the last again and again; b"" hangs up."""
+    seen: list[http1.Message] = []
+
+    async def handle(reader: Reader, writer: Writer) -> None:
+        parser = http1.RequestParser()
+        while data := await reader.read(65536):
+            parser.feed(data)
+            if (request := parser.take()) is not None:
+                answer = answers[min(len(seen), len(answers) - 1)]
+                seen.append(request)
+                writer.write(answer)
+                if not answer.endswith(b"!"):  # our whole answers end so
+                    break
+        writer.close()
+
+    return handle, seen
+
+
+def whole(status: int, *headers: tuple[bytes, bytes]) -> bytes:
+    return http1.write_response(status, list(headers), b"body!")
+
+
+async def ask(port: int, wire: bytes) -> http1.Message:
+    """One request on a connection of its own, up to the connection's end or a whole answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(wire)
+    parser = http1.ResponseParser()
+    while (message := parser.take()) is None:
+        data = await reader.read(65536)
+        assert data, "closed without an answer"
+        parser.feed(data)
+    writer.close()
+    return message
+
+
+async def with_sidecar(
+    handler: Handler, use: Callable[[int], Coroutine[Any, Any, None]], ends: bool = False
+) -> None:
+    """Starts a provider and a sidecar that knows it by two names; ends them unless `use` has."""
+    provider = await asyncio.start_server(handler, "127.0.0.1", 0)
+    address = "127.0.0.1:%d" % provider.sockets[0].getsockname()[1]  # noqa: UP031
+    listed = [{"name": name, "address": address, "zone": "a", "status": "in_service"} for name in "ab"]
+    port = free_port()
+    raw = {"name": "n", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}", "seed": "1f",
+           "known": {"index": 3, "snapshot": True, "endpoints": listed}, "settings": SETTINGS}
+    serving = asyncio.create_task(program.serve(config.parse(raw, {})))
+    while True:
+        try:
+            ready = await ask(port, b"GET /up HTTP/1.1\r\n\r\n")
+            break
+        except OSError:
+            assert not serving.done()
+            await asyncio.sleep(0)
+    assert ready.status == 200  # with a list but no directory
+    try:
+        await use(port)
+    finally:
+        if not ends:
+            serving.cancel()
+        await asyncio.wait([serving])
+        provider.close()
+    assert serving.cancelled() or serving.exception() is None
+
+
+REJECTED = whole(503, (b"X-Rejected", b"1"))
+
+
+@pytest.mark.parametrize(("request_", "answers", "status", "runs"), [
+    (LOOK, [whole(200, (b"X-Load-Report", b"TEXT util=?"))], 200, 1),
+    (LOOK, [whole(500), whole(200)], 200, 2),
+    (LOOK, [whole(500)], 503, 2),  # a repeat is harmless: a rejection, worded by us
+    (DELIVER, [whole(500)], 502, 2),  # never a rejection after it may have run
+    (DELIVER, [whole(503)], 502, 2),  # a bare 503 may have run
+    (DELIVER, [REJECTED], 503, 2),
+    (DELIVER, [b""], 502, 2),  # hung up after the last byte: reset
+    (DELIVER, [b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbo"], 502, 2),  # cut off: no 200
+    (DELIVER, [b"nonsense\r\n\r\n"], 502, 2),
+], ids=["200", "500 then 200", "500", "keyed 500", "keyed 503", "turned away", "reset", "cut off", "garbage"])
+def test_final_answers(request_: bytes, answers: list[bytes], status: int, runs: int) -> None:
+    handler, seen = answering(*answers)
+
+    async def use(port: int) -> None:
+        answer = await ask(port, request_)
+        assert answer.status == status
+        assert answer.body == (b"body!" if status == 200 else b"")
+        assert b"x-load-report" not in answer.fields
+
+    run(with_sidecar(handler, use))
+    assert len(seen) == runs
+    assert all(r.fields[b"x-call-id"] == b"1" for r in seen)
+    assert all(r.body == (b"doc" if r.method == b"POST" else b"") for r in seen)
+
+
+@pytest.mark.parametrize(("wire", "status"), [
+    (LOOK.replace(b"X-Call-Id", b"X-Other"), 400),
+    (LOOK.replace(b"look", b"odd"), 400),
+    (LOOK.replace(b"acme", b"odd"), 400),
+    (LOOK.replace(b"20000m", b"nanm"), 400),
+    (LOOK.replace(b"GET", b"HEAD"), 405),
+    (b"\x16\x03\x01 hello\r\n\r\n", 400),
+    (b"GET /" + b"a" * 70_000, 431),
+    (DELIVER.replace(b"Length: 3", b"Length: 70000"), 413),
+], ids=["no id", "class", "tenant", "budget", "method", "garbage", "large head", "large body"])
+def test_bad_input_is_answered_and_reaches_no_provider(wire: bytes, status: int) -> None:
+    handler, seen = answering(whole(200))
+
+    async def use(port: int) -> None:
+        answer = await ask(port, wire)
+        assert (answer.status, answer.keep_alive) == (status, False)
+
+    run(with_sidecar(handler, use))
+    assert not seen
+
+
+def test_a_call_under_way_is_finished_after_sigterm() -> None:
+    async def case() -> None:
+        arrived, release = asyncio.Event(), asyncio.Event()
+
+        async def handler(reader: Reader, writer: Writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            arrived.set()
+            await release.wait()
+            writer.write(whole(200))
+
+        async def use(port: int) -> None:
+            asked = asyncio.create_task(ask(port, LOOK))
+            await arrived.wait()
+            os.kill(os.getpid(), signal.SIGTERM)
+            # The front does not know yet: a new connection must not be closed as an idle one before its
+            # first request has arrived.
+            late = await ask(port, LOOK.replace(b"look", b"odd"))
+            assert late.status == 400
+            release.set()
+            answer = await asked
+            assert (answer.status, answer.keep_alive) == (200, False)
+
+        await with_sidecar(handler, use, ends=True)
+
+    run(case())
+
+
+def test_consumer_gone_ends_its_invoker_calls() -> None:
+    async def case() -> None:
+        arrived, ended = asyncio.Event(), asyncio.Event()
+
+        async def handler(reader: Reader, writer: Writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            arrived.set()
+            assert await reader.read() == b""
+            ended.set()
+
+        async def use(port: int) -> None:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(LOOK)
+            await arrived.wait()
+            writer.close()
+            await ended.wait()
+
+        await with_sidecar(handler, use)
+
+    run(case())
+
+
+class Heard(Calls):
+    """Calls that only note how invoker calls ended."""
+
+    def __init__(self) -> None:
+        super().__init__(Facade(read_settings(SETTINGS), 1), 10)
+        self.endings: asyncio.Queue[Ending] = asyncio.Queue()
+
+    def ended(
+        self, invoker_call: InvokerCall, ending: Ending, payload: Any = None, utilisation: float | None = None
+    ) -> None:
+        invoker_call.over = True
+        self.endings.put_nowait(ending)
+
+
+def invoker_call(end: float) -> InvokerCall:
+    message = http1.Message([], {}, b"GET", b"/api")
+    return InvokerCall(Call(1, message, end, lambda final: None), 0, "a", 0.0, end)
+
+
+def test_nothing_is_written_to_a_provider_that_drains_while_we_connect() -> None:
+    # Guards the drain rule: the list may change between the choice of a provider and its connection.
+    async def case() -> None:
+        calls, sockets, seen = Heard(), Sockets(1024), asyncio.Queue[bytes]()
+
+        async def handler(reader: Reader, writer: Writer) -> None:
+            seen.put_nowait(await reader.read())
+
+        server = await asyncio.start_server(handler, "127.0.0.1", 0)
+        provider = Provider("a", server.sockets[0].getsockname(), Status.IN_SERVICE)
+        providers = Providers(calls, sockets, 9000.0, 9000.0)
+        providers.listed([provider], True)
+        providers.make(invoker_call(monotonic() + 20))
+        await asyncio.sleep(0)  # the task runs up to its wait for the connection
+        assert sockets.used == 1
+        providers.listed([provider._replace(status=Status.TERMINATING)], False)
+        assert await calls.endings.get() is Ending.NOT_SENT
+        assert await seen.get() == b"" and calls.endings.empty()
+        while sockets.used:  # the descriptor comes back with the connection's end
+            await asyncio.sleep(0)
+
+    run(case())
+
+
+@pytest.mark.parametrize(("listed", "ending"), [(True, Ending.CONNECT_FAILED), (False, Ending.NOT_SENT)])
+def test_providers_that_refuse_or_are_not_listed(listed: bool, ending: Ending) -> None:
+    async def case() -> None:
+        calls, sockets = Heard(), Sockets(1024)
+        providers = Providers(calls, sockets, 9000.0, 9000.0)
+        providers.listed([Provider("a", ("127.0.0.1", free_port()), Status.IN_SERVICE)] * listed, True)
+        providers.make(invoker_call(monotonic() + 20))
+        assert await calls.endings.get() is ending
+        while sockets.used:
+            await asyncio.sleep(0)
+
+    run(case())
+
+
+def test_sockets_give_way_and_keep_a_part_for_consumers() -> None:
+    sockets, idle = Sockets(64), [1, 1]
+    while sockets.take():
+        pass
+    assert sockets.used == sockets.for_providers and not sockets.room and sockets.take(consumer=True)
+
+    def drop() -> bool:
+        sockets.used -= bool(idle)
+        return bool(idle and idle.pop())
+
+    sockets.drop_idle.append(drop)
+    while sockets.take(consumer=True):
+        pass
+    assert not idle and sockets.used == sockets.limit
+
+
+def test_calls_over_the_limit_are_rejected_at_once() -> None:
+    async def case() -> None:
+        calls, finals = Calls(Facade(read_settings(SETTINGS), 1), 1), list[Final]()
+        calls.take(None, "look", "acme", 20000.0, finals.append)
+        assert not finals  # held by the module: there is no list yet
+        calls.take(None, "look", "acme", 20000.0, finals.append)
+        (final,) = finals
+        assert final.verdict is Verdict.REJECTED and final.retry_after_ms > 0
+
+    run(case())
+
+
+def test_a_watch_that_ends_is_told_once_and_resumed_by_version() -> None:
+    async def case() -> None:
+        asked, heard, broken = list[bytes](), list[tuple[list[Provider], bool]](), asyncio.Queue[None]()
+        lines = b'{"index":7,"snapshot":true,"endpoints":[{"name":"a"},{"name":"b","address":"127.0.0.1:1",' \
+                b'"status":"odd"}]}\nnot json\n\n'
+        answers = [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(lines), lines),
+                   b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"]
+
+        async def handler(reader: Reader, writer: Writer) -> None:
+            asked.append((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1])
+            writer.write(answers[len(asked) - 1])
+            writer.close()
+
+        server = await asyncio.start_server(handler, "127.0.0.1", 0)
+        directory = Directory(
+            server.sockets[0].getsockname(), lambda *told: heard.append(told), lambda: broken.put_nowait(None)
+        )
+        for _ in answers:
+            directory.watch()
+            directory.watch()  # no second one beside it
+            await broken.get()
+        assert broken.empty() and heard == [([], True)]
+        assert asked == [b"/discovery/hosts?follow=1", b"/discovery/hosts?follow=1&since=7"]
+
+    run(case())
+
+
+@pytest.mark.parametrize("raw", [None, [], {}, {"endpoints": 3}, {"endpoints": [None, 1, {"name": "a"}]},
+                                 json.loads('{"endpoints":[{"name":"a","address":"h:1","status":"in_service",'
+                                            '"weight":Infinity}]}')])
+def test_odd_lists_crash_nothing(raw: Any) -> None:
+    told = list_of(raw)
+    assert told is None or told[2] == []
+
+
+def test_words_of_the_protocol() -> None:
+    assert (budget_ms(b"480m"), budget_ms(b"480000u")) == (480.0, 480.0)
+    for text in (b"", b"m", b"480", b"-1m", b"0m", b"infm", b"1e400m"):
+        with pytest.raises(http1.MalformedError):
+            budget_ms(text)
+    assert utilisation_of(b"TEXT qps=3, util=0.5") == 0.5
+    for text in (b"", b"util", b"TEXT util=x", b"util=nan", b"\xff=,="):
+        assert utilisation_of(text) is None
+    marked = http1.Message([], {b"x-rejected": b"1"}, status=503)
+    assert ending_of(marked) is Ending.TURNED_AWAY
+    marked.status = 500
+    assert ending_of(marked) is Ending.ERROR
+
+
+def test_a_connection_that_ended_idle_is_not_reusable() -> None:
+    # Guards against a request that is written to a connection its provider has closed: it would be a reset.
+    async def case() -> None:
+        from tornado.iostream import IOStream
+
+        ours, theirs = socket.socketpair()
+        connection = Connection(IOStream(ours), "a", ("127.0.0.1", 1))
+        theirs.close()
+        await connection.read()
+        assert not connection.reusable(http1.Message([], {}, status=200))
+
+    run(case())
