End an invoker call as not sent when no descriptor is left for it

Found by reading: Providers._open raised OSError into _run, which reports what it does not know as a reset. A keyed call could then go nowhere else, though nothing had been sent. A test raises EMFILE at the socket. The directory's warning now names the cause (refused, reset) in place of 'Stream is closed'.

--- a/limenotch/net/directory.py
+++ b/limenotch/net/directory.py
@@ -83,7 +83,7 @@
         try:
             await self._follow()
         except (StreamClosedError, OSError, http1.MalformedError) as error:
-            log.warning("directory: %s", error)
+            log.warning("directory: watch ended: %s", getattr(error, "real_error", None) or error)
         except Exception:
             log.exception("directory")
         finally:
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -193,10 +193,11 @@
             if not connection.stream.closed():
                 self._streams[invoker_call] = connection.stream
                 return connection
-        if not self._sockets.take():
+        opened = self._open(provider) if self._sockets.take() else None
+        if opened is None:
             self._cut.setdefault(invoker_call, Ending.NOT_SENT)
             return None
-        connection = self._open(provider)
+        connection = opened
         stream = self._streams[invoker_call] = connection.stream
         timer = self._loop.call_later(self._connect_s, stream.close)
         try:
@@ -211,13 +212,14 @@
         task.add_done_callback(self._tasks.discard)
         return connection
 
-    def _open(self, provider: Provider) -> Connection:
+    def _open(self, provider: Provider) -> Connection | None:
         family = socket.AF_INET6 if ":" in provider.address[0] else socket.AF_INET
         try:
             sock = socket.socket(family, socket.SOCK_STREAM)
-        except OSError:
+        except OSError as error:  # no descriptor left after all: nothing was sent, so nothing can have run
+            log.warning("provider %s: %s", provider.name, error)
             self._sockets.give_back()
-            raise
+            return None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = IOStream(sock, max_buffer_size=MAX_BUFFER)
         connection = Connection(stream, provider.name, provider.address)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -274,6 +274,22 @@
     run(case())
 
 
+def test_no_descriptor_left_is_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards keyed calls: ended as a reset, such a call could neither go elsewhere nor be rejected.
+    def none_left(*_: int) -> socket.socket:
+        raise OSError(24, "Too many open files")
+
+    async def case() -> None:
+        calls, sockets = Heard(), Sockets(1024)
+        providers = Providers(calls, sockets, 9000.0, 9000.0)
+        providers.listed([Provider("a", ("127.0.0.1", 9), Status.IN_SERVICE)], True)
+        monkeypatch.setattr(socket, "socket", none_left)
+        providers.make(invoker_call(monotonic() + 20))
+        assert await calls.endings.get() is Ending.NOT_SENT and sockets.used == 0
+
+    run(case())
+
+
 def test_sockets_give_way_and_keep_a_part_for_consumers() -> None:
     sockets, idle = Sockets(64), [1, 1]
     while sockets.take():
