--- a/limenotch/config.py
+++ b/limenotch/config.py
@@ -113,8 +113,11 @@
     )
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """The configuration that the environment points to."""
+def load(environ: Mapping[str, str], again: bool = False) -> Config:
+    """The configuration that the environment points to.
+
+    Read `again` in a running program, the file has the word on the directory: LB_DISCOVERY is of the start.
+    """
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG: missing, expected the path of the configuration file")
@@ -127,4 +130,6 @@
         raise ConfigError(f"LB_CONFIG: {path}: not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"LB_CONFIG: {path}: expected an object")
+    if again and raw.get("discovery"):
+        environ = {name: value for name, value in environ.items() if name != "LB_DISCOVERY"}
     return parse(raw, environ)
--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -158,6 +158,10 @@
         """Where the settings name no tenants, calls need none."""
         return name in self._tenants or not self._tenants
 
+    def longest_ms(self, class_name: str) -> float:
+        """How long any consumer waits for a call of this class."""
+        return self.classes[self._classes[class_name]].deadline_ms
+
     def start(self) -> Orders:
         return self._handle(face.Started())
 
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -1,7 +1,8 @@
 """The life of one call, in no protocol: taken, placed by invoker calls, answered exactly once.
 
 A protocol takes calls here with whatever message it wants carried (`payload`), and gives an invoker that
-carries payloads to providers. Calls are kept by a counter of their own: ids of the consumers may repeat.
+carries payloads to providers. Calls are kept by a counter of their own: ids of the consumers may repeat,
+though not while a call is open.
 """
 
 from __future__ import annotations
@@ -56,6 +57,7 @@
 @dataclass(slots=True, eq=False)
 class Call:
     number: int
+    name: bytes  # as the consumer calls it
     payload: Any
     end: float  # by time.monotonic
     answer: Callable[[Final], None]
@@ -78,6 +80,7 @@
     def __init__(self, facade: Facade, max_open: int) -> None:
         self.facade, self.max_open = facade, max_open
         self.open: dict[int, Call] = {}
+        self._names: set[bytes] = set()  # of those open
         self.invoker: Invoker
         self.watch: Callable[[], None]
         self._loop = IOLoop.current()
@@ -86,8 +89,13 @@
         self._todo: deque[house.Order] = deque()
         self._working = False
 
+    def has(self, name: bytes) -> bool:
+        """Whether a call of this name is open."""
+        return name in self._names
+
     def take(
         self,
+        name: bytes,
         payload: Any,
         class_name: str,
         tenant: str,
@@ -97,13 +105,15 @@
         room: bool = True,
     ) -> Call:
         """A call was taken; `answer` is called once unless it departs. Without `room`: rejected at once."""
+        budget_ms = min(budget_ms, self.facade.longest_ms(class_name))  # else a call could stay open for days
         left = budget_ms - min(MARGIN_MS, budget_ms / 4)
         self._count += 1
-        call = Call(self._count, payload, monotonic() + left / 1000.0, answer)
+        call = Call(self._count, name, payload, monotonic() + left / 1000.0, answer)
         if not room or len(self.open) >= self.max_open:
             self._close(call, Final(Verdict.REJECTED, retry_after_ms=1000.0))
             return call
         self.open[call.number] = call
+        self._names.add(name)
         self.carry_out(self.facade.pick(call.number, class_name, tenant, left, resent))
         return call
 
@@ -111,7 +121,7 @@
         """The consumer is gone: nothing is owed, its invoker calls end."""
         if call.final is None and not call.gone:
             call.gone = True
-            self.open.pop(call.number, None)
+            self._forget(call)
             self.carry_out(self.facade.depart(call.number))
             for invoker_call in call.made:  # those the module may not cancel
                 if not invoker_call.over:
@@ -188,5 +198,9 @@
 
     def _close(self, call: Call, final: Final) -> None:
         call.final = final
-        self.open.pop(call.number, None)
+        self._forget(call)
         call.answer(final)
+
+    def _forget(self, call: Call) -> None:
+        if self.open.pop(call.number, None) is not None:
+            self._names.discard(call.name)
--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-import math
+import re
 import socket
 from collections.abc import Callable
 from time import monotonic
@@ -23,21 +23,24 @@
 log = logging.getLogger(__name__)
 
 BACKLOG = 1024
+ACCEPTS = 16  # in a row
 MAX_BUFFER = 512 * 1024
-LINGER_S = 1.0  # a consumer that still writes gets this long to read why it is turned off
+# A connection that brings no call is owed an end within 3 s; one between two calls may go after 2 s.
+REQUEST_S = 2.0  # from the connection, or a later request's first byte, to a request's last byte
+IDLE_S = 2.5  # after an answer, to the next request's first byte
+LINGER_S = 0.5  # a consumer that still writes gets this long to read why it is turned off ...
+LINGER_BYTES = 256 * 1024  # ... and is read this far: more would be work for nothing
 ACCEPT_S = 0.5  # after SIGTERM new connections still arrive
 LEAVE_S = 0.9  # after SIGTERM, connections without a call close
 
 READY = b"/up"
+BUDGET = re.compile(rb"([0-9]{1,18}(?:\.[0-9]{0,9})?)([mu])")
 
 
 def budget_ms(text: bytes) -> float:
     """`480m` and `480000u`, in milliseconds."""
-    unit = {b"m": 1.0, b"u": 0.001}.get(text[-1:])
-    try:
-        value = float(text[:-1]) * unit if unit else math.nan
-    except ValueError:
-        value = math.nan
+    match = BUDGET.fullmatch(text)
+    value = float(match[1]) * (1.0 if match[2] == b"m" else 0.001) if match else 0.0
     if not 0 < value < 1e9:
         raise http1.MalformedError(400, "X-Budget: expected a number and m or u")
     return value
@@ -63,6 +66,7 @@
     def __init__(self, stream: IOStream, consumers: Consumers) -> None:
         self.stream, self._all = stream, consumers
         self._parser = http1.RequestParser()
+        self._timer: object = None  # of the wait for a request
         self._call: Call | None = None
         self._final: asyncio.Future[Final] | None = None
         self.used = False
@@ -97,15 +101,34 @@
             self.stream.close()
 
     async def _request(self) -> http1.Message:
-        asked = False
-        while True:
-            request = self._parser.take()
-            if request is not None:
-                return request
-            if self._parser.asked and not asked:
-                asked = True
-                await self.stream.write(http1.CONTINUE)
-            self._parser.feed(await self.stream.read_bytes(65536, partial=True))
+        """The next request, whole. One that does not come in time is turned off, or the connection closes."""
+        loop, asked, begun = IOLoop.current(), False, not self.used
+        self._timer = loop.call_later(REQUEST_S if begun else IDLE_S, self._overdue)
+        self._all.waits(self, self._parser.idle)
+        try:
+            while True:
+                request = self._parser.take()
+                if request is not None:
+                    return request
+                if self._parser.asked and not asked:
+                    asked = True
+                    await self.stream.write(http1.CONTINUE)
+                if not (begun or self._parser.idle):
+                    begun = True
+                    loop.remove_timeout(self._timer)
+                    self._timer = loop.call_later(REQUEST_S, self._overdue)
+                self._parser.feed(await self.stream.read_bytes(65536, partial=True))
+                self._all.waits(self, False)
+        finally:
+            self._all.waits(self, False)
+            loop.remove_timeout(self._timer)
+
+    def _overdue(self) -> None:
+        """Silent, or a head or body that does not end: such connections would use up the descriptors."""
+        if not self._parser.idle:
+            error = http1.MalformedError(408, "request not complete in time")
+            self.stream.write(http1.write_response(error.status, [], b"", close=True))
+        self.stream.close()
 
     async def _respond(self, request: http1.Message, keep: bool) -> bytes | None:
         if request.target == READY:
@@ -124,8 +147,11 @@
             raise http1.MalformedError(405, "GET or POST expected")
         class_name = fields.get(b"x-call-class", b"").decode("latin-1")
         tenant = fields.get(b"x-caller", b"").decode("latin-1")
-        if not fields.get(b"x-call-id"):
+        name = fields.get(b"x-call-id")
+        if not name:
             raise http1.MalformedError(400, "X-Call-Id: missing")
+        if self._all.calls.has(name):  # it would reach a provider as one more copy of the other's call
+            raise http1.MalformedError(409, "X-Call-Id: of a call that is open")
         if not facade.knows_class(class_name):
             raise http1.MalformedError(400, "X-Call-Class: unknown")
         if not facade.knows_tenant(tenant):
@@ -133,8 +159,9 @@
         left = budget_ms(fields.get(b"x-budget", b""))
         final = self._final = asyncio.get_running_loop().create_future()
         resent = fields.get(b"x-again") == b"1"
+        room = self._all.sockets.providers.room
         self._call = self._all.calls.take(
-            request, class_name, tenant, left, final.set_result, resent, self._all.sockets.room
+            name, request, class_name, tenant, left, final.set_result, resent, room
         )
 
     def _closed(self) -> None:
@@ -150,8 +177,9 @@
         try:
             await self.stream.write(http1.write_response(error.status, [], body, close=True))
             self.stream.socket.shutdown(socket.SHUT_WR)
-            while True:
-                await self.stream.read_bytes(65536, partial=True)
+            read = 0
+            while read < LINGER_BYTES:
+                read += len(await self.stream.read_bytes(65536, partial=True))
         except (StreamClosedError, OSError):
             pass
         finally:
@@ -168,7 +196,8 @@
         self._loop = IOLoop.current()
         self._listener: socket.socket | None = None
         self._open: dict[Consumer, asyncio.Task[None]] = {}
-        sockets.drop_idle.append(self._drop_idle)
+        self._waiting: dict[Consumer, None] = {}  # those between two requests, the longest first
+        sockets.consumers.drop_idle = self._drop_idle
 
     def listen(self, at: Address) -> None:
         """On this address only. Raises OSError if it can't be had."""
@@ -178,9 +207,11 @@
     def ready(self) -> bool:
         return self._listener is not None and self._has_list()
 
-    def _accept(self) -> None:
-        """All that wait."""
-        while self._listener is not None:
+    def _accept(self, most: int = ACCEPTS) -> None:
+        """Some of those that wait: of many at once, each is read before the next ones push it out."""
+        for _ in range(most):
+            if self._listener is None:
+                return
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
@@ -192,7 +223,7 @@
             self._admit(sock)
 
     def _admit(self, sock: socket.socket) -> None:
-        if not self.sockets.take(consumer=True):
+        if not self.sockets.consumers.take():
             sock.close()
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -202,11 +233,20 @@
     def left(self, consumer: Consumer) -> None:
         """Its connection closed."""
         if self._open.pop(consumer, None) is not None:
-            self.sockets.give_back()
+            self.waits(consumer, False)
+            self.sockets.consumers.give_back()
+
+    def waits(self, consumer: Consumer, waiting: bool) -> None:
+        """A connection begins or ends to be between two requests."""
+        if waiting:
+            self._waiting[consumer] = None
+        else:
+            self._waiting.pop(consumer, None)
 
     def _drop_idle(self) -> bool:
-        consumer = next((c for c in self._open if c.idle), None)
+        consumer = next(iter(self._waiting), None)
         if consumer is not None:
+            self.waits(consumer, False)  # its end is told later, and must not be counted on twice
             consumer.stream.close()
         return consumer is not None
 
@@ -218,7 +258,7 @@
             consumer.stream.close()
         await sleep(ACCEPT_S)
         if self._listener is not None:
-            self._accept()  # what waits in the queue would be reset with the listener
+            self._accept(BACKLOG)  # what waits in the queue would be reset with the listener
             self._loop.remove_handler(self._listener)
             self._listener.close()
             self._listener = None
--- a/limenotch/net/directory.py
+++ b/limenotch/net/directory.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from tornado.gen import sleep
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -22,6 +23,10 @@
 # An empty line comes every 2 s while nothing changes: two of them missed, and the watch is dead though
 # its connection may stay open and silent.
 SILENCE_S = 5.0
+# After a move the list must be had within seconds, and the module's own wait between two attempts may be
+# longer than that: this soon, and this often, the new address is asked again before the module is told.
+AGAIN_S = 0.25
+AGAIN = 12
 
 Heard = Callable[[list[Provider], bool], None]
 
@@ -68,6 +73,7 @@
         self._at, self._heard, self._broken = at, heard, broken
         self._loop = IOLoop.current()
         self._version = 0
+        self._again = 0  # attempts left in which a move is completed without the module
         self._task: asyncio.Task[None] | None = None
 
     def known(self, raw: dict[str, Any]) -> None:
@@ -79,15 +85,30 @@
         if self._task is None:
             self._task = asyncio.get_running_loop().create_task(self._watch())
 
+    def move(self, at: Address) -> None:
+        """The directory is at another address from now on; the list held stays until that one answers."""
+        if at == self._at:
+            return
+        # The versions of the other address may be numbered anew: its whole list is asked for.
+        self._at, self._version, self._again = at, 0, AGAIN
+        if self._task is not None:
+            self._task.cancel()  # an end of our own making, which the module need not hear of
+        self._task = None
+        self.watch()
+
     async def _watch(self) -> None:
-        try:
-            await self._follow()
-        except (StreamClosedError, OSError, http1.MalformedError) as error:
-            log.warning("directory: watch ended: %s", getattr(error, "real_error", None) or error)
-        except Exception:
-            log.exception("directory")
-        finally:
-            self._task = None
+        while True:
+            try:
+                await self._follow()
+            except (StreamClosedError, OSError, http1.MalformedError) as error:
+                log.warning("directory: watch ended: %s", getattr(error, "real_error", None) or error)
+            except Exception:
+                log.exception("directory")
+            if not self._again:
+                break
+            self._again -= 1
+            await sleep(AGAIN_S)
+        self._task = None
         self._broken()
 
     async def _follow(self) -> None:
@@ -127,5 +148,5 @@
     def _tell(self, raw: Any, whole: bool = False) -> None:
         told = list_of(raw)
         if told is not None:
-            self._version = told[0] or self._version
+            self._version, self._again = told[0] or self._version, 0
             self._heard(told[2], told[1] or whole)
--- a/limenotch/net/http1.py
+++ b/limenotch/net/http1.py
@@ -21,6 +21,8 @@
     400: b"Bad Request",
     404: b"Not Found",
     405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
@@ -34,6 +36,8 @@
     .split()
 )
 
+FRAMING = frozenset((b"content-length", b"transfer-encoding"))
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -163,6 +167,8 @@
     def _head(self) -> Message | None:
         while self.buffer.startswith(b"\r\n"):
             del self.buffer[:2]
+        if self.buffer != b"\r" and not self._plausible(bytes(self.buffer[:16])):  # its end may never come
+            raise MalformedError(400, "no message of HTTP/1")
         end = self.buffer.find(b"\r\n\r\n", max(self._seen - 3, 0))
         if end < 0:
             self._seen = len(self.buffer)
@@ -179,17 +185,27 @@
         for line in lines:
             name, colon, value = line.partition(b":")
             if not colon or not TOKEN.fullmatch(name) or CONTROL.search(value):
+                if self._spare(name):
+                    continue
                 raise MalformedError(400, "bad header line")
             value = value.strip(b" \t")
             key = name.lower()
-            if key in fields and key in (b"content-length", b"transfer-encoding") and fields[key] != value:
-                raise MalformedError(400, "contradicting framing")
+            if key in fields and key in FRAMING:  # also where both say the same: the next reader may differ
+                raise MalformedError(400, "repeated framing")
             headers.append((name, value))
             fields[key] = value
         message = Message(headers, fields)
         self._first(first, message)
         return message
 
+    def _plausible(self, start: bytes) -> bool:
+        """Whether a message may begin like this; `start` may be cut short."""
+        raise NotImplementedError
+
+    def _spare(self, name: bytes) -> bool:
+        """Whether a malformed header of this name is only left out."""
+        return False
+
     def _first(self, line: bytes, message: Message) -> None:
         raise NotImplementedError
 
@@ -213,6 +229,9 @@
 
 
 class RequestParser(_Parser):
+    def _plausible(self, start: bytes) -> bool:
+        return not start or TOKEN.fullmatch(start.partition(b" ")[0]) is not None
+
     @property
     def asked(self) -> bool:
         """A request's head is there and its sender waits for a word before it sends the body."""
@@ -232,6 +251,13 @@
 
 
 class ResponseParser(_Parser):
+    def _plausible(self, start: bytes) -> bool:
+        return b"HTTP/1.".startswith(start[:7])
+
+    def _spare(self, name: bytes) -> bool:
+        # A load report serves only the balancing: one that can't be read must not cost the answer.
+        return name.strip().lower() == b"x-load-report"
+
     def take(self) -> Message | None:
         message = super().take()
         while message is not None and 100 <= message.status < 200:  # interim: the response is yet to come
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -14,7 +14,7 @@
 from ..facade import Ending, Provider, Status
 from . import http1
 from .calls import Calls, InvokerCall
-from .sockets import Sockets
+from .sockets import Share
 
 log = logging.getLogger(__name__)
 
@@ -70,7 +70,7 @@
 class Providers:
     """Owns the connections to providers and makes invoker calls over them."""
 
-    def __init__(self, calls: Calls, sockets: Sockets, connect_ms: float, idle_ms: float) -> None:
+    def __init__(self, calls: Calls, sockets: Share, connect_ms: float, idle_ms: float) -> None:
         self._calls, self._sockets = calls, sockets
         self._connect_s, self._idle_s = connect_ms / 1000.0, idle_ms * IDLE_PART / 1000.0
         self._loop = IOLoop.current()
@@ -79,7 +79,7 @@
         self._streams: dict[InvokerCall, IOStream] = {}  # of those that have one now
         self._cut: dict[InvokerCall, Ending] = {}  # those that end at our wish, and as what
         self._tasks: set[asyncio.Task[None]] = set()
-        sockets.drop_idle.append(self._drop_oldest)
+        sockets.drop_idle = self._drop_oldest
 
     # The directory's list
 
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -6,24 +6,23 @@
 
 # Standard streams, the loop's own, the listener, the directory, and what the interpreter holds.
 RESERVE = 24
-# Of the rest, kept for consumers: one that is let in can at least be told to come back.
-FOR_CONSUMERS = 0.3
+# Of the rest, the part that consumers may hold. Neither side can use up the other's: consumers that only stay
+# connected would else leave no descriptor to reach a provider by, and every call would be rejected.
+FOR_CONSUMERS = 0.5
 
 
-class Sockets:
-    """Counts the sockets of consumers and providers against the limit."""
+class Share:
+    """The descriptors of one side."""
 
-    def __init__(self, limit: int) -> None:
-        self.limit = max(limit - RESERVE, 8)
-        self.for_providers = int(self.limit * (1 - FOR_CONSUMERS))
+    def __init__(self) -> None:
+        self.limit = 0
         self.used = 0
-        self.idle = 0  # of providers' connections: each can serve one more invoker call, or give way
-        self.drop_idle: list[Callable[[], bool]] = []  # each closes one idle connection, if it has any
+        self.idle = 0  # of those used: each can serve one more, or give way
+        self.drop_idle: Callable[[], bool] = lambda: False  # closes one idle connection, if there is any
 
-    def take(self, consumer: bool = False) -> bool:
+    def take(self) -> bool:
         """One more, if there is room or an idle connection gives way."""
-        limit = self.limit if consumer else self.for_providers
-        if self.used >= limit and not any(drop() for drop in self.drop_idle):
+        if self.used >= self.limit and not self.drop_idle():
             return False
         self.used += 1
         return True
@@ -33,5 +32,19 @@
 
     @property
     def room(self) -> bool:
-        """Whether an invoker call could get a connection of its own."""
-        return self.idle > 0 or self.used < self.for_providers
+        """Whether one more could be served."""
+        return self.idle > 0 or self.used < self.limit
+
+
+class Sockets:
+    """Shares the descriptors out to consumers and providers."""
+
+    def __init__(self, limit: int) -> None:
+        self.consumers, self.providers = Share(), Share()
+        self.limit_to(limit)
+
+    def limit_to(self, limit: int) -> None:
+        """Also under way: what is open beyond a new limit stays until it closes."""
+        whole = max(limit - RESERVE, 8)
+        self.consumers.limit = int(whole * FOR_CONSUMERS)
+        self.providers.limit = whole - self.consumers.limit
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -5,9 +5,10 @@
 import asyncio
 import gc
 import logging
+import os
 import signal
 
-from .config import Config
+from .config import Config, ConfigError, load
 from .facade import Facade, Provider
 from .net.calls import Calls
 from .net.consumers import Consumers
@@ -23,7 +24,7 @@
     facade = Facade(config.settings, config.seed, config.zones, config.kinds)
     sockets = Sockets(config.sockets)
     calls = Calls(facade, config.max_open)
-    providers = Providers(calls, sockets, config.connect_ms, config.idle_ms)
+    providers = Providers(calls, sockets.providers, config.connect_ms, config.idle_ms)
     listed = asyncio.Event()
 
     def heard(entries: list[Provider], whole: bool) -> None:
@@ -36,7 +37,20 @@
     calls.invoker, calls.watch = providers, directory.watch
     consumers = Consumers(calls, facade, sockets, listed.is_set)
 
+    def reload() -> None:
+        """What may change under way: the directory's address and the limits. All else waits for a restart."""
+        try:
+            new = load(os.environ, again=True)
+        except ConfigError as error:
+            log.error("reload: %s; the configuration held stays", error)
+            return
+        log.info("reload: directory %s:%d, %d sockets", *new.directory, new.sockets)
+        sockets.limit_to(new.sockets)
+        calls.max_open = new.max_open
+        directory.move(new.directory)
+
     stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     calls.carry_out(facade.start())
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
 from time import monotonic
 from typing import Any
 
@@ -15,12 +16,12 @@
 
 from limenotch import config, program
 from limenotch.facade import Ending, Facade, Provider, Status
-from limenotch.net import http1
+from limenotch.net import consumers, directory, http1
 from limenotch.net.calls import Call, Calls, Final, InvokerCall, Verdict
-from limenotch.net.consumers import budget_ms
+from limenotch.net.consumers import Consumers, budget_ms
 from limenotch.net.directory import Directory, list_of
 from limenotch.net.providers import Connection, Providers, ending_of, utilisation_of
-from limenotch.net.sockets import Sockets
+from limenotch.net.sockets import RESERVE, Share, Sockets
 from switchthread.settings import read_settings
 
 Reader = asyncio.StreamReader
@@ -184,7 +185,7 @@
             os.kill(os.getpid(), signal.SIGTERM)
             # The front does not know yet: a new connection must not be closed as an idle one before its
             # first request has arrived.
-            late = await ask(port, LOOK.replace(b"look", b"odd"))
+            late = await ask(port, LOOK.replace(b"look", b"odd").replace(b"Id: 1", b"Id: 2"))
             assert late.status == 400
             release.set()
             answer = await asked
@@ -195,6 +196,120 @@
     run(case())
 
 
+def test_an_id_that_is_open_goes_to_no_provider_again() -> None:
+    # Guards the rule on duplicates: the other consumer's call would run twice.
+    async def case() -> None:
+        arrived, release, runs = asyncio.Event(), asyncio.Event(), list[bytes]()
+
+        async def handler(reader: Reader, writer: Writer) -> None:
+            runs.append(await reader.readuntil(b"doc"))
+            arrived.set()
+            await release.wait()
+            writer.write(whole(200))
+
+        async def use(port: int) -> None:
+            asked = asyncio.create_task(ask(port, DELIVER))
+            await arrived.wait()
+            assert (await ask(port, DELIVER)).status == 409
+            release.set()
+            assert (await asked).status == 200 and len(runs) == 1
+
+        await with_sidecar(handler, use)
+
+    run(case())
+
+
+@pytest.mark.parametrize(("sent", "answer"), [
+    (b"", b""), (b"GET /ap", b"HTTP/1.1 408 "), (DELIVER[:-1], b"HTTP/1.1 408 "), (LOOK, b"HTTP/1.1 200 "),
+], ids=["silent", "half a head", "half a body", "idle after a call"])
+def test_connections_without_a_call_are_ended(
+    monkeypatch: pytest.MonkeyPatch, sent: bytes, answer: bytes
+) -> None:
+    # Guards the descriptors: consumers that ask once and stay, or never ask, once used them up for good.
+    monkeypatch.setattr(consumers, "REQUEST_S", 0.2)
+    monkeypatch.setattr(consumers, "IDLE_S", 0.0)
+
+    async def use(port: int) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(sent)
+        assert (await reader.read()).startswith(answer)
+        writer.close()
+
+    run(with_sidecar(answering(whole(200))[0], use))
+
+
+def test_idle_consumers_give_way_once_each() -> None:
+    async def case() -> None:
+        sockets = Sockets(64)
+        calls = Calls(Facade(read_settings(SETTINGS), 1), 10)
+        all_ = Consumers(calls, calls.facade, sockets, lambda: True)
+        port = free_port()
+        all_.listen(("127.0.0.1", port))
+        many = range(sockets.consumers.limit + 3)
+        silent = [await asyncio.open_connection("127.0.0.1", port) for _ in many]
+        assert [await reader.read() for reader, _ in silent[:3]] == [b""] * 3
+        assert (await ask(port, LOOK.replace(b"look", b"odd"))).status == 400
+        assert sockets.consumers.used <= sockets.consumers.limit + 1
+        for _, writer in silent:
+            writer.close()
+
+    run(case())
+
+
+def test_a_reload_follows_the_file_at_once_and_survives_a_faulty_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    # Guards against ending on SIGHUP, and against the module's wait before it asks a directory again.
+    async def case() -> None:
+        asked, moved = asyncio.Queue[bytes](), asyncio.Queue[bytes]()
+
+        def directory(queue: asyncio.Queue[bytes]) -> Handler:
+            async def handler(reader: Reader, writer: Writer) -> None:
+                queue.put_nowait((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1])
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                if await reader.read() == b"":
+                    queue.put_nowait(b"end")
+
+            return handler
+
+        servers = [await asyncio.start_server(directory(q), "127.0.0.1", 0) for q in (asked, moved)]
+        first, second = (config.host_port(s.sockets[0].getsockname()) for s in servers)
+        path, port = tmp_path / "config.json", free_port()
+        raw = {"listen": f"127.0.0.1:{port}", "discovery": first, "settings": SETTINGS}
+        path.write_text(json.dumps(raw))
+        monkeypatch.setenv("LB_CONFIG", str(path))
+        monkeypatch.setenv("LB_DISCOVERY", first)
+        serving = asyncio.create_task(program.serve(config.load(os.environ)))
+        await asked.get()
+        path.write_text("{")
+        os.kill(os.getpid(), signal.SIGHUP)
+        while "reload" not in caplog.text:
+            await asyncio.sleep(0)
+        path.write_text(json.dumps({**raw, "discovery": second}))
+        os.kill(os.getpid(), signal.SIGHUP)
+        assert await moved.get() == b"/discovery/hosts?follow=1" and await asked.get() == b"end"
+        assert not serving.done()
+        serving.cancel()
+        await asyncio.wait([serving])
+
+    run(case())
+
+
+def test_a_move_is_tried_again_before_the_module_hears_of_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(directory, "AGAIN_S", 0.0)
+
+    async def case() -> None:
+        broken = asyncio.Queue[None]()
+        watched = Directory(("127.0.0.1", free_port()), lambda *_: None, lambda: broken.put_nowait(None))
+        watched.watch()
+        await broken.get()
+        watched.move(("127.0.0.1", free_port()))
+        await broken.get()
+        assert watched._again == 0 and broken.empty()
+
+    run(case())
+
+
 def test_consumer_gone_ends_its_invoker_calls() -> None:
     async def case() -> None:
         arrived, ended = asyncio.Event(), asyncio.Event()
@@ -231,15 +346,19 @@
         self.endings.put_nowait(ending)
 
 
+def unlimited() -> Share:
+    return Sockets(1024).providers
+
+
 def invoker_call(end: float) -> InvokerCall:
     message = http1.Message([], {}, b"GET", b"/api")
-    return InvokerCall(Call(1, message, end, lambda final: None), 0, "a", 0.0, end)
+    return InvokerCall(Call(1, b"1", message, end, lambda final: None), 0, "a", 0.0, end)
 
 
 def test_nothing_is_written_to_a_provider_that_drains_while_we_connect() -> None:
     # Guards the drain rule: the list may change between the choice of a provider and its connection.
     async def case() -> None:
-        calls, sockets, seen = Heard(), Sockets(1024), asyncio.Queue[bytes]()
+        calls, sockets, seen = Heard(), unlimited(), asyncio.Queue[bytes]()
 
         async def handler(reader: Reader, writer: Writer) -> None:
             seen.put_nowait(await reader.read())
@@ -263,7 +382,7 @@
 @pytest.mark.parametrize(("listed", "ending"), [(True, Ending.CONNECT_FAILED), (False, Ending.NOT_SENT)])
 def test_providers_that_refuse_or_are_not_listed(listed: bool, ending: Ending) -> None:
     async def case() -> None:
-        calls, sockets = Heard(), Sockets(1024)
+        calls, sockets = Heard(), unlimited()
         providers = Providers(calls, sockets, 9000.0, 9000.0)
         providers.listed([Provider("a", ("127.0.0.1", free_port()), Status.IN_SERVICE)] * listed, True)
         providers.make(invoker_call(monotonic() + 20))
@@ -280,7 +399,7 @@
         raise OSError(24, "Too many open files")
 
     async def case() -> None:
-        calls, sockets = Heard(), Sockets(1024)
+        calls, sockets = Heard(), unlimited()
         providers = Providers(calls, sockets, 9000.0, 9000.0)
         providers.listed([Provider("a", ("127.0.0.1", 9), Status.IN_SERVICE)], True)
         monkeypatch.setattr(socket, "socket", none_left)
@@ -290,28 +409,31 @@
     run(case())
 
 
-def test_sockets_give_way_and_keep_a_part_for_consumers() -> None:
+def test_each_side_has_descriptors_of_its_own_and_idle_ones_give_way() -> None:
+    # Guards the way to the providers: consumers that only stay connected once used up every descriptor, and
+    # all calls were rejected from then on.
     sockets, idle = Sockets(64), [1, 1]
-    while sockets.take():
+    while sockets.consumers.take():
         pass
-    assert sockets.used == sockets.for_providers and not sockets.room and sockets.take(consumer=True)
+    assert sockets.providers.room and sockets.providers.take()
 
     def drop() -> bool:
-        sockets.used -= bool(idle)
+        sockets.providers.used -= bool(idle)
         return bool(idle and idle.pop())
 
-    sockets.drop_idle.append(drop)
-    while sockets.take(consumer=True):
+    sockets.providers.drop_idle = drop
+    while sockets.providers.take():
         pass
-    assert not idle and sockets.used == sockets.limit
+    assert not idle and sockets.consumers.used + sockets.providers.used == 64 - RESERVE
+    assert not sockets.providers.room
 
 
 def test_calls_over_the_limit_are_rejected_at_once() -> None:
     async def case() -> None:
         calls, finals = Calls(Facade(read_settings(SETTINGS), 1), 1), list[Final]()
-        calls.take(None, "look", "acme", 20000.0, finals.append)
+        calls.take(b"1", None, "look", "acme", 20000.0, finals.append)
         assert not finals  # held by the module: there is no list yet
-        calls.take(None, "look", "acme", 20000.0, finals.append)
+        calls.take(b"2", None, "look", "acme", 20000.0, finals.append)
         (final,) = finals
         assert final.verdict is Verdict.REJECTED and final.retry_after_ms > 0
 
