--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -28,6 +28,7 @@
 FLOOR = 0.02  # of its weight, always left to an upstream so that recovery is seen
 CLIP = 4.0  # one answer counts at most this many times the usual: a costly call is not a slow upstream
 RETRIES = 0.2  # copies and retries allowed for each recent call: they can't multiply down the tiers
+FEW = 12.0  # calls that may always be held: below that, chance alone passes what the pace asks for
 BURST = 10.0  # of them saved up at most
 DRAWS = 4  # tries at one that may be sent to: more would bend the shares of those left
 SHORT = 2.0  # service times: a wait by which the better of two drawn upstreams is told
@@ -201,7 +202,7 @@
         idle = self.tier.low * sum(u * n for u, n in zip(self.usual, self.answers, strict=True)) / counted
         # Before two means are known a just started balancer takes its first calls for a jam.
         known, wait = len(self.tier.lows) > 1, idle + FILL * max(useful - idle, idle / 2)
-        self.limit = max(self.pace * wait, SHORT) if known else inf
+        self.limit = max(self.pace * wait, FEW) if known else inf
         self.values = {value: part * 0.7 for value, part in self.values.items() if part > 0.1}
 
     # Placement
