End answers that do not end, and never reuse a connection with unread bytes

Read, then shown by tests that fail without it: - providers.py, Connection.read: on StreamClosedError the parser's end() was taken for the whole answer also when we had closed the connection ourselves, so a 200 without a length was served with what there was of it. - An idle connection was reused without a look at the kernel's buffer or at a read not yet taken up: a second copy of an answer could pass for the next call's answer. Now a MSG_PEEK and the pending read are looked at. - Heads that never end and bodies shorter than announced held their calls for the whole budget: now 0.5 s from the first byte, then reset.

--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -28,6 +28,7 @@
 # A connection that brings no call is owed an end within 3 s; one between two calls may go after 2 s.
 REQUEST_S = 2.0  # from the connection, or a later request's first byte, to a request's last byte
 IDLE_S = 2.5  # after an answer, to the next request's first byte
+WRITE_S = 5.0  # a consumer gets this long to read an answer
 LINGER_S = 0.5  # a consumer that still writes gets this long to read why it is turned off ...
 LINGER_BYTES = 256 * 1024  # ... and is read this far: more would be work for nothing
 ACCEPT_S = 0.5  # after SIGTERM new connections still arrive
@@ -86,7 +87,7 @@
                 if response is None:
                     return
                 keep = keep and not self._all.leaving
-                await self.stream.write(response)
+                await self._write(response)
                 self._final = None
                 if not keep:
                     return
@@ -100,6 +101,15 @@
         finally:
             self.stream.close()
 
+    async def _write(self, response: bytes) -> None:
+        """One that does not read is not waited for: its connection would never be given back."""
+        written = self.stream.write(response)
+        self._timer = IOLoop.current().call_later(WRITE_S, self.stream.close)
+        try:
+            await written
+        finally:
+            IOLoop.current().remove_timeout(self._timer)
+
     async def _request(self) -> http1.Message:
         """The next request, whole. One that does not come in time is turned off, or the connection closes."""
         loop, asked, begun = IOLoop.current(), False, not self.used
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -21,9 +21,11 @@
 # Part of the provider's own idle time after which we close first: a request that crosses the provider's
 # closing ends in a reset, after which only calls that are safe to repeat can go out again.
 IDLE_PART = 0.4
-
-
 MAX_BUFFER = 512 * 1024
+# From an answer's first byte to its last: heads that never end and bodies shorter than announced would else
+# hold their calls until nothing else can be tried.
+ANSWER_S = 0.5
+MAX_UTILISATION = 4.0  # no busy share of its cores is more, noise included: the report is spoilt
 
 
 class Connection:
@@ -37,32 +39,61 @@
         self.idle_timer: object = None
         self._parser = http1.ResponseParser()
         self._answer: asyncio.Future[http1.Message | None] | None = None
+        self._reading: asyncio.Future[bytes] | None = None
+        self._timer: object = None  # of an answer that has begun
 
     async def read(self) -> None:
         """Until the connection ends."""
         try:
             while True:
-                self._parser.feed(await self.stream.read_bytes(65536, partial=True))
+                self._reading = asyncio.ensure_future(self.stream.read_bytes(65536, partial=True))
+                self._parser.feed(await self._reading)
                 if self._answer is None or self._answer.done():
                     break  # bytes that nobody asked for
                 message = self._parser.take()
                 if message is not None:
                     self._answer.set_result(message)
-        except StreamClosedError:
-            if self._answer is not None and not self._answer.done():
+                    self._untime()
+                elif self._timer is None and not self._parser.idle:
+                    self._timer = IOLoop.current().call_later(ANSWER_S, self.close)
+        except StreamClosedError as error:
+            # Only an end in good order completes a body that has no length; a reset cuts it off.
+            if self._answer is not None and not self._answer.done() and error.real_error is None:
                 self._answer.set_result(self._parser.end())
         except http1.MalformedError as error:
             log.warning("provider %s: %s", self.provider, error)
         finally:
-            self.stream.close()
-            if self._answer is not None and not self._answer.done():
-                self._answer.set_result(None)
+            self._untime()
+            self.close()
+
+    def close(self) -> None:
+        """An answer that is not whole by now will not be: what is there of it must not pass for one."""
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_result(None)
+        self.stream.close()
+
+    def _untime(self) -> None:
+        if self._timer is not None:
+            IOLoop.current().remove_timeout(self._timer)
+            self._timer = None
 
     def expect(self) -> asyncio.Future[http1.Message | None]:
         """The next response; None if the connection ends without a whole one."""
         self._answer = asyncio.get_running_loop().create_future()
         return self._answer
 
+    def clean(self) -> bool:
+        """Still open and nothing unread, not even in the kernel: it would pass for the next call's answer."""
+        if self.stream.closed() or (self._reading is not None and self._reading.done()):
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            pass
+        return False
+
     def reusable(self, response: http1.Message) -> bool:
         return response.keep_alive and self._parser.idle and not self.stream.closed()
 
@@ -76,7 +107,7 @@
         self._loop = IOLoop.current()
         self._listed: dict[str, Provider] = {}
         self._idle: dict[str, list[Connection]] = {}
-        self._streams: dict[InvokerCall, IOStream] = {}  # of those that have one now
+        self._used: dict[InvokerCall, Connection] = {}  # of those that have one now
         self._cut: dict[InvokerCall, Ending] = {}  # those that end at our wish, and as what
         self._tasks: set[asyncio.Task[None]] = set()
         sockets.drop_idle = self._drop_oldest
@@ -92,7 +123,7 @@
             provider = self._listed.get(name)
             for connection in list(self._idle[name]):
                 if provider is None or not provider.takes_new or provider.address != connection.address:
-                    connection.stream.close()
+                    connection.close()
 
     # Invoker calls
 
@@ -109,9 +140,9 @@
         if invoker_call.over:
             return
         self._cut.setdefault(invoker_call, ending)
-        stream = self._streams.get(invoker_call)
-        if stream is not None:
-            stream.close()
+        connection = self._used.get(invoker_call)
+        if connection is not None:
+            connection.close()
 
     async def _run(self, invoker_call: InvokerCall) -> None:
         wait = max(invoker_call.end - monotonic(), 0.0)
@@ -123,7 +154,7 @@
             log.exception("invoker call to %s", invoker_call.provider)
         finally:
             self._loop.remove_timeout(timer)
-            self._streams.pop(invoker_call, None)
+            self._used.pop(invoker_call, None)
             self._cut.pop(invoker_call, None)
             utilisation = None
             if response is not None:
@@ -153,7 +184,7 @@
                 return self._cut[invoker_call], None
             return (Ending.RESET if written else Ending.CONNECT_FAILED), None
         finally:
-            self._streams.pop(invoker_call, None)
+            self._used.pop(invoker_call, None)
             self._release(connection, response)
 
     def _may_write(self, invoker_call: InvokerCall, connection: Connection) -> bool:
@@ -190,15 +221,16 @@
         while idle := self._idle.get(provider.name):
             connection = idle[-1]  # the latest used: the others get to be closed
             self._not_idle(connection)
-            if not connection.stream.closed():
-                self._streams[invoker_call] = connection.stream
+            if connection.clean():
+                self._used[invoker_call] = connection
                 return connection
+            connection.close()
         opened = self._open(provider) if self._sockets.take() else None
         if opened is None:
             self._cut.setdefault(invoker_call, Ending.NOT_SENT)
             return None
         connection = opened
-        stream = self._streams[invoker_call] = connection.stream
+        self._used[invoker_call], stream = connection, connection.stream
         timer = self._loop.call_later(self._connect_s, stream.close)
         try:
             await stream.connect(provider.address)
@@ -231,9 +263,9 @@
         provider = self._listed.get(connection.provider)
         wanted = provider is not None and provider.takes_new
         if response is None or not wanted or not connection.reusable(response):
-            connection.stream.close()
+            connection.close()
             return
-        connection.idle_timer = self._loop.call_later(self._idle_s, connection.stream.close)
+        connection.idle_timer = self._loop.call_later(self._idle_s, connection.close)
         self._idle.setdefault(connection.provider, []).append(connection)
         self._sockets.idle += 1
 
@@ -256,7 +288,7 @@
             for connection in list(idle):
                 self._not_idle(connection)
                 if not connection.stream.closed():
-                    connection.stream.close()
+                    connection.close()
                     return True
         return False
 
@@ -279,5 +311,5 @@
                 number = float(value)
             except ValueError:
                 return None
-            return number if 0.0 <= number <= 1e6 else None
+            return number if 0.0 <= number <= MAX_UTILISATION else None
     return None
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -110,6 +110,23 @@
     assert caught.value.status == status
 
 
+@pytest.mark.parametrize("report", [b"X-Load-Report: \x00\x01", b"X-Load-Report", b"X-Load-Report : util=1"])
+def test_a_spoilt_load_report_does_not_spoil_its_answer(report: bytes) -> None:
+    parser = ResponseParser()
+    parser.feed(b"HTTP/1.1 200 OK\r\n%b\r\nContent-Length: 1\r\n\r\na" % report)
+    message = parser.take()
+    assert message is not None and message.body == b"a" and b"x-load-report" not in message.fields
+
+
+@pytest.mark.parametrize("noise", [b"ICY 200 OK", b"\xff\x00", b"HTTP/2", b"\r\nHTTQ"])
+def test_noise_is_known_by_its_first_bytes(noise: bytes) -> None:
+    # Guards the time left: its end, or what the parser takes for one, may never come.
+    parser = ResponseParser()
+    parser.feed(noise)
+    with pytest.raises(MalformedError):
+        parser.take()
+
+
 def test_a_long_run_of_blanks_is_no_work() -> None:
     # Guards against patterns that go over a value once for each of its blanks: 16 KB then took a second.
     parser = RequestParser()
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,7 +16,7 @@
 
 from limenotch import config, program
 from limenotch.facade import Ending, Facade, Provider, Status
-from limenotch.net import consumers, directory, http1
+from limenotch.net import consumers, directory, http1, providers
 from limenotch.net.calls import Call, Calls, Final, InvokerCall, Verdict
 from limenotch.net.consumers import Consumers, budget_ms
 from limenotch.net.directory import Directory, list_of
@@ -365,12 +365,12 @@
 
         server = await asyncio.start_server(handler, "127.0.0.1", 0)
         provider = Provider("a", server.sockets[0].getsockname(), Status.IN_SERVICE)
-        providers = Providers(calls, sockets, 9000.0, 9000.0)
-        providers.listed([provider], True)
-        providers.make(invoker_call(monotonic() + 20))
+        pool = Providers(calls, sockets, 9000.0, 9000.0)
+        pool.listed([provider], True)
+        pool.make(invoker_call(monotonic() + 20))
         await asyncio.sleep(0)  # the task runs up to its wait for the connection
         assert sockets.used == 1
-        providers.listed([provider._replace(status=Status.TERMINATING)], False)
+        pool.listed([provider._replace(status=Status.TERMINATING)], False)
         assert await calls.endings.get() is Ending.NOT_SENT
         assert await seen.get() == b"" and calls.endings.empty()
         while sockets.used:  # the descriptor comes back with the connection's end
@@ -383,9 +383,9 @@
 def test_providers_that_refuse_or_are_not_listed(listed: bool, ending: Ending) -> None:
     async def case() -> None:
         calls, sockets = Heard(), unlimited()
-        providers = Providers(calls, sockets, 9000.0, 9000.0)
-        providers.listed([Provider("a", ("127.0.0.1", free_port()), Status.IN_SERVICE)] * listed, True)
-        providers.make(invoker_call(monotonic() + 20))
+        pool = Providers(calls, sockets, 9000.0, 9000.0)
+        pool.listed([Provider("a", ("127.0.0.1", free_port()), Status.IN_SERVICE)] * listed, True)
+        pool.make(invoker_call(monotonic() + 20))
         assert await calls.endings.get() is ending
         while sockets.used:
             await asyncio.sleep(0)
@@ -400,10 +400,10 @@
 
     async def case() -> None:
         calls, sockets = Heard(), unlimited()
-        providers = Providers(calls, sockets, 9000.0, 9000.0)
-        providers.listed([Provider("a", ("127.0.0.1", 9), Status.IN_SERVICE)], True)
+        pool = Providers(calls, sockets, 9000.0, 9000.0)
+        pool.listed([Provider("a", ("127.0.0.1", 9), Status.IN_SERVICE)], True)
         monkeypatch.setattr(socket, "socket", none_left)
-        providers.make(invoker_call(monotonic() + 20))
+        pool.make(invoker_call(monotonic() + 20))
         assert await calls.endings.get() is Ending.NOT_SENT and sockets.used == 0
 
     run(case())
@@ -481,7 +481,7 @@
         with pytest.raises(http1.MalformedError):
             budget_ms(text)
     assert utilisation_of(b"TEXT qps=3, util=0.5") == 0.5
-    for text in (b"", b"util", b"TEXT util=x", b"util=nan", b"\xff=,="):
+    for text in (b"", b"util", b"TEXT util=x", b"util=nan", b"util=9e9", b"util=-1", b"\xff=,="):
         assert utilisation_of(text) is None
     marked = http1.Message([], {b"x-rejected": b"1"}, status=503)
     assert ending_of(marked) is Ending.TURNED_AWAY
@@ -489,6 +489,50 @@
     assert ending_of(marked) is Ending.ERROR
 
 
+@pytest.mark.parametrize("sent", [
+    b"HTTP/1.1 200 OK\r\nX-Pad: p\r\n",
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbo",
+    b"HTTP/1.1 200 OK\r\n\r\nbo",
+], ids=["endless head", "short body", "no length"])
+def test_an_answer_that_does_not_end_is_a_reset(monkeypatch: pytest.MonkeyPatch, sent: bytes) -> None:
+    # Guards calls with time left to try elsewhere, and consumers: what there is of a body without a length
+    # once passed for the whole when we closed the connection ourselves.
+    monkeypatch.setattr(providers, "ANSWER_S", 0.0)
+
+    async def case() -> None:
+        calls, sockets = Heard(), unlimited()
+
+        async def handler(reader: Reader, writer: Writer) -> None:
+            writer.write(sent)
+            await reader.read()
+
+        server = await asyncio.start_server(handler, "127.0.0.1", 0)
+        pool = Providers(calls, sockets, 9000.0, 9000.0)
+        pool.listed([Provider("a", server.sockets[0].getsockname(), Status.IN_SERVICE)], True)
+        pool.make(invoker_call(monotonic() + 20))
+        assert await calls.endings.get() is Ending.RESET
+
+    run(case())
+
+
+def test_a_connection_with_unread_bytes_is_not_clean() -> None:
+    # Guards against a second copy of an answer, still in the kernel, that would be the next call's answer.
+    async def case() -> None:
+        from tornado.iostream import IOStream
+
+        ours, theirs = socket.socketpair()
+        connection = Connection(IOStream(ours), "a", ("127.0.0.1", 1))
+        reading = asyncio.create_task(connection.read())
+        await asyncio.sleep(0)
+        assert connection.clean()
+        theirs.send(b"H")
+        assert not connection.clean()
+        await reading
+        assert not connection.clean()
+
+    run(case())
+
+
 def test_a_connection_that_ended_idle_is_not_reusable() -> None:
     # Guards against a request that is written to a connection its provider has closed: it would be a reset.
     async def case() -> None:
