--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -35,6 +35,8 @@
 LAX = 0.5  # a call that keeps this part of its worth when late is lax: it goes where its one draw says
 URGENT = 10.0  # waits of this many service times hold for any upstream under two thirds load: no copy
 OVERDUE = 2.0  # of its expected time out, a lone attempt asks the gate again
+QUIET = 6.0  # answers overdue by its mean, with none at all, after which an upstream counts as silent
+CROWD = 1.7  # times what the others hold each, and one more, that one upstream may hold
 HEADROOM = 1.2  # of the even rate of a warm upstream, times its present part, that a cold one is sent
 FILL = 0.3  # of the time between an idle answer and the aim that the wait may use before calls are refused
 AFAR = 0.05  # part of its weight left to an upstream of another zone while the own zone is no slower
@@ -44,6 +46,7 @@
 SPILL = 6.0  # power of the own zone's relative slowness by which that part grows
 
 
+HEARD = (Outcome.OK, Outcome.ERROR, Outcome.REFUSED, Outcome.RESET)  # its machine is there
 Table = tuple[list[Server], list[float]]
 
 
@@ -55,7 +58,7 @@
         aims = [c.aim_ms for c in settings.classes]
         self.memory, self.window = MEMORY * max(aims), WINDOW * sum(aims) / len(aims)
         self.servers: dict[str, Server] = {}
-        self.order: list[list[Server]] = []  # those ready: own zone, others
+        self.order: list[list[Server]] = [[], []]  # those ready: own zone, others
         self.table: Table = ([], [])  # those drawn from, and their shares summed up
         self.groups: dict[tuple[Scope, int], Table] = {}
         self.kinds: dict[int, Mean] = {}
@@ -67,7 +70,9 @@
         self.budget, self.out, self.held, self.sent, self.served = BURST, 0, 0.0, 0, 0
         self.good = self.bad = self.rate = self.flow = self.pace = self.even = 0.0
         self.copyable = self.copied = self.came = 0.0
-        self.fair = self.afar = 1.0
+        self.fair = self.afar = self.best = 1.0
+        self.typical = 0.0  # mean latency over all classes
+        self.silent: set[Server] = set()
         self.limit = inf  # of attempts out, from which calls are refused for load
         self.values: dict[float, float] = {}
         self.quota = [(BURST, 0.0)] * len(settings.tenants)
@@ -120,6 +125,7 @@
             held[at.name], old.at = old, at
             old.weight = at.weight if self.set.weights_listed else 1.0
         self.servers = {name: s for name, s in held.items() if s.at.stage is not Stage.GONE}
+        self.silent.intersection_update(self.servers.values())
         ready = [s for s in self.servers.values() if s.at.stage is Stage.READY]
         ready.sort(key=lambda s: crc32(s.at.name.encode()))
         apart = self.set.crossing_cost > 0  # own zone and others are then drawn from separately
@@ -167,6 +173,8 @@
                     # A slower kind loses share until it answers as fast as the tier: its mean alone tells
                     # little of its speed while most time is spent in the tiers below.
                     mean.lean = min(max(mean.lean * (self.tier.now / mean.now) ** STEER, 1 / CLIP), CLIP)
+            whole = sum(u * n for u, n in zip(self.usual, self.answers, strict=True))
+            self.typical = whole / max(sum(self.answers), 1)
             if not self.set.layer:  # the tiers above have paid for their calls: only the entry refuses
                 self._admission()
         self.began, self.due = now, now + self.window
@@ -175,7 +183,12 @@
     def _shares(self, now: float) -> None:
         drawn = self._subset()
         self.fair = (self.good + PRIOR) / (self.good + self.bad + PRIOR)
-        afar = AFAR * max(self.near.now / self.far.now, 0.1) ** SPILL if self.set.crossing_cost else 1.0
+        self.best = max((s.ok for s in drawn), default=1.0)
+        # Calls that fail at once make the own zone no slower, and are as much of a reason to go elsewhere.
+        own = self.order[0]
+        sound = sum((s.ok / self.best) ** SHUN for s in own if not s.quiet) / max(len(own), 1)
+        slow = max(self.near.now / self.far.now, 0.1) ** SPILL
+        afar = AFAR * slow / max(sound, AFAR) if self.set.crossing_cost else 1.0
         self.afar = min(max(afar, AFAR), 1.0)
         self.even = self.rate / max(sum(s.weight for s in drawn), 1e-9)
         self.table = (drawn, list(accumulate(self._share(s, now) for s in drawn)))
@@ -188,18 +201,18 @@
         server.slow = (server.ratios * fade + PRIOR * server.like.now) / (count + PRIOR)
         server.ok = (good + PRIOR * self.fair) / (good + bad + PRIOR)
         # If everything is slow or failing nothing is singled out: both factors are relative to the tier.
-        bend = min((server.like.now / server.slow) ** LEAN, 4.0) * min(server.ok / self.fair, 1.0) ** SHUN
+        bend = min((server.like.now / server.slow) ** LEAN, 4.0) * min(server.ok / self.best, 1.0) ** SHUN
         capacity = self._capacity(server, now)
         server.rate = capacity * HEADROOM * self.even * server.weight
         distance = self.afar if server.at.zone != self.set.zone else 1.0
-        server.share = server.weight * server.like.lean * max(bend, FLOOR) * capacity * distance
+        bend = FLOOR if server.quiet else max(bend, FLOOR)
+        server.share = server.weight * server.like.lean * bend * capacity * distance
         return server.share
 
     def _admission(self) -> None:
         """How many calls may be held at once so that they are on time: by Little's law, pace times wait."""
         useful = sum(c.aim_ms for c in self.set.classes) / len(self.set.classes)
-        counted = max(sum(self.answers), 1)
-        idle = self.tier.low * sum(u * n for u, n in zip(self.usual, self.answers, strict=True)) / counted
+        idle = self.tier.low * self.typical
         # Before two means are known a just started balancer takes its first calls for a jam.
         known, wait = len(self.tier.lows) > 1, idle + FILL * max(useful - idle, idle / 2)
         self.limit = max(self.pace * wait, FEW) if known else inf
@@ -207,14 +220,34 @@
 
     # Placement
 
-    def _draw(self, now: float, call: Call, avoid: Server | None) -> Server | None:
+    def _draw(self, now: float, call: Call, avoid: Server | None, any_: bool = False) -> Server | None:
         """An upstream by share, of the group that an attempt which may have run binds the call to."""
         servers, sums = self._reach(now, call)
-        if not sums or sums[-1] <= 0:
-            return None
-        last, whole = len(sums) - 1, sums[-1]
-        drawn = (servers[bisect(sums, self.random.random() * whole, 0, last)] for _ in range(DRAWS))
-        return next((s for s in drawn if s is not avoid and self._warm_enough(s, now)), None)
+        for _ in range(DRAWS):
+            if not sums or sums[-1] <= 0:
+                return None
+            server = servers[bisect(sums, self.random.random() * sums[-1], 0, len(sums) - 1)]
+            if not any_ and (self._quiet(now, server) and server.out or self._crowded(server)):
+                left = [s for s in servers if s is not server]
+                servers, sums = left, list(accumulate(s.share for s in left))
+            elif server is not avoid and self._warm_enough(server, now):
+                return server
+        return None
+
+    def _crowded(self, server: Server) -> bool:
+        """Whether it holds far more of our calls than the others: it jams before its mean shows it."""
+        others = len(self.table[0]) - 1
+        return others > 0 and server.out >= CROWD * (1 + (self.out - server.out) / others)
+
+    def _quiet(self, now: float, server: Server) -> bool:
+        """Whether it has gone silent: its machine may be gone though its connections stay open."""
+        mean = self.typical * server.slow / self._capacity(server, now)
+        wait = now - server.heard
+        if not server.quiet and mean and wait > OVERDUE * mean and wait * server.out > QUIET * mean:
+            server.quiet = True
+            self.silent.add(server)
+            self._shares(now)
+        return server.quiet
 
     def _reach(self, now: float, call: Call) -> Table:
         bound = next((t for t in call.tries if t.ran), None)
@@ -273,6 +306,8 @@
 
     def _send(self, now: float, call: Call, server: Server, acts: list[Action], copy: int = 0) -> None:
         call.tries.append(Attempt(server, now))
+        if not server.out:
+            server.heard = now
         server.out += 1
         self.out, self.sent = self.out + 1, self.sent + 1
         self.copied, self.budget = self.copied + copy, self.budget - copy
@@ -308,12 +343,13 @@
         value = float(f"{worth / max(self.usual[call.index], 1.0):.1g}")
         self.values[value] = self.values.get(value, 0.0) + 1
         above = sum(n for v, n in self.values.items() if v > value) / sum(self.values.values())
-        return self.out >= self.limit * (1.25 - above / 2)
+        # Calls that hang at a silent upstream are no load on the others.
+        return self.out - sum(s.out for s in self.silent) >= self.limit * (1.25 - above / 2)
 
     def _place(self, now: float, call: Call, acts: list[Action]) -> None:
         """First landing of a call, or the next attempt after the earlier ones ended."""
         last = call.tries[-1].server if call.tries else None
-        one = self._draw(now, call, last) or self._draw(now, call, None)
+        one = self._draw(now, call, last) or self._draw(now, call, None, any_=True)
         if one is None:
             # Nothing to send to now: hold the call by a timer, or a silent list would lose it.
             if call.tries or now + self.window / 8 >= call.end:
@@ -323,19 +359,17 @@
             return
         repeat = call.cls.effect is not Effect.AT_MOST_ONCE and self.set.may_copy
         two = self._draw(now, call, one) if call.cls.late_worth < LAX and not call.tries else None
-        if two is None:
-            self._send(now, call, one, acts)
-            return
-        if self._odds(two) > self._odds(one):
+        if two is not None and self._odds(two) > self._odds(one):
             one, two = two, one
         self._send(now, call, one, acts)
         repeat = repeat and call.end - now <= self.usual[call.index] * one.like.low * URGENT
-        self.copyable += repeat
-        if repeat and self._copy_allowed(now, call, two) and self._gate(
+        self.copyable += repeat and two is not None
+        if repeat and two and self._copy_allowed(now, call, two) and self._gate(
                 now, call, one, two, self.copyable / self.came):
             self._send(now, call, two, acts, copy=1)
-        elif repeat:
-            self._wake(now + OVERDUE * self.usual[call.index] * one.slow, call, acts)
+        elif call.cls.effect is not Effect.AT_MOST_ONCE:
+            wait = max(OVERDUE * self.usual[call.index] * one.slow, self.window / 8)
+            self._wake(now + wait, call, acts)
 
     def _copy_allowed(self, now: float, call: Call, server: Server) -> bool:
         if len(call.tries) >= self.set.max_attempts or self.budget < BURST / 2:
@@ -347,7 +381,15 @@
         """A lone attempt is out for longer than expected: it is worth asking the gate again."""
         lone = next(t for t in call.tries if t.open)
         two = self._draw(now, call, lone.server)
-        if two is None or not self._copy_allowed(now, call, two):
+        if self._quiet(now, lone.server) and two is not None and self.set.may_copy:
+            if len(call.tries) < self.set.max_attempts and two in self._reach(now, call)[0]:
+                self._send(now, call, two, acts)
+            return
+        usual = self.usual[call.index]
+        if now < call.end:
+            self._wake(now + max(OVERDUE * usual * lone.server.slow, self.window / 8), call, acts)
+        urgent = call.cls.late_worth < LAX and call.end - now <= usual * lone.server.like.low * URGENT
+        if two is None or not urgent or not self._copy_allowed(now, call, two):
             return
         # A call may be late because it is costly, and a copy as costly: only its server's other calls tell.
         if self._odds(two) > self._odds(lone.server) and self._gate(now, call, lone.server, two, RETRIES):
@@ -361,6 +403,9 @@
         attempt.open, attempt.ran = False, event.outcome not in face.NEVER_RAN
         attempt.server.out -= 1
         self.out -= 1
+        if event.outcome in HEARD:
+            attempt.server.heard, attempt.server.quiet = now, False
+            self.silent.discard(attempt.server)
         self._learn(now, call, attempt.server, event)
         if event.closed or event.outcome is Outcome.OK:
             self._close(call, acts)
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -38,6 +38,8 @@
     ok: float = 1.0  # part of attempts served in time, shrunk toward the tier's
     credit: float = 0.0  # sends a cold upstream may still get, growing by `rate`
     rate: float = 0.0
+    heard: float = 0.0  # when it last answered, or was first sent to since nothing was out
+    quiet: bool = False  # it owes more answers than chance explains, and has given none since
     util: float | None = None
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -364,3 +364,70 @@
         referee.wait(300.0 if upstream in names else 30.0)
         referee.finish(name, 0)
     assert (got[names[0]] < 50) == (slow == 1)
+
+
+def near_and_far() -> Referee:
+    """One upstream in the own zone, three in others; crossing has its price."""
+    rows = tuple(row._replace(zone=int(i > 0), cell=0) for i, row in enumerate(fleet(4)))
+    return Referee(settings(classes=(READ,), crossing_cost=0.015, max_attempts=4), rows=rows)
+
+
+def answer(referee: Referee, name: str, outcome: Outcome = Outcome.OK) -> str:
+    """The first invoker call ends so, all others are cancelled; tells whom it went to."""
+    held = referee.calls[name]
+    for attempt in range(len(held.sent)):
+        if attempt not in held.ended:
+            referee.finish(name, attempt, Outcome.CANCELLED if held.over else outcome)
+    return held.sent[0][1]
+
+
+def test_no_upstream_holds_far_more_than_the_others() -> None:
+    """A near upstream was sent 46 calls while the others held 3 each: it jammed before its mean showed it."""
+    referee = near_and_far()
+    sent = [send.upstream for _ in range(40) for send in sends(referee.arrive(0)[1])]
+    assert max(sent.count(name) for name in referee.rows) <= len(sent) / 2
+
+
+def test_an_upstream_gone_silent_gets_one_call_at_a_time_and_its_calls_go_elsewhere() -> None:
+    """A machine that vanished kept its connections open: calls hung there for all their time."""
+    referee = near_and_far()
+    near = next(iter(referee.rows))
+    for _ in range(100):
+        name, _ = referee.arrive(0)
+        referee.wait(100.0)
+        answer(referee, name)
+    hung: list[str] = []
+    for _ in range(40):
+        name, _ = referee.arrive(0)
+        hung += [name] if referee.calls[name].sent[0][1] == near else []
+        referee.wait(50.0)
+        for held in [h for h in referee.calls.values() if not h.over and h.sent[-1][1] != near]:
+            referee.finish(held.arrival.call, len(held.sent) - 1)
+    assert 0 < len(hung) < 12
+    assert {s.at.name for s in referee.balancer.silent} == {near}  # what hangs there does not fill the entry
+    assert all(referee.calls[name].over for name in hung[:-1])  # none waits for the silent one alone
+
+
+def test_an_upstream_that_is_heard_again_is_silent_no_more() -> None:
+    referee = near_and_far()
+    near = referee.balancer.servers[next(iter(referee.rows))]
+    near.quiet = True
+    referee.balancer.silent.add(near)
+    while True:
+        name, _ = referee.arrive(0)
+        if answer(referee, name) == near.at.name:
+            break
+    assert not near.quiet and not referee.balancer.silent
+
+
+def test_failures_at_once_let_calls_leave_the_own_zone() -> None:
+    """A near upstream that answered 500 within 2 ms got half of all calls: it was never slow."""
+    referee = near_and_far()
+    near, went = next(iter(referee.rows)), []
+    for _ in range(100):
+        name, _ = referee.arrive(0)
+        referee.wait(20.0)
+        first = referee.calls[name].sent[0][1]
+        went.append(answer(referee, name, Outcome.ERROR if first == near else Outcome.OK))
+        referee.leave(name)
+    assert went.count(near) < 10
