--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -236,7 +236,12 @@
         if not self.sockets.consumers.take():
             sock.close()
             return
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError:  # it has gone already
+            sock.close()
+            self.sockets.consumers.give_back()
+            return
         consumer = Consumer(IOStream(sock, max_buffer_size=MAX_BUFFER), self)
         self._open[consumer] = asyncio.get_running_loop().create_task(consumer.serve())
 
