--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -35,8 +35,9 @@
 LAX = 0.5  # a call that keeps this part of its worth when late is lax: it goes where its one draw says
 URGENT = 10.0  # waits of this many service times hold for any upstream under two thirds load: no copy
 OVERDUE = 2.0  # of its expected time out, a lone attempt asks the gate again
-QUIET = 6.0  # answers overdue by its mean, with none at all, after which an upstream counts as silent
-CROWD = 1.7  # times what the others hold each, and one more, that one upstream may hold
+QUIET = 8.0  # answers overdue by its mean, with none at all, after which an upstream counts as silent
+CROWD = 1.7  # times what the others hold each that one upstream may hold ...
+FREE = 2.0  # ... counting this many more: on a calm day the own zone does not spill over
 HEADROOM = 1.2  # of the even rate of a warm upstream, times its present part, that a cold one is sent
 FILL = 0.3  # of the time between an idle answer and the aim that the wait may use before calls are refused
 AFAR = 0.05  # part of its weight left to an upstream of another zone while the own zone is no slower
@@ -237,7 +238,7 @@
     def _crowded(self, server: Server) -> bool:
         """Whether it holds far more of our calls than the others: it jams before its mean shows it."""
         others = len(self.table[0]) - 1
-        return others > 0 and server.out >= CROWD * (1 + (self.out - server.out) / others)
+        return others > 0 and server.out >= CROWD * (FREE + (self.out - server.out) / others)
 
     def _quiet(self, now: float, server: Server) -> bool:
         """Whether it has gone silent: its machine may be gone though its connections stay open."""
