--- /dev/null
+++ b/limenotch/cli/check_config.py
@@ -0,0 +1,50 @@
+"""Read and check the configuration, say what it comes to, and exit.
+
+Usage:
+  limenotch check-config [--settings FILE]
+
+Options:
+  --settings FILE  The program's own settings, TOML; default: the file that LIMENOTCH_SETTINGS names, or none.
+
+The platform's configuration is the JSON file that LB_CONFIG names. A fault is told by its key, with exit code 2.
+Settings are printed as they are in force, defaults included, in the form in which they can be given.
+"""
+
+from __future__ import annotations
+
+import os
+import sys
+
+from docopt import docopt
+
+from ..config import Config, ConfigError, host_port, load
+from ..settings import effective, load_settings
+from ..toml import FaultError
+
+
+def describe(config: Config) -> str:
+    listed = config.known.get("endpoints") or []
+    return "\n".join(
+        [
+            f"name: {config.name}",
+            f"listen: {host_port(config.listen)}",
+            f"directory: {host_port(config.directory)}",
+            f"layer: {config.settings.layer}",
+            f"classes: {', '.join(c.name for c in config.settings.classes)}",
+            f"tenants: {len(config.settings.tenants)}",
+            f"providers known: {len(listed)}",
+            f"sockets: {config.sockets}",
+        ]
+    )
+
+
+def run(arguments: list[str]) -> int:
+    given = docopt(__doc__ or "", arguments)
+    try:
+        settings = load_settings(given["--settings"], os.environ)
+        print(describe(load(os.environ)))
+    except (ConfigError, FaultError) as error:
+        print(f"limenotch: {error}", file=sys.stderr)
+        return 2
+    print("\n" + effective(settings), end="")
+    return 0
--- /dev/null
+++ b/limenotch/cli/lab/__init__.py
@@ -0,0 +1,24 @@
+"""The laboratory's commands."""
+
+from __future__ import annotations
+
+from .. import dispatch
+
+USAGE = """The laboratory: play scenarios, compare policies, emulate a fleet, load it.
+
+Usage:
+  limenotch lab <command> [<arguments>...]
+  limenotch lab (-h | --help)
+
+Commands:
+  run        Play a scenario in simulated time, for one seed or many.
+  scenarios  List the scenarios that come with the program, or show one.
+
+`limenotch lab <command> --help` tells more of one of them.
+"""
+
+MODULES = {"run": "run", "scenarios": "scenarios"}
+
+
+def run(arguments: list[str]) -> int:
+    return dispatch(USAGE, MODULES, __name__, arguments[1:], ("lab",))
--- /dev/null
+++ b/limenotch/cli/lab/run.py
@@ -0,0 +1,59 @@
+"""Play a scenario in simulated time and say what came of it.
+
+Usage:
+  limenotch lab run <scenario> [--seed N] [--seeds K] [--policy SPEC] [--json FILE] [--processes N] [--time]
+
+Options:
+  --seed N       The first seed [default: 1].
+  --seeds K      How many seeds, from the first on [default: 1].
+  --policy SPEC  `installed`, `git:REVISION`, or the path of a policy file [default: installed].
+  --json FILE    Write all figures there: one object, or a list of them for several seeds. `-`: standard output.
+  --processes N  Processes to use; default: one a core, at most one a seed.
+  --time         Say how long it took, and what part of that the decisions did.
+
+<scenario> is a shipped scenario's name (`limenotch lab scenarios`) or the path of a file. The same seed brings the
+same figures, to the byte, in any number of processes. Exit code 3: a rule was broken.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+from docopt import docopt
+
+from ...lab.experiment import Job, play_all
+from ...lab.tables import print_runs
+from ...toml import FaultError
+from ..arguments import whole_number
+
+
+def run(arguments: list[str]) -> int:
+    given = docopt(__doc__ or "", arguments)
+    try:
+        first = whole_number(given, "--seed", 0)
+        count = whole_number(given, "--seeds", 1)
+        processes = whole_number(given, "--processes", 1)
+        jobs = [Job(given["<scenario>"], seed, given["--policy"], given["--time"])
+                for seed in range(first, first + count)]
+        results = play_all(jobs, processes)
+        print_runs(results, sys.stderr if given["--json"] == "-" else sys.stdout)
+        if given["--json"] is not None:
+            write_json(given["--json"], [r.figures for r in results] if count > 1 else results[0].figures)
+    except FaultError as error:
+        print(f"limenotch: {error}", file=sys.stderr)
+        return 2
+    return 3 if any(r.figures["metrics"]["rules_broken"] for r in results) else 0
+
+
+def write_json(path: str, figures: Any) -> None:
+    text = json.dumps(figures, indent=1) + "\n"
+    if path == "-":
+        sys.stdout.write(text)
+        return
+    try:
+        Path(path).write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise FaultError(f"{path}: {error.strerror}") from None
--- /dev/null
+++ b/limenotch/cli/lab/scenarios.py
@@ -0,0 +1,44 @@
+"""List the scenarios that come with the program, or print one.
+
+Usage:
+  limenotch lab scenarios [<name>]
+  limenotch lab scenarios --check FILE
+
+Options:
+  --check FILE  Read and check a scenario of your own; a fault is told by file, line and key, with exit code 2.
+"""
+
+from __future__ import annotations
+
+import sys
+from importlib import resources
+from textwrap import fill
+
+from docopt import docopt
+
+from ...lab import scenario
+from ...toml import FaultError
+
+
+def run(arguments: list[str]) -> int:
+    given = docopt(__doc__ or "", arguments)
+    try:
+        if given["--check"] is not None:
+            drawn = scenario.plan(scenario.load(given["--check"]), seed=1)
+            print(f"{drawn.scenario.name}: {sum(len(t.machines) for t in drawn.tiers)} providers, "
+                  f"{drawn.first_rate:.1f} calls a second of {drawn.rate_per_s:.1f} (seed 1)")
+            return 0
+        if given["<name>"] is not None:
+            scenario.load(given["<name>"])
+            folder = resources.files("limenotch.lab") / "scenarios"
+            print((folder / f"{given['<name>']}.toml").read_text(encoding="utf-8"), end="")
+            return 0
+    except (FaultError, FileNotFoundError) as error:
+        print(f"limenotch: {error}", file=sys.stderr)
+        return 2
+    for name in scenario.shipped():
+        played = scenario.load(name)
+        providers = "+".join(str(tier.providers) for tier in played.tier)
+        print(f"{name:16} {providers} providers, {played.sidecars.count} sidecars, {played.length_s:g} s")
+        print(fill(played.look_for, 100, initial_indent=" " * 17, subsequent_indent=" " * 17))
+    return 0
--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -16,6 +16,14 @@
 from switchthread import Balancer
 from switchthread import interface as face
 
+# The answer must be with the consumer when its budget ends: what the way there and a busy core may take.
+MARGIN_MS = 20.0
+
+
+def time_left_ms(budget_ms: float) -> float:
+    """How long a call that has just arrived may stay open."""
+    return budget_ms - min(MARGIN_MS, budget_ms / 4)
+
 
 class Status(Enum):
     """What the directory says of a provider."""
--- /dev/null
+++ b/limenotch/lab/experiment.py
@@ -0,0 +1,75 @@
+"""Runs, one or many, on all cores: each is a scenario, a seed and a policy, and nothing else decides its figures."""
+
+from __future__ import annotations
+
+import multiprocessing
+import os
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass, field
+from time import perf_counter, process_time
+from typing import Any
+
+from . import policy, scenario
+from .simulate.world import World
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    scenario: str
+    seed: int
+    policy: str = "installed"
+    timed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """`figures` depend on the job alone; `cost` is of this machine and this time."""
+
+    job: Job
+    figures: dict[str, Any]
+    cost: dict[str, float] = field(default_factory=dict)
+
+
+def play(job: Job) -> Result:
+    """One run, in this process. Raises toml.FaultError for a scenario or policy that can't be used."""
+    plan = scenario.plan(scenario.load(job.scenario), job.seed)
+    world = World(plan, policy.load(job.policy), perf_counter if job.timed else None)
+    began = process_time()
+    record = world.run()
+    spent = process_time() - began
+    figures = {**record.result(), "policy": job.policy, "policy_digest": policy.digest(job.policy)}
+    calls = sum(tier["attempts"] - tier["again"] for tier in figures["tiers"])
+    return Result(job, figures, {
+        "cpu_s": spent, "events": world.kernel.events, "calls": calls, "deciding_s": world.deciding,
+    })
+
+
+def play_all(
+    jobs: Iterable[Job], processes: int | None = None, done: Callable[[Result], None] | None = None
+) -> list[Result]:
+    """All of them, in the order given whatever the number of processes; `done` hears of each as it ends."""
+    todo = list(jobs)
+    if not todo:
+        return []
+    count = min(processes or os.cpu_count() or 1, len(todo))
+    if count == 1:
+        results = []
+        for job in todo:
+            results.append(play(job))
+            if done is not None:
+                done(results[-1])
+        return results
+    # Spawned, not forked: no process starts with another's loaded policies or random state.
+    with ProcessPoolExecutor(count, mp_context=multiprocessing.get_context("spawn")) as pool:
+        futures = {pool.submit(play, job): number for number, job in enumerate(todo)}
+        ended: dict[int, Result] = {}
+        try:
+            for future in as_completed(futures):
+                ended[futures[future]] = future.result()
+                if done is not None:
+                    done(ended[futures[future]])
+        except BaseException:
+            pool.shutdown(wait=False, cancel_futures=True)
+            raise
+    return [ended[number] for number in range(len(todo))]
--- /dev/null
+++ b/limenotch/lab/model/clients.py
@@ -0,0 +1,180 @@
+"""Open-loop clients: they come whether or not the earlier ones were answered, and some come back.
+
+The rate may swing as a wave; accounts surge; a trace may stand in for all of that. What a request is (class,
+account, size of its work, patience) is drawn when it is born, from the clients' own streams: the same seed brings
+the same requests whatever is decided about them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from math import exp, log, pi, sin, sqrt
+
+from .chance import Chance, Seeds
+
+
+@dataclass(frozen=True, slots=True)
+class ClassSpec:
+    """A class of calls; `work_ms` is the whole chain's, of one yardstick core."""
+
+    name: str
+    share: float
+    work_ms: float
+    effect: str = "idempotent"
+    scope: str = "all"
+    window_ms: float = 0.0
+    dist: str = "exp"  # exp, lognormal, fixed
+    cv: float = 1.0
+    attempt_noise: float = 0.0  # standard deviation of the log of what differs between attempts
+    aim_ms: float = 1000.0
+    deadline_ms: float = 3000.0
+    worth: float = 1.0
+    late_worth: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class AccountSpec:
+    name: str
+    share: float  # of the traffic that the fleet's quota covers
+    usage: float = 1.0  # of its share, what it sends on an ordinary day
+
+
+@dataclass(frozen=True, slots=True)
+class ClientSpec:
+    rate_per_s: float = 10.0
+    wave: float = 0.0  # the rate swings by this part of it
+    wave_ms: float = 30_000.0
+    retries: int = 0  # most of a client
+    retry_share: float = 1.0  # of the clients that retry at all
+    backoff_ms: tuple[float, float] = (100.0, 800.0)
+    backoff_grows: bool = False
+    honour: float = 0.9  # of the clients that wait for Retry-After
+    patience: tuple[float, float] = (1.0, 1.0)  # part of the class's deadline that a try is waited for
+    zone_skew: float = 0.0
+
+
+@dataclass(slots=True)
+class Request:
+    """One wish of a client; its tries are calls of their own."""
+
+    number: int
+    born_ms: float
+    cls: int
+    account: int
+    size: float  # factor on the class's work
+    budget_ms: float
+    zone: int
+    retries: int
+    honours: bool
+    key: str
+    in_share: bool = True
+    tries: int = 0
+    last_ms: float = 0.0  # when the present try began
+    served_ms: float | None = None  # from its birth
+    outcomes: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class TraceRow:
+    at_ms: float
+    cls: int
+    account: int
+    size: float = 1.0
+
+
+def draw_size(spec: ClassSpec, chance: Chance) -> float:
+    """With mean 1."""
+    if spec.dist == "fixed":
+        return 1.0
+    if spec.dist == "exp":
+        return chance.exponential()
+    variance = log(1.0 + spec.cv * spec.cv)
+    return exp(sqrt(variance) * chance.normal() - variance / 2)
+
+
+class Clients:
+    def __init__(
+        self,
+        spec: ClientSpec,
+        classes: tuple[ClassSpec, ...],
+        accounts: tuple[AccountSpec, ...],
+        zones: int,
+        quota_per_s: float,
+        seeds: Seeds,
+        trace: tuple[TraceRow, ...] | None = None,
+    ) -> None:
+        """`quota_per_s` is what all accounts together may send at their worth."""
+        self.spec, self.classes, self.accounts = spec, classes, accounts
+        self.quota_per_s = quota_per_s
+        self._gaps, self._what = seeds.stream("clients", "gaps"), seeds.stream("clients", "what")
+        self._back = seeds.stream("clients", "back")
+        self._trace: Iterator[TraceRow] | None = iter(trace) if trace is not None else None
+        usual = sum(a.share * a.usage for a in accounts) or 1.0
+        self._usual = [a.share * a.usage / usual for a in accounts] or [1.0]
+        self.surge = [1.0] * len(self._usual)
+        self._phase = seeds.stream("clients", "wave").uniform()
+        weights = [1.0 + spec.zone_skew * (1.0 if z == 0 else 0.0) for z in range(zones)]
+        self._zones = [w / sum(weights) for w in weights]
+        self._shares = [c.share / sum(c.share for c in classes) for c in classes]
+        self._saved = [0.0] * len(self._usual)  # of each account's quota, and since when
+        self._since = [0.0] * len(self._usual)
+        self.count = 0
+
+    def rate_per_s(self, now: float) -> float:
+        spec = self.spec
+        wave = 1.0 + spec.wave * sin(2 * pi * (now / spec.wave_ms + self._phase)) if spec.wave else 1.0
+        return spec.rate_per_s * wave * sum(u * s for u, s in zip(self._usual, self.surge, strict=True))
+
+    def next(self, now: float) -> Request | None:
+        """The one after `now`, in order; None when a trace is at its end."""
+        if self._trace is not None:
+            row = next(self._trace, None)
+            return None if row is None else self._request(max(row.at_ms, now), row.cls, row.account, row.size)
+        rate = self.rate_per_s(now)
+        born = now + self._gaps.exponential() * 1000.0 / max(rate, 1e-9)
+        cls = _pick(self._shares, self._what.uniform())
+        weights = [u * s for u, s in zip(self._usual, self.surge, strict=True)]
+        whole = sum(weights)
+        account = _pick([w / whole for w in weights], self._what.uniform())
+        return self._request(born, cls, account, draw_size(self.classes[cls], self._what))
+
+    def _request(self, born: float, cls: int, account: int, size: float) -> Request:
+        spec, what = self.spec, self._what
+        self.count += 1
+        retries = spec.retries if what.uniform() < spec.retry_share else 0
+        budget = self.classes[cls].deadline_ms * what.between(*spec.patience)
+        zone = _pick(self._zones, what.uniform())
+        honours = what.uniform() < spec.honour
+        key = f"k{self.count}" if self.classes[cls].effect == "deduplicated" else ""
+        request = Request(self.count, born, cls, account, size, budget, zone, retries, honours, key)
+        request.in_share = self._within(born, account)
+        return request
+
+    def _within(self, now: float, account: int) -> bool:
+        if not self.accounts:
+            return True
+        rate = self.accounts[account].share * self.quota_per_s
+        saved = min(self._saved[account] + (now - self._since[account]) * rate / 1000.0, max(rate, 1.0))
+        within = saved >= 1.0
+        self._saved[account], self._since[account] = saved - 1.0 if within else saved, now
+        return within
+
+    def comes_back(self, request: Request, outcome: str, retry_after_ms: float) -> float | None:
+        """After how long the client tries again; None: never. `outcome` is not `served`."""
+        if request.tries > request.retries:
+            return None
+        low, high = self.spec.backoff_ms
+        wait = self._back.between(low, high) * (2.0 ** (request.tries - 1) if self.spec.backoff_grows else 1.0)
+        if outcome == "rejected" and request.honours and retry_after_ms > 0:
+            # Who is told when to come back spreads a little, as real clients do.
+            wait = max(wait, retry_after_ms * (1.0 + 0.2 * self._back.uniform()))
+        return wait
+
+
+def _pick(shares: list[float], draw: float) -> int:
+    for number, share in enumerate(shares):
+        draw -= share
+        if draw < 0:
+            return number
+    return len(shares) - 1
--- /dev/null
+++ b/limenotch/lab/model/rules.py
@@ -0,0 +1,184 @@
+"""The four rules, checked while a run goes on, by either host.
+
+1. Each call gets exactly one final answer, before its time ends.
+2. A call goes out again only as its class allows: once an attempt may have run, an idempotent one anywhere, a
+   keyed one to its group and within its window, any other never. Rejection, too, is only for what is harmless
+   to repeat.
+3. Nothing new goes to a provider later than the grace after the sidecar was told that it drains or is gone.
+4. No cold provider is pushed over.
+
+The checker is told what the sidecar does and what reached it, not what it believes. It keeps a call's history
+while the call is open and drops it with the last of its attempts, so its memory follows the calls open.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from dataclasses import dataclass, field
+
+ONE_ANSWER = "one final answer in time"
+REPEATS = "repeats within the class"
+DRAINS = "nothing new to a draining or gone provider"
+COLD = "no cold provider pushed over"
+RULES = (ONE_ANSWER, REPEATS, DRAINS, COLD)
+
+MOST_KEPT = 20  # violations kept whole; all are counted
+MOST_LINES = 60  # of one call's history
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    grace_ms: float = 250.0
+    slack_ms: float = 0.0  # on sockets every time limit is a little longer
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    rule: str
+    at_ms: float
+    text: str
+    history: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class _Attempt:
+    provider: str
+    group: int
+    sent: float
+    over: bool = False
+    ran: bool = True
+
+
+@dataclass(slots=True)
+class _Call:
+    effect: str
+    scope: str
+    window_ms: float
+    end: float
+    history: list[str] = field(default_factory=list)
+    attempts: list[_Attempt] = field(default_factory=list)
+    answered: bool = False
+    left: bool = False  # its consumer is gone: nothing is owed
+
+    def note(self, now: float, text: str) -> None:
+        if len(self.history) < MOST_LINES:
+            self.history.append(f"{now:.1f} ms: {text}")
+
+
+class Rules:
+    def __init__(self, limits: Limits | None = None) -> None:
+        self.limits = limits or Limits()
+        self.counts = dict.fromkeys(RULES, 0)
+        self.violations: list[Violation] = []
+        self._calls: dict[Hashable, _Call] = {}
+        self._told: dict[tuple[Hashable, str], float] = {}  # sidecar and provider: since when it takes nothing
+
+    @property
+    def kept(self) -> bool:
+        return not any(self.counts.values())
+
+    @property
+    def open(self) -> int:
+        return len(self._calls)
+
+    def taken(self, now: float, call: Hashable, effect: str, scope: str, window_ms: float, end: float) -> None:
+        """A sidecar has taken a call whose consumer waits until `end`."""
+        if call in self._calls:
+            self._break(ONE_ANSWER, now, f"call {call!r} was taken twice", self._calls[call])
+        held = self._calls[call] = _Call(effect, scope, window_ms, end)
+        held.note(now, f"taken, {effect}, to be answered by {end:.1f}")
+
+    def told(self, now: float, sidecar: Hashable, provider: str, stage: str) -> None:
+        """A sidecar was told of a provider: `ready`, `draining` or `gone`."""
+        if stage == "ready":
+            self._told.pop((sidecar, provider), None)
+        else:
+            self._told.setdefault((sidecar, provider), now)
+
+    def forget(self, sidecar: Hashable) -> None:
+        """The sidecar is gone, with what it was told."""
+        for key in [key for key in self._told if key[0] == sidecar]:
+            del self._told[key]
+
+    def sent(self, now: float, call: Hashable, sidecar: Hashable, provider: str, group: int) -> int:
+        """The first byte of an attempt goes to a provider. Gives the attempt's number."""
+        held = self._calls.get(call)
+        if held is None:
+            self._break(ONE_ANSWER, now, f"call {call!r} sent to {provider} after it was over", None)
+            return 0
+        held.note(now, f"attempt {len(held.attempts)} to {provider}, group {group}")
+        since = self._told.get((sidecar, provider))
+        if since is not None and now > since + self.limits.grace_ms + self.limits.slack_ms:
+            text = f"call {call!r} sent to {provider} {now - since:.0f} ms after it was known to drain or be gone"
+            self._break(DRAINS, now, text, held)
+        self._repeat(now, call, held, group)
+        held.attempts.append(_Attempt(provider, group, now))
+        return len(held.attempts) - 1
+
+    def _repeat(self, now: float, call: Hashable, held: _Call, group: int) -> None:
+        earlier = [a for a in held.attempts if a.ran]
+        if not earlier or held.effect == "idempotent":
+            return
+        if held.effect != "deduplicated":
+            self._break(REPEATS, now, f"call {call!r} may run once and went out again", held)
+        elif held.scope != "all" and any(a.group != group for a in earlier):
+            self._break(REPEATS, now, f"call {call!r} went out again to another group", held)
+        elif now > earlier[0].sent + held.window_ms + self.limits.slack_ms:
+            self._break(REPEATS, now, f"call {call!r} went out again after its window", held)
+
+    def ended(self, now: float, call: Hashable, attempt: int, outcome: str, ran: bool) -> None:
+        """An attempt ended for the sidecar; `ran`: it may have run."""
+        held = self._calls.get(call)
+        if held is None or not attempt < len(held.attempts):
+            return
+        held.note(now, f"attempt {attempt} ended: {outcome}")
+        held.attempts[attempt].over, held.attempts[attempt].ran = True, ran
+        self._drop(call, held)
+
+    def answered(self, now: float, call: Hashable, verdict: str) -> None:
+        """The sidecar gave a final answer: `served`, `rejected` or `failed`."""
+        held = self._calls.get(call)
+        if held is None or held.answered:
+            self._break(ONE_ANSWER, now, f"call {call!r} was answered again: {verdict}", held)
+            return
+        held.note(now, f"answered: {verdict}")
+        if now > held.end + self.limits.slack_ms and not held.left:
+            self._break(ONE_ANSWER, now, f"call {call!r} was answered {now - held.end:.1f} ms late", held)
+        harmless = held.effect == "idempotent" or (held.effect == "deduplicated" and held.scope == "all")
+        if verdict == "rejected" and not harmless and any(a.ran for a in held.attempts):
+            self._break(REPEATS, now, f"call {call!r} was rejected though it may have run", held)
+        held.answered = True
+        self._drop(call, held)
+
+    def departed(self, now: float, call: Hashable) -> None:
+        """The consumer is gone, before its time was over or at its end. At the end it is owed an answer."""
+        held = self._calls.get(call)
+        if held is None or held.answered:
+            return
+        held.note(now, "its consumer left")
+        if now >= held.end - 1e-6:
+            self._break(ONE_ANSWER, now, f"call {call!r} had no answer by its end", held)
+        held.left = held.answered = True
+        self._drop(call, held)
+
+    def lost(self, call: Hashable) -> None:
+        """The sidecar itself is gone, by a fault of the scenario: nothing is owed."""
+        self._calls.pop(call, None)
+
+    def fell(self, now: float, provider: str) -> None:
+        self._break(COLD, now, f"{provider} was pushed over while cold", None)
+
+    def quiet(self, now: float) -> None:
+        """The run is over and all should have been answered."""
+        for call, held in list(self._calls.items()):
+            if not held.answered:
+                self._break(ONE_ANSWER, now, f"call {call!r} was never answered", held)
+
+    def _drop(self, call: Hashable, held: _Call) -> None:
+        if held.answered and all(a.over for a in held.attempts):
+            del self._calls[call]
+
+    def _break(self, rule: str, now: float, text: str, held: _Call | None) -> None:
+        self.counts[rule] += 1
+        if len(self.violations) < MOST_KEPT:
+            self.violations.append(Violation(rule, now, text, tuple(held.history) if held else ()))
--- /dev/null
+++ b/limenotch/lab/record.py
@@ -0,0 +1,410 @@
+"""What a run leaves: figures that are the same for the same seed, on any machine and in any number of processes.
+
+Latencies go into HDR histograms (1 us to 10 min, three digits). A request counts from its birth, with all of its
+client's tries: answered within the class's aim it earns its worth, later `late_worth` of it, else nothing. Traffic
+beyond its account's share is worth `over_share_worth` of that.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import asdict, dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from hdrh.histogram import HdrHistogram
+
+from .model.faults import Band
+from .model.rules import RULES, Rules
+
+if TYPE_CHECKING:
+    from .model.clients import Request
+    from .model.fleet import Fleet
+    from .scenario import Plan
+
+WINDOW_MS = 1000.0
+WORST_WINDOWS = 10  # seconds in a row: the worst stretch is one figure of the score
+MOST_SERIES = 150  # providers with a series of their own; beyond that a tier's quantiles stand for them
+MOST_EVENTS = 2000
+HIGHEST_US = 600_000_000
+
+OUTCOMES = ("served", "rejected", "failed", "timed out", "unmade")
+
+
+def histogram() -> HdrHistogram:
+    return HdrHistogram(1, HIGHEST_US, 3)
+
+
+def quantiles(hist: HdrHistogram) -> dict[str, float]:
+    """In ms."""
+    count = hist.get_total_count()
+    if not count:
+        return {"count": 0}
+    result = {"count": count, "mean": round(hist.get_mean_value() / 1000.0, 3)}
+    for name, part in (("p50", 50.0), ("p90", 90.0), ("p95", 95.0), ("p99", 99.0), ("p99.9", 99.9), ("max", 100.0)):
+        result[name] = round(hist.get_value_at_percentile(part) / 1000.0, 3)
+    return result
+
+
+@dataclass(slots=True)
+class Window:
+    asked: int = 0
+    worth: float = 0.0
+    earned: float = 0.0
+    tries: int = 0
+    retries: int = 0
+    served: int = 0
+    rejected: int = 0
+    failed: int = 0
+    timed_out: int = 0
+    attempts: int = 0
+    copies: int = 0
+
+
+@dataclass(slots=True)
+class Sums:
+    """Of a class or an account."""
+
+    asked: int = 0
+    worth: float = 0.0
+    earned: float = 0.0
+    served: int = 0
+    in_time: int = 0
+
+    @property
+    def service(self) -> float:
+        return self.earned / self.worth if self.worth > 0 else 1.0
+
+
+@dataclass(slots=True)
+class TierSums:
+    attempts: int = 0
+    again: int = 0  # second and later attempts of a call, copies included
+    crossings: int = 0
+
+
+def _rounded(values: Iterable[float], digits: int = 4) -> list[float]:
+    return [round(value, digits) for value in values]
+
+
+@dataclass
+class Series:
+    """Of one provider, a value a sample."""
+
+    name: str
+    kind: str
+    zone: str
+    runnable: list[int] = field(default_factory=list)
+    held: list[int] = field(default_factory=list)
+    util: list[float] = field(default_factory=list)
+    state: list[str] = field(default_factory=list)  # a letter a sample: see STATES
+
+
+STATES = {"r": "ready", "c": "cold", "k": "choked", "d": "draining", "x": "down", "s": "silent", "t": "stalled"}
+
+
+class Record:
+    def __init__(self, plan: Plan, bands: list[Band]) -> None:
+        self.plan, self.bands = plan, bands
+        count = int(plan.length_ms / WINDOW_MS) + 1
+        self.windows = [Window() for _ in range(count)]
+        self.classes = [Sums() for _ in plan.classes]
+        self.accounts = [Sums() for _ in plan.accounts]
+        self.tiers = [TierSums() for _ in plan.tiers]
+        self.latency = [histogram() for _ in plan.classes]
+        self.finals = dict.fromkeys(OUTCOMES, 0)  # of whole requests
+        self.tries = self.retries = self.lines_told = 0
+        self.advice: list[float] = []
+        self.events: list[tuple[float, str, str]] = []
+        self.sampled_ms: list[float] = []
+        self.spread: list[dict[str, list[float]]] = [{} for _ in plan.tiers]
+        self.series: list[list[Series]] = []
+        whole = sum(len(tier.machines) for tier in plan.tiers)
+        if whole <= MOST_SERIES:
+            kinds = [[kind.name for kind in tier.kind] for tier in plan.scenario.tier]
+            self.series = [
+                [Series(f"{tier.name}-{m.index}", kinds[m.tier][m.kind], plan.network.zones[m.zone])
+                 for m in tier.machines]
+                for tier in plan.tiers
+            ]
+        self._busy: dict[tuple[int, int], tuple[object, float]] = {}
+        self._done = 0.0
+        self.rules: Rules | None = None
+        self.work: list[dict[str, float]] = []
+        self.ended_ms = 0.0
+        self.cut_short = False
+        self.host: dict[str, Any] = {}
+
+    # What the host tells
+
+    def _window(self, at: float) -> Window:
+        return self.windows[min(int(at / WINDOW_MS), len(self.windows) - 1)]
+
+    def _worth(self, request: Request) -> float:
+        worth = self.plan.classes[request.cls].worth
+        return worth if request.in_share else worth * self.plan.scenario.sidecars.over_share_worth
+
+    def asked(self, request: Request) -> None:
+        worth = self._worth(request)
+        window = self._window(request.born_ms)
+        sums = [self.classes[request.cls]]
+        if self.accounts:
+            sums.append(self.accounts[request.account])
+        window.asked += 1
+        window.worth += worth
+        for each in sums:
+            each.asked += 1
+            each.worth += worth
+
+    def tried(self, now: float, request: Request) -> None:
+        window = self._window(now)
+        window.tries += 1
+        self.tries += 1
+        if request.tries > 1:
+            window.retries += 1
+            self.retries += 1
+
+    def sent(self, now: float, tier: int, number: int, crossing: bool) -> None:
+        window, sums = self._window(now), self.tiers[tier]
+        sums.attempts += 1
+        sums.crossings += crossing
+        window.attempts += 1
+        if number:
+            sums.again += 1
+            window.copies += 1
+
+    def outcome(self, now: float, request: Request, outcome: str, retry_after_ms: float) -> None:
+        """One try's end. The request's own end is its last."""
+        window = self._window(now)
+        if request.outcomes:
+            self.finals[request.outcomes[-1]] -= 1
+        request.outcomes.append(outcome)
+        self.finals[outcome] += 1
+        if outcome == "rejected":
+            window.rejected += 1
+        elif outcome == "failed":
+            window.failed += 1
+        elif outcome == "timed out":
+            window.timed_out += 1
+        elif outcome == "served":
+            window.served += 1
+            self._served(now, request)
+
+    def _served(self, now: float, request: Request) -> None:
+        spec = self.plan.classes[request.cls]
+        took = now - request.born_ms
+        self.latency[request.cls].record_value(max(int(took * 1000.0), 1))
+        in_time = took <= spec.aim_ms
+        earned = self._worth(request) * (1.0 if in_time else spec.late_worth)
+        self._window(request.born_ms).earned += earned
+        sums = [self.classes[request.cls]]
+        if self.accounts:
+            sums.append(self.accounts[request.account])
+        for each in sums:
+            each.earned += earned
+            each.served += 1
+            each.in_time += in_time
+
+    def told(self, lines: int) -> None:
+        self.lines_told += lines
+
+    def event(self, now: float, what: str, name: str) -> None:
+        if len(self.events) < MOST_EVENTS:
+            self.events.append((round(now, 3), what, name))
+
+    def sample(self, now: float, fleet: Fleet) -> None:
+        """The state of every provider now."""
+        self.sampled_ms.append(round(now, 3))
+        for tier, sites in enumerate(fleet.sites):
+            loads: list[float] = []
+            utils: list[float] = []
+            states = dict.fromkeys(STATES, 0)
+            for site in sites:
+                process = site.process
+                runnable = held = 0
+                util = 0.0
+                if process is not None and site.serves:
+                    process.report(now)  # brings its sums up to now
+                    key = (tier, site.machine.index)
+                    before = self._busy.get(key)
+                    busy = process.ledger.busy_ms
+                    since = before[1] if before is not None and before[0] is process else busy
+                    span = WINDOW_MS * process.spec.cores
+                    util = min((busy - since) / span, 1.0)
+                    self._busy[key] = (process, busy)
+                    runnable, held = process.runnable, process.held
+                state = state_of(site, now)
+                states[state] += 1
+                loads.append(runnable / max(site.machine.spec.cores, 1))
+                utils.append(util)
+                if self.series:
+                    series = self.series[tier][site.machine.index]
+                    series.runnable.append(runnable)
+                    series.held.append(held)
+                    series.util.append(round(util, 3))
+                    series.state.append(state)
+            spread = self.spread[tier]
+            loads.sort()
+            utils.sort()
+            for name, values in (("load", loads), ("util", utils)):
+                for part in (0.1, 0.5, 0.9, 1.0):
+                    at = min(int(part * len(values)), len(values) - 1)
+                    spread.setdefault(f"{name}_{part:g}", []).append(round(values[at], 3))
+            for letter, count in states.items():
+                spread.setdefault(STATES[letter], []).append(count)
+
+    def end(self, now: float, world: Any) -> None:
+        """The run is over: the rules' verdict and the providers' books."""
+        self.ended_ms, self.rules = now, world.rules
+        self.cut_short = world.cut_short
+        self.work = books(now, world.fleet)
+
+    # What it comes to
+
+    def _worst_stretch(self) -> float:
+        worst = 1.0
+        windows = self.windows[:-1] if self.windows[-1].asked == 0 else self.windows
+        span = min(WORST_WINDOWS, len(windows))
+        for first in range(len(windows) - span + 1):
+            stretch = windows[first : first + span]
+            worth = sum(w.worth for w in stretch)
+            if worth > 0:
+                worst = min(worst, sum(w.earned for w in stretch) / worth)
+        return worst
+
+    def result(self) -> dict[str, Any]:
+        """All figures, for JSON. Depends on the scenario, the seed and the policy alone."""
+        worth, earned = sum(w.worth for w in self.windows), sum(w.earned for w in self.windows)
+        whole = earned / worth if worth else 1.0
+        worst_class = min((c.service for c in self.classes if c.asked), default=1.0)
+        worst_account = min((a.service for a in self.accounts if a.asked), default=worst_class)
+        stretch = self._worst_stretch()
+        asked = sum(w.asked for w in self.windows)
+        done = sum(w["served"] for w in self.work)
+        wasted = sum(w["wasted"] for w in self.work)
+        rules = self.rules
+        assert rules is not None
+        attempts = sum(t.attempts for t in self.tiers)
+        everything = histogram()
+        for each in self.latency:
+            everything.add(each)
+        return {
+            "format": 1,
+            "scenario": self.plan.scenario.name,
+            "look_for": self.plan.scenario.look_for,
+            "seed": self.plan.seed,
+            "length_ms": self.plan.length_ms,
+            "rate_per_s": round(self.plan.first_rate, 3),
+            "capacity_per_s": round(self.plan.rate_per_s, 3),
+            "sidecars": self.plan.scenario.sidecars.count,
+            "providers": [len(t.machines) for t in self.plan.tiers],
+            "metrics": {
+                "goodput": round(whole, 5),
+                "worst_10s": round(stretch, 5),
+                "worst_class": round(worst_class, 5),
+                "worst_account": round(worst_account, 5),
+                "score": round(0.5 * whole + 0.1 * stretch + 0.3 * worst_class + 0.1 * worst_account, 5),
+                "in_time": round(sum(c.in_time for c in self.classes) / max(asked, 1), 5),
+                "rejected": round(self.finals["rejected"] / max(asked, 1), 5),
+                "failed": round((self.finals["failed"] + self.finals["timed out"]) / max(asked, 1), 5),
+                "retries": round(self.retries / max(asked, 1), 5),
+                "again": round(sum(t.again for t in self.tiers) / max(attempts, 1), 5),
+                "crossings": round(sum(t.crossings for t in self.tiers) / max(attempts, 1), 5),
+                "wasted_work": round(wasted / max(done + wasted, 1e-9), 5),
+                "p50_ms": quantiles(everything).get("p50", 0.0),
+                "p95_ms": quantiles(everything).get("p95", 0.0),
+                "p99_ms": quantiles(everything).get("p99", 0.0),
+                "rules_broken": sum(rules.counts.values()),
+            },
+            "requests": {"asked": asked, "tries": self.tries, **self.finals},
+            "cut_short": self.cut_short,
+            "classes": [
+                {"name": spec.name, **_sums(sums), "latency_ms": quantiles(hist)}
+                for spec, sums, hist in zip(self.plan.classes, self.classes, self.latency, strict=True)
+            ],
+            "accounts": [
+                {"name": spec.name, **_sums(sums)}
+                for spec, sums in zip(self.plan.accounts, self.accounts, strict=True)
+            ],
+            "tiers": [
+                {"name": tier.name, "providers": len(tier.machines), **asdict(sums), "work": work}
+                for tier, sums, work in zip(self.plan.tiers, self.tiers, self.work, strict=True)
+            ],
+            "directory_lines": self.lines_told,
+            "rules": {
+                "kept": rules.kept,
+                "counts": {rule: rules.counts[rule] for rule in RULES},
+                "violations": [asdict(violation) for violation in rules.violations],
+            },
+            "faults": [asdict(band) for band in self.bands],
+            "events": [list(event) for event in self.events],
+            "windows": {
+                name: _rounded([getattr(w, name) for w in self.windows]) for name in Window.__slots__
+            },
+            "samples": {
+                "at_ms": self.sampled_ms,
+                "tiers": [
+                    {"spread": spread, "providers": [_series(s) for s in self.series[n]] if self.series else []}
+                    for n, spread in enumerate(self.spread)
+                ],
+            },
+            "histograms": {
+                spec.name: hist.encode().decode("ascii")
+                for spec, hist in zip(self.plan.classes, self.latency, strict=True)
+            },
+        }
+
+
+def _sums(sums: Sums) -> dict[str, Any]:
+    return {
+        "asked": sums.asked, "served": sums.served, "in_time": sums.in_time, "worth": round(sums.worth, 4),
+        "earned": round(sums.earned, 4), "service": round(sums.service, 5),
+    }
+
+
+def _series(series: Series) -> dict[str, Any]:
+    return {
+        "name": series.name, "kind": series.kind, "zone": series.zone, "runnable": series.runnable,
+        "held": series.held, "util": series.util, "state": "".join(series.state),
+    }
+
+
+def state_of(site: Any, now: float) -> str:
+    """A letter of STATES."""
+    process = site.process
+    if process is None or not site.serves:
+        return "x"
+    if site.silent:
+        return "s"
+    if site.draining:
+        return "d"
+    if site.stalled:
+        return "t"
+    if process.choked:
+        return "k"
+    return "c" if process.warmth(now) < 1.0 else "r"
+
+
+def books(now: float, fleet: Fleet) -> list[dict[str, float]]:
+    """Each tier's work and time, with what does not add up (`work_error`, `little_error`, as parts)."""
+    result = []
+    for tier in range(len(fleet.sites)):
+        sums = dict.fromkeys(("offered", "refused", "served", "wasted", "unspent", "excess", "held_work"), 0.0)
+        counts = dict.fromkeys(("jobs", "turned_away", "repeats", "double"), 0)
+        held, sojourn = 0.0, 0.0
+        for process in fleet.every[tier]:
+            process.report(now)
+            ledger = process.ledger
+            for name in sums:
+                sums[name] += process.held_work if name == "held_work" else getattr(ledger, name)
+            for name in counts:
+                counts[name] += getattr(ledger, name)
+            held += ledger.held_ms
+            sojourn += process.sojourn_ms(now)
+        accounted = sums["refused"] + sums["served"] + sums["wasted"] + sums["unspent"] + sums["held_work"]
+        result.append({
+            **{name: round(value, 3) for name, value in sums.items()}, **counts,
+            "held_ms": round(held, 3), "sojourn_ms": round(sojourn, 3),
+            "work_error": float(f"{abs(sums['offered'] - accounted) / max(sums['offered'], 1.0):.1e}"),
+            "little_error": float(f"{abs(held - sojourn) / max(sojourn, 1.0):.1e}"),
+        })
+    return result
--- /dev/null
+++ b/limenotch/lab/scenario.py
@@ -0,0 +1,552 @@
+"""Scenarios: a fleet, its traffic and a script of faults, in TOML; the one place where they are read and checked.
+
+Where a number may differ from run to run, a pair `[low, high]` stands for it and the seed draws from between.
+Unknown keys are faults. A fault names the file, the line and the key.
+"""
+
+from __future__ import annotations
+
+import csv
+from collections.abc import Iterator
+from importlib import resources
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from .. import toml
+from .model.chance import Chance, Seeds
+from .model.clients import AccountSpec, ClassSpec, ClientSpec, TraceRow
+from .model.directory import DirectorySpec
+from .model.network import NetworkSpec
+from .model.provider import ProviderSpec, Stops
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+Part = Annotated[float, Meta(ge=0, le=1)]
+Count = Annotated[int, Meta(ge=1)]
+Range = float | tuple[float, float]  # one number, or low and high
+
+MOST_PROVIDERS = 20_000
+MOST_CALLS = 50_000_000  # first tries of a run
+FAULT_KINDS = Literal[
+    "deploy", "slow", "neighbour", "surge", "hot_sidecar", "directory_down", "forget", "silent", "kill", "cut_link",
+    "stall", "error_burst", "spoil",
+]
+
+
+class Kind(Struct, frozen=True, forbid_unknown_fields=True):
+    """Machines of one kind. Slots and queue are for a core."""
+
+    name: str
+    share: Positive = 1.0
+    cores: Count = 1
+    speed: Range = 1.0
+    speed_cv: Range = 0.0
+    slots: Range = 1.0
+    queue: Range = 1e6
+    crowd_at: Range = 1e9
+    crowd_loss: Range = 0.0
+    cold_from: Range = 1.0
+    cold_s: Range = 0.0
+    warm_by: Literal["time", "work"] = "time"
+    error_rate: Range = 0.0
+    stops: Literal["all", "queued", "none"] = "all"
+    drops_expired: bool = True
+
+
+class Choke(Struct, frozen=True, forbid_unknown_fields=True):
+    at: Range = 1e9
+    over_s: Range = 2.0
+    slower: Range = 1.0
+    rest_s: Range = 3.0
+    below: Range = 0.3
+    most_s: Range = 20.0
+
+
+class Report(Struct, frozen=True, forbid_unknown_fields=True):
+    period_ms: Range = 500.0
+    delay_ms: Range = 100.0
+    noise: Range = 0.02
+
+
+class Connections(Struct, frozen=True, forbid_unknown_fields=True):
+    handshake_rtts: Range = 1.0
+    handshake_us: Range = 0.0
+    idle_s: Range = 60.0
+    connect_timeout_ms: Range = 250.0
+    cap_per_core: Range = 1e6
+    full_tax: Range = 0.0
+
+
+class Tier(Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    providers: Count
+    kind: Annotated[tuple[Kind, ...], Meta(min_length=1)]
+    work: Positive = 1.0  # part of a class's work done here for each call
+    calls: Range = 1.0  # of the tier below for each call here, on average
+    cell_size: Count = 6
+    weights: Literal["none", "rough"] = "none"
+    probe_us: Range = 0.0
+    choke: Choke = Choke()
+    report: Report = Report()
+    connections: Connections = Connections()
+
+
+class Class(Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    work_ms: Range
+    aim_ms: Positive
+    deadline_ms: Positive
+    share: Range = 1.0
+    effect: Literal["idempotent", "deduplicated", "at_most_once"] = "idempotent"
+    scope: Literal["all", "zone", "cell"] = "all"
+    window_s: NotNegative = 0.0
+    dist: Literal["exp", "lognormal", "fixed"] = "exp"
+    cv: Range = 1.0
+    attempt_noise: Range = 0.0
+    worth: NotNegative = 1.0
+    late_worth: Part = 0.0
+
+
+class Account(Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    share: Positive
+    usage: Range = 1.0
+
+
+class Clients(Struct, frozen=True, forbid_unknown_fields=True):
+    load: Range | None = None  # part of what the tightest tier can do
+    rate_per_s: Range | None = None
+    trace: str | None = None  # CSV: at_ms, class, account, size
+    wave: Range = 0.0
+    wave_s: Range = 30.0
+    retries: Range = 0.0
+    retry_share: Range = 1.0
+    backoff_ms: tuple[float, float] = (100.0, 800.0)
+    backoff_grows: bool = False
+    honour: Range = 0.9
+    patience: tuple[float, float] = (1.0, 1.0)
+    zone_skew: Range = 0.0
+
+
+class Network(Struct, frozen=True, forbid_unknown_fields=True):
+    zones: Annotated[tuple[str, ...], Meta(min_length=1)] = ("a",)
+    same_ms: Range = 0.2
+    cross_ms: tuple[float, float] = (5.6, 10.0)
+    client_ms: Range = 0.5
+    jitter: Range = 0.1
+
+
+class Directory(Struct, frozen=True, forbid_unknown_fields=True):
+    add_ms: tuple[float, float] = (250.0, 1600.0)
+    drain_ms: tuple[float, float] = (50.0, 300.0)
+    notice_ms: tuple[float, float] = (1900.0, 4900.0)
+    silent_ms: tuple[float, float] = (6300.0, 13000.0)
+    period_ms: Range = 500.0
+    spread_ms: Range = 50.0
+    call_ms: Range = 20.0
+    timeout_ms: Range = 2000.0
+
+
+class Sidecars(Struct, frozen=True, forbid_unknown_fields=True):
+    """Those at the entry; each provider of a tier that calls another has one of its own besides."""
+
+    count: Count = 4
+    max_attempts: Count = 4
+    copies: bool = True
+    cancel: bool = True
+    max_retry_after_ms: NotNegative = 2000.0
+    passes_deadline: bool = True  # a lower call carries the time that its caller has left
+    over_share_worth: Part = 0.05
+    quota_of_capacity: Range = 0.8
+    crossing_cost: NotNegative = 0.015
+
+
+class RulesTable(Struct, frozen=True, forbid_unknown_fields=True):
+    drain_grace_ms: NotNegative = 250.0
+    fall_multiple: Positive = 4.0
+    fall_s: Positive = 3.0
+    start_capacity: Part = 0.12
+    cold_s: NotNegative = 24.0
+
+
+class Fault(Struct, frozen=True, forbid_unknown_fields=True):
+    """What happens from `at_s` on for `length_s`; `size` is the kind's own measure."""
+
+    kind: FAULT_KINDS
+    at_s: Range
+    length_s: Range = 0.0
+    tier: str | None = None  # default: the first
+    part: Range | None = None  # of the tier's machines
+    count: Count | None = None
+    victims: tuple[Annotated[int, Meta(ge=0)], ...] | None = None  # machines by number, from 0
+    size: Range = 0.0
+    batch: Range = 0.1  # deploy: part of the tier at a time
+    drain_s: Range = 3.0  # deploy: from the drain's begin to the end of the process
+    on_s: Range = 0.0  # neighbour: on and off by turns of about this; 0: on all the time
+    account: str | None = None  # surge: default: drawn by the seed
+    zones: tuple[str, str] | None = None  # cut_link
+    rise_s: Range = 0.0  # surge, hot_sidecar
+
+
+class Scenario(Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    tier: Annotated[tuple[Tier, ...], Meta(min_length=1, max_length=6)]
+    cls: Annotated[tuple[Class, ...], Meta(min_length=1)] = msgspec.field(name="class")
+    clients: Clients
+    look_for: str = ""
+    length_s: Annotated[float, Meta(gt=0, le=3600)] = 60.0
+    account: tuple[Account, ...] = ()
+    network: Network = Network()
+    directory: Directory = Directory()
+    sidecars: Sidecars = Sidecars()
+    rules: RulesTable = RulesTable()
+    fault: tuple[Fault, ...] = ()
+
+
+def _ranges(value: Any, path: str) -> Iterator[tuple[str, str]]:
+    """Pairs that are not from low to high."""
+    if isinstance(value, Struct):
+        for key, encoded in zip(value.__struct_fields__, value.__struct_encode_fields__, strict=True):
+            yield from _ranges(getattr(value, key), f"{path}.{encoded}" if path else encoded)
+    elif isinstance(value, tuple):
+        if len(value) == 2 and all(isinstance(n, (int, float)) for n in value) and not path.endswith("victims"):
+            if value[0] > value[1]:
+                yield path, "expected low and high, in this order"
+        else:
+            for number, inner in enumerate(value):
+                yield from _ranges(inner, f"{path}[{number}]")
+    elif isinstance(value, float) and value != value:
+        yield path, "expected a number"
+
+
+# Which a range may not leave, by the key's name: a part, at least 1, above 0; all others are 0 or more.
+PARTS = frozenset({"cold_from", "error_rate", "part", "batch", "full_tax", "honour", "retry_share", "wave"})
+ABOVE_0 = frozenset(
+    {"speed", "work_ms", "load", "rate_per_s", "cold_from", "batch", "wave_s", "period_ms", "cap_per_core"}
+)
+
+
+def _bounds(value: Any, path: str) -> Iterator[tuple[str, str]]:
+    if isinstance(value, Struct):
+        for key, encoded in zip(value.__struct_fields__, value.__struct_encode_fields__, strict=True):
+            yield from _bounds(getattr(value, key), f"{path}.{encoded}" if path else encoded)
+        return
+    if isinstance(value, tuple) and value and isinstance(value[0], Struct):
+        for number, inner in enumerate(value):
+            yield from _bounds(inner, f"{path}[{number}]")
+        return
+    numbers = [n for n in (value if isinstance(value, tuple) else (value,)) if isinstance(n, float)]
+    key = path.rpartition(".")[2]
+    if key in ABOVE_0 and any(n <= 0 for n in numbers):
+        yield path, "expected a number above 0"
+    elif any(n < 0 for n in numbers):
+        yield path, "expected 0 or more"
+    elif key in PARTS and any(n > 1 for n in numbers):
+        yield path, "expected 1 at most"
+
+
+def _faults(scenario: Scenario) -> Iterator[tuple[str, str]]:
+    """What the types can't tell, as path and message."""
+    yield from _ranges(scenario, "")
+    yield from _bounds(scenario, "")
+    for key, names in (
+        ("tier", [tier.name for tier in scenario.tier]),
+        ("class", [cls.name for cls in scenario.cls]),
+        ("account", [account.name for account in scenario.account]),
+    ):
+        for number, name in enumerate(names):
+            if name in names[:number]:
+                yield f"{key}[{number}].name", f"{name!r} is there twice"
+    if sum(tier.providers for tier in scenario.tier) > MOST_PROVIDERS:
+        yield "tier", f"more than {MOST_PROVIDERS} providers in all"
+    clients = scenario.clients
+    if sum(source is not None for source in (clients.load, clients.rate_per_s, clients.trace)) != 1:
+        yield "clients", "expected one of load, rate_per_s and trace"
+    tiers = {tier.name: tier for tier in scenario.tier}
+    for number, fault in enumerate(scenario.fault):
+        path = f"fault[{number}]"
+        tier = tiers.get(fault.tier) if fault.tier is not None else scenario.tier[0]
+        if tier is None:
+            yield f"{path}.tier", f"{fault.tier!r} is no tier of this scenario"
+            continue
+        if sum(way is not None for way in (fault.part, fault.count, fault.victims)) > 1:
+            yield path, "expected one of part, count and victims"
+        if any(victim >= tier.providers for victim in fault.victims or ()):
+            yield f"{path}.victims", f"tier {tier.name} has machines 0 to {tier.providers - 1}"
+        if fault.account is not None and fault.account not in [account.name for account in scenario.account]:
+            yield f"{path}.account", f"{fault.account!r} is no account of this scenario"
+        if fault.kind == "surge" and not scenario.account:
+            yield f"{path}.kind", "a surge needs accounts"
+        if fault.kind == "cut_link":
+            if fault.zones is None or any(zone not in scenario.network.zones for zone in fault.zones):
+                yield f"{path}.zones", "expected two zones of this scenario"
+        sizes = fault.size if isinstance(fault.size, tuple) else (fault.size,)
+        if fault.kind == "slow" and min(sizes) < 1:
+            yield f"{path}.size", "expected how many times slower, 1 or more"
+        if fault.kind in ("neighbour", "hot_sidecar", "error_burst", "spoil") and not 0 < min(sizes) <= max(sizes) <= 1:
+            yield f"{path}.size", "expected a part, above 0 and at most 1"
+
+
+def parse(text: str, name: str) -> Scenario:
+    """Raises toml.FaultError, which names the key and the line."""
+    scenario = toml.decode(text, name, Scenario)
+    for path, what in _faults(scenario):
+        raise toml.fault(text, name, path, what)
+    return scenario
+
+
+def shipped() -> list[str]:
+    """The names of the scenarios that come with the program."""
+    folder = resources.files(__package__) / "scenarios"
+    return sorted(item.name.removesuffix(".toml") for item in folder.iterdir() if item.name.endswith(".toml"))
+
+
+def load(name: str) -> Scenario:
+    """A shipped scenario by its name, or a file by its path. Raises toml.FaultError."""
+    if name in shipped():
+        text = (resources.files(__package__) / "scenarios" / f"{name}.toml").read_text(encoding="utf-8")
+        return parse(text, f"{name}.toml")
+    path = Path(name)
+    if not path.suffix:
+        raise toml.FaultError(f"{name}: no such scenario; there are {', '.join(shipped())}, or a path to a .toml file")
+    return parse(toml.read(path), str(path))
+
+
+def read_trace(path: str, scenario: Scenario) -> tuple[TraceRow, ...]:
+    """Rows `at_ms,class,account,size`, in order of time; bursts of one instant are fine. Raises toml.FaultError."""
+    classes = {cls.name: number for number, cls in enumerate(scenario.cls)}
+    accounts = {account.name: number for number, account in enumerate(scenario.account)}
+    rows: list[TraceRow] = []
+    last = 0.0
+    try:
+        with open(path, encoding="utf-8", newline="") as file:
+            for number, row in enumerate(csv.DictReader(file), 2):
+                try:
+                    at, size = float(row["at_ms"]), float(row.get("size") or 1.0)
+                    cls = classes[row["class"]]
+                    account = accounts[row["account"]] if accounts else 0
+                except (KeyError, ValueError, TypeError) as error:
+                    raise toml.FaultError(f"{path}:{number}: {error}") from None
+                if not (at >= last and 0 < size < 1e6):
+                    raise toml.FaultError(f"{path}:{number}: expected times in order and a size above 0")
+                last = at
+                rows.append(TraceRow(at, cls, account, size))
+    except (OSError, UnicodeDecodeError) as error:
+        raise toml.FaultError(f"{path}: {error}") from None
+    return tuple(rows)
+
+
+# A scenario and a seed make a plan: every range drawn.
+
+
+def _draw(value: Range, chance: Chance) -> float:
+    return chance.between(*value) if isinstance(value, tuple) else value
+
+
+class Machine(Struct, frozen=True):
+    """One machine of a tier: what its processes are like, whatever their number."""
+
+    tier: int
+    index: int
+    kind: int
+    zone: int
+    cell: int
+    weight: float
+    spec: ProviderSpec
+
+
+class TierPlan(Struct, frozen=True):
+    name: str
+    work: float
+    calls: float
+    machines: tuple[Machine, ...]
+    handshake_rtts: float
+    idle_ms: float
+    connect_timeout_ms: float
+
+    @property
+    def capacity(self) -> float:
+        """ms of yardstick work a ms."""
+        return sum(m.spec.cores * m.spec.speed for m in self.machines)
+
+
+class Plan(Struct, frozen=True):
+    scenario: Scenario
+    seed: int
+    length_ms: float
+    tiers: tuple[TierPlan, ...]
+    classes: tuple[ClassSpec, ...]
+    accounts: tuple[AccountSpec, ...]
+    clients: ClientSpec
+    network: NetworkSpec
+    directory: DirectorySpec
+    rate_per_s: float  # what the fleet could carry at most
+    quota_per_s: float
+    trace: tuple[TraceRow, ...] | None
+
+    @property
+    def first_rate(self) -> float:
+        return self.clients.rate_per_s
+
+
+def _machines(scenario: Scenario, number: int, seeds: Seeds) -> tuple[Machine, ...]:
+    tier = scenario.tier[number]
+    draw = seeds.stream("tier", number)
+    whole = sum(kind.share for kind in tier.kind)
+    counts = [int(tier.providers * kind.share / whole) for kind in tier.kind]
+    for extra in range(tier.providers - sum(counts)):
+        counts[extra % len(counts)] += 1
+    kinds = [kind for kind, count in enumerate(counts) for _ in range(count)]
+    order = draw.order(len(kinds))
+    choke, report, conn = tier.choke, tier.report, tier.connections
+    usual = [_draw(kind.speed, draw) for kind in tier.kind]
+    machines = []
+    zones = len(scenario.network.zones)
+    seen: dict[int, int] = {}
+    for index in range(tier.providers):
+        kind = tier.kind[kinds[order[index]]]
+        zone = index % zones
+        within = seen[zone] = seen.get(zone, -1) + 1
+        cv = _draw(kind.speed_cv, draw)
+        speed = usual[kinds[order[index]]] * max(1.0 + cv * draw.normal(), 0.3)
+        cold_ms = _draw(kind.cold_s, draw) * 1000.0
+        cold_from = _draw(kind.cold_from, draw)
+        # Warmed by work: by half of what it can do in its cold time when fully used.
+        warm_work = kind.cores * speed * cold_ms * (1 + cold_from) / 4 if kind.warm_by == "work" else 0.0
+        spec = ProviderSpec(
+            cores=kind.cores,
+            speed=speed,
+            slots=max(round(kind.cores * _draw(kind.slots, draw)), 1),
+            queue=round(kind.cores * _draw(kind.queue, draw)),
+            crowd_at=max(_draw(kind.crowd_at, draw), 1.0),
+            crowd_loss=_draw(kind.crowd_loss, draw),
+            choke_at=_draw(choke.at, draw),
+            choke_over_ms=_draw(choke.over_s, draw) * 1000.0,
+            choke_slower=max(_draw(choke.slower, draw), 1.0),
+            choke_rest_ms=_draw(choke.rest_s, draw) * 1000.0,
+            choke_below=_draw(choke.below, draw),
+            choke_most_ms=_draw(choke.most_s, draw) * 1000.0,
+            cold_from=cold_from,
+            cold_ms=cold_ms,
+            warm_work_ms=warm_work,
+            fall_multiple=scenario.rules.fall_multiple,
+            fall_ms=scenario.rules.fall_s * 1000.0,
+            error_rate=_draw(kind.error_rate, draw),
+            stops=Stops(kind.stops),
+            drops_expired=kind.drops_expired,
+            handshake_ms=_draw(conn.handshake_us, draw) / 1000.0,
+            connections=max(round(kind.cores * _draw(conn.cap_per_core, draw)), 1),
+            full_tax=_draw(conn.full_tax, draw),
+            probe_ms=_draw(tier.probe_us, draw) / 1000.0,
+            report_ms=_draw(report.period_ms, draw),
+            report_delay_ms=_draw(report.delay_ms, draw),
+            report_noise=_draw(report.noise, draw),
+        )
+        weight = round(spec.cores * speed * draw.between(0.8, 1.25), 2) if tier.weights == "rough" else 1.0
+        cell = zone * 10_000 + within // tier.cell_size
+        machines.append(Machine(number, index, kinds[order[index]], zone, cell, weight, spec))
+    return tuple(machines)
+
+
+def plan(scenario: Scenario, seed: int) -> Plan:
+    """Every range drawn by the seed. Raises toml.FaultError for a trace that can't be read."""
+    seeds = Seeds(seed)
+    draw = seeds.stream("plan")
+    tiers = []
+    for number, tier in enumerate(scenario.tier):
+        conn = tier.connections
+        tiers.append(
+            TierPlan(
+                tier.name, tier.work, _draw(tier.calls, draw) if number + 1 < len(scenario.tier) else 0.0,
+                _machines(scenario, number, seeds), _draw(conn.handshake_rtts, draw),
+                _draw(conn.idle_s, draw) * 1000.0, _draw(conn.connect_timeout_ms, draw),
+            )
+        )
+    classes = tuple(
+        ClassSpec(
+            cls.name, _draw(cls.share, draw), _draw(cls.work_ms, draw), cls.effect, cls.scope, cls.window_s * 1000.0,
+            cls.dist, _draw(cls.cv, draw), _draw(cls.attempt_noise, draw), cls.aim_ms, cls.deadline_ms, cls.worth,
+            cls.late_worth,
+        )
+        for cls in scenario.cls
+    )
+    accounts = tuple(AccountSpec(a.name, a.share, _draw(a.usage, draw)) for a in scenario.account)
+    shares = sum(cls.share for cls in classes)
+    mean = sum(cls.share * cls.work_ms for cls in classes) / shares
+    # Calls a second of first tries that the tightest tier can do.
+    most, fan = float("inf"), 1.0
+    for tier_plan in tiers:
+        most = min(most, tier_plan.capacity * 1000.0 / (mean * tier_plan.work * fan))
+        fan *= tier_plan.calls
+    source = scenario.clients
+    trace = read_trace(source.trace, scenario) if source.trace is not None else None
+    rate = _draw(source.rate_per_s, draw) if source.rate_per_s is not None else 0.0
+    if source.load is not None:
+        rate = _draw(source.load, draw) * most
+    if rate * scenario.length_s > MOST_CALLS:
+        raise toml.FaultError(f"{scenario.name}: clients: more than {MOST_CALLS} calls in all")
+    clients = ClientSpec(
+        rate, _draw(source.wave, draw), _draw(source.wave_s, draw) * 1000.0, round(_draw(source.retries, draw)),
+        _draw(source.retry_share, draw), source.backoff_ms, source.backoff_grows, _draw(source.honour, draw),
+        source.patience, _draw(source.zone_skew, draw),
+    )
+    net, where = scenario.network, scenario.directory
+    network = NetworkSpec(
+        net.zones, _draw(net.same_ms, draw), net.cross_ms, _draw(net.client_ms, draw), _draw(net.jitter, draw)
+    )
+    directory = DirectorySpec(
+        where.add_ms, where.drain_ms, where.notice_ms, where.silent_ms, _draw(where.period_ms, draw),
+        _draw(where.spread_ms, draw), _draw(where.call_ms, draw), _draw(where.timeout_ms, draw),
+    )
+    quota = most * _draw(scenario.sidecars.quota_of_capacity, draw)
+    return Plan(
+        scenario, seed, scenario.length_s * 1000.0, tuple(tiers), classes, accounts, clients, network, directory,
+        most, quota, trace,
+    )
+
+
+def settings_of(plan: Plan, tier: int, rank: int, balancers: int, zone: int) -> dict[str, Any]:
+    """What a sidecar in front of a tier is told, in the platform's own JSON form; both hosts give it out."""
+    scenario, below = plan.scenario, plan.tiers[tier]
+    shares = sum(account.share for account in plan.accounts) or 1.0
+    return {
+        "classes": [
+            {
+                "name": c.name, "effect": c.effect, "dedup_scope": c.scope, "window_ms": c.window_ms,
+                "target_ms": c.aim_ms, "hard_limit_ms": c.deadline_ms, "worth": c.worth, "late_worth": c.late_worth,
+            }
+            for c in plan.classes
+        ],
+        "tenants": [
+            {"name": a.name, "quota_per_s": round(plan.quota_per_s * a.share / shares, 6)} for a in plan.accounts
+        ],
+        "zones": list(scenario.network.zones),
+        "skus": [kind.name for kind in scenario.tier[tier].kind],
+        "balancers": balancers,
+        "rank": rank,
+        "layer": tier,
+        "locality": zone,
+        "over_share_worth": scenario.sidecars.over_share_worth,
+        "registry_mode": "ask",
+        "weights": "off" if scenario.tier[tier].weights == "none" else "rough",
+        "permissions": {
+            "max_attempts": scenario.sidecars.max_attempts,
+            "cancel": scenario.sidecars.cancel,
+            "parallel_tries": scenario.sidecars.copies,
+            "retry_after": scenario.sidecars.max_retry_after_ms > 0,
+            "max_retry_after_ms": scenario.sidecars.max_retry_after_ms,
+            "conn_idle_ms": below.idle_ms,
+            "connect_timeout_ms": below.connect_timeout_ms,
+        },
+        "costs": {"cross_zone": scenario.sidecars.crossing_cost},
+        "rules": {
+            "start_capacity": scenario.rules.start_capacity or 1e-3,
+            "cold_ms": scenario.rules.cold_s * 1000.0,
+            "fall_multiple": scenario.rules.fall_multiple,
+            "overload_for_ms": scenario.rules.fall_s * 1000.0,
+            "drain_grace_ms": scenario.rules.drain_grace_ms,
+        },
+    }
--- /dev/null
+++ b/limenotch/lab/simulate/sidecar.py
@@ -0,0 +1,307 @@
+"""A sidecar in simulated time: the decision module, and what the network code around it does on sockets.
+
+It does what `limenotch.net` does: a margin on each call's time, connections that are kept and opened, a last check
+before the first byte, each invoker call reported once, abandoned by closing its connection.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from ...facade import time_left_ms
+from ..model.directory import Broken, Tell
+from ..model.fleet import Site
+from ..model.provider import Provider
+
+if TYPE_CHECKING:
+    from .world import World
+
+IDLE_PART = 0.4  # of the provider's idle time after which a connection is closed from here
+
+Answer = Callable[[str, float], None]  # verdict, and when to come back
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    call: Call
+    number: int
+    site: Site | None
+    process: Provider | None
+    name: str
+    began: float
+    end: float
+    ticket: int = 0
+    order: int = -1  # as the rules count it; -1: not a byte was written
+    connected: bool = False
+    over: bool = False
+    hushed: bool = False  # what it sent, or its answer, was lost on the way
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    number: int
+    cls: int
+    size: float
+    key: str
+    end: float  # when its consumer stops waiting
+    answer: Answer
+    attempts: list[Attempt] = field(default_factory=list)
+    closed: bool = False
+
+
+class Sidecar:
+    def __init__(self, world: World, key: tuple[int, int], zone: int, tier: int, settings: dict[str, Any],
+                 seed: int) -> None:
+        """`tier` is the one it sends to; `key` is unique in the world."""
+        self.world, self.key, self.zone, self.tier = world, key, zone, tier
+        self.alive = True
+        self.calls: dict[int, Call] = {}
+        self.decide = world.policy.instance(settings, seed)
+        self._face = world.policy.face
+        self._idle: dict[Provider, list[float]] = {}  # when each idle connection was last used
+        self._stage: dict[str, str] = {}  # as told
+        plan = world.plan.tiers[tier]
+        self._idle_ms, self._rtts, self._connect_ms = plan.idle_ms, plan.handshake_rtts, plan.connect_timeout_ms
+        face = self._face
+        self._do: dict[type, Callable[[Any], None]] = {
+            face.Send: self._send, face.SetTimer: self._set_timer, face.Cancel: self._abandon,
+            face.Refuse: self._reject, face.Fail: self._fail, face.Subscribe: self._subscribe,
+        }
+
+    # What it is told
+
+    def start(self) -> None:
+        self._handle(self._face.Started())
+        known = tuple(self.world.fleet.directories[self.tier].entries.values())
+        self.heard(Tell(self.key, True, known))
+        self.world.ask(self)
+
+    def heard(self, told: Tell | Broken) -> None:
+        if not self.alive:
+            return
+        face = self._face
+        if isinstance(told, Broken):
+            self._handle(face.Membership(face.Listing.BROKEN))
+            return
+        now, rules = self.world.kernel.now, self.world.rules
+        if told.whole:
+            listed = {entry.name for entry in told.entries}
+            for name in [name for name in self._stage if name not in listed]:
+                rules.told(now, self.key, name, "gone")
+                del self._stage[name]
+                self._close_idle(name)
+        upstreams = []
+        for entry in told.entries:
+            if entry.stage == "gone":
+                self._stage.pop(entry.name, None)
+            else:
+                self._stage[entry.name] = entry.stage
+            if entry.stage != "ready":
+                self._close_idle(entry.name)
+            rules.told(now, self.key, entry.name, entry.stage)
+            upstreams.append(
+                face.Upstream(entry.name, face.Stage(entry.stage), entry.weight, entry.kind, entry.zone, entry.group,
+                              entry.started_ms)
+            )
+        listing = face.Listing.WHOLE if told.whole else face.Listing.CHANGES
+        self._handle(face.Membership(listing, tuple(upstreams)))
+
+    def _close_idle(self, name: str) -> None:
+        process = self.world.find(self.tier, name)[1]
+        for _ in self._idle.pop(process, ()) if process is not None else ():
+            assert process is not None
+            process.disconnect(self.world.kernel.now)
+
+    def take(self, number: int, cls: int, account: int, size: float, key: str, budget_ms: float, end: float,
+             answer: Answer, again: bool = False) -> Call:
+        """A call came in, whole; `answer` is called once unless its consumer leaves."""
+        world = self.world
+        call = Call(number, cls, size, key, end, answer)
+        self.calls[number] = call
+        spec = world.plan.classes[cls]
+        world.rules.taken(world.kernel.now, number, spec.effect, spec.scope, spec.window_ms, end)
+        left = time_left_ms(min(budget_ms, spec.deadline_ms))
+        self._handle(self._face.Arrival(str(number), cls, left, account, again))
+        return call
+
+    def depart(self, call: Call) -> None:
+        """The consumer is gone."""
+        if call.closed or not self.alive:
+            return
+        self.world.rules.departed(self.world.kernel.now, call.number)
+        self._close(call)
+        self._handle(self._face.Departure(str(call.number)))
+        for attempt in call.attempts:  # those that the module may not cancel
+            if not attempt.over:
+                self._cut(attempt, self._face.Outcome.CANCELLED)
+
+    def die(self) -> None:
+        """Its machine's process is gone: its calls are lost, its connections reset."""
+        self.alive = False
+        world = self.world
+        for call in list(self.calls.values()):
+            world.rules.lost(call.number)
+            call.closed = True
+            for attempt in call.attempts:
+                if not attempt.over:
+                    attempt.over = True
+                    world.abandon(self, attempt)
+                    if attempt.connected and attempt.process is not None:
+                        attempt.process.disconnect(world.kernel.now)
+        for process, idle in self._idle.items():
+            for _ in idle:
+                process.disconnect(world.kernel.now)
+        self._idle.clear()
+        self.calls.clear()
+        world.rules.forget(self.key)
+
+    # What the module orders
+
+    def _handle(self, event: Any) -> None:
+        world = self.world
+        if world.clock is None:
+            actions = self.decide.handle(world.kernel.now, event)
+        else:
+            began = world.clock()
+            actions = self.decide.handle(world.kernel.now, event)
+            world.deciding += world.clock() - began
+        do = self._do
+        for action in actions:
+            do[type(action)](action)
+
+    def _set_timer(self, action: Any) -> None:
+        self.world.kernel.at(action.at_ms, self._timer, action.token)
+
+    def _timer(self, token: int) -> None:
+        if self.alive:
+            self._handle(self._face.TimerFired(token))
+
+    def _subscribe(self, action: Any) -> None:
+        self.world.ask(self)
+
+    def _reject(self, action: Any) -> None:
+        self._final(int(action.call), "rejected", action.retry_after_ms)
+
+    def _fail(self, action: Any) -> None:
+        self._final(int(action.call), "failed", 0.0)
+
+    def _final(self, number: int, verdict: str, retry_after_ms: float) -> None:
+        world = self.world
+        call = self.calls.get(number)
+        if call is None or call.closed:
+            # On sockets the network code would not give a second answer; here it is the module's fault seen.
+            world.rules.answered(world.kernel.now, number, verdict)
+            return
+        world.rules.answered(world.kernel.now, number, verdict)
+        self._close(call)
+        call.answer(verdict, retry_after_ms)
+
+    def _close(self, call: Call) -> None:
+        call.closed = True
+        if all(attempt.over for attempt in call.attempts):
+            self.calls.pop(call.number, None)
+
+    def _abandon(self, action: Any) -> None:
+        call = self.calls.get(int(action.call))
+        if call is not None and 0 <= action.attempt < len(call.attempts):
+            self._cut(call.attempts[action.attempt], self._face.Outcome.CANCELLED)
+
+    def _send(self, action: Any) -> None:
+        world, call = self.world, self.calls[int(action.call)]
+        now = world.kernel.now
+        site, process = world.find(self.tier, action.upstream)
+        attempt = Attempt(call, len(call.attempts), site, process, action.upstream, now, now + action.timeout_ms)
+        call.attempts.append(attempt)
+        world.kernel.late(attempt.end, self._timed_out, attempt)
+        if self._stage.get(action.upstream) != "ready":
+            world.kernel.at(now, self._ended, attempt, self._face.Outcome.NOT_SENT, None)
+            return
+        idle = self._idle.get(process) if process is not None else None
+        while idle:
+            if now - idle.pop() <= self._idle_ms * IDLE_PART:
+                attempt.connected = True
+                self._write(attempt)
+                return
+            assert process is not None
+            process.disconnect(now)
+        # SYN and its answer, and the handshake's further rounds.
+        delay = world.one_way(self.zone, site)
+        if site is None or process is None or not world.reaches(self.zone, site):
+            wait = self._connect_ms if site is not None else 2 * delay
+            world.kernel.at(now + wait, self._ended, attempt, self._face.Outcome.CONNECT_FAILED, None)
+            return
+        world.kernel.at(now + delay, self._connect, attempt, delay)
+
+    def _connect(self, attempt: Attempt, delay: float) -> None:
+        world, process = self.world, attempt.process
+        assert process is not None and attempt.site is not None
+        if attempt.over:
+            return
+        if not process.connect(world.kernel.now):
+            world.kernel.at(world.kernel.now + delay, self._ended, attempt, self._face.Outcome.CONNECT_FAILED, None)
+            return
+        world.wake(attempt.site)
+        attempt.connected = True
+        world.kernel.at(world.kernel.now + delay * max(2 * self._rtts - 1, 1), self._write, attempt)
+
+    def _write(self, attempt: Attempt) -> None:
+        """The last check, then the first byte."""
+        world = self.world
+        if attempt.over or not self.alive:
+            return
+        now = world.kernel.now
+        if self._stage.get(attempt.name) != "ready" or attempt.call.closed or now >= attempt.end:
+            self._ended(attempt, self._face.Outcome.NOT_SENT, None)
+            return
+        assert attempt.site is not None
+        group = world.fleet.group_of(attempt.site.machine)
+        attempt.order = world.rules.sent(now, attempt.call.number, self.key, attempt.name, group)
+        world.carry(self, attempt)
+
+    # How attempts end
+
+    def _timed_out(self, attempt: Attempt) -> None:
+        if not attempt.over and self.alive:
+            face = self._face
+            self._cut(attempt, face.Outcome.TIMEOUT if attempt.order >= 0 else face.Outcome.NOT_SENT)
+
+    def _cut(self, attempt: Attempt, outcome: Any) -> None:
+        """From here: by closing its connection."""
+        if not attempt.over:
+            self.world.abandon(self, attempt)
+            self._ended(attempt, outcome, None)
+
+    def ended(self, attempt: Attempt, how: str, util: float | None) -> None:
+        """From there: `served`, `error`, `refused`, `reset`."""
+        outcome = self._face.Outcome
+        self._ended(attempt, {
+            "served": outcome.OK, "error": outcome.ERROR, "refused": outcome.REFUSED, "reset": outcome.RESET,
+        }[how], util)
+
+    def _ended(self, attempt: Attempt, outcome: Any, util: float | None) -> None:
+        if attempt.over or not self.alive:
+            return
+        world, call, face = self.world, attempt.call, self._face
+        now = world.kernel.now
+        attempt.over = True
+        kept = outcome in (face.Outcome.OK, face.Outcome.ERROR, face.Outcome.REFUSED)
+        if attempt.connected:
+            assert attempt.process is not None
+            if kept and not attempt.process.stopped and self._stage.get(attempt.name) == "ready":
+                self._idle.setdefault(attempt.process, []).append(now)
+            else:
+                attempt.process.disconnect(now)
+        if attempt.order >= 0:
+            ran = outcome not in face.NEVER_RAN
+            world.rules.ended(now, call.number, attempt.order, outcome.value, ran)
+        if outcome is face.Outcome.OK and not call.closed:
+            world.rules.answered(now, call.number, "served")
+            self._close(call)
+            call.answer("served", 0.0)
+        elif call.closed:
+            self._close(call)
+        event = face.Finished(str(call.number), attempt.name, attempt.number, now - attempt.began, outcome,
+                              call.closed, util)
+        self._handle(event)
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -17,10 +17,7 @@
 from tornado.ioloop import IOLoop
 
 from .. import facade as house
-from ..facade import Ending, Facade, Orders
-
-# The answer must be with the consumer when its budget ends: what the way there and a busy core may take.
-MARGIN_MS = 20.0
+from ..facade import Ending, Facade, Orders, time_left_ms
 
 
 class Verdict(Enum):
@@ -106,7 +103,7 @@
     ) -> Call:
         """A call was taken; `answer` is called once unless it departs. Without `room`: rejected at once."""
         budget_ms = min(budget_ms, self.facade.longest_ms(class_name))  # else a call could stay open for days
-        left = budget_ms - min(MARGIN_MS, budget_ms / 4)
+        left = time_left_ms(budget_ms)
         self._count += 1
         call = Call(self._count, name, payload, monotonic() + left / 1000.0, answer)
         if not room or len(self.open) >= self.max_open:
--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import re
 import socket
 from collections.abc import Callable
@@ -14,25 +13,20 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 
+from .. import logs, settings
 from ..config import Address
 from ..facade import Facade
 from . import http1
 from .calls import Call, Calls, Final, Verdict
 from .sockets import Sockets
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 BACKLOG = 1024
 ACCEPTS = 16  # in a row
 MAX_BUFFER = 512 * 1024
-# A connection that brings no call is owed an end within 3 s; one between two calls may go after 2 s.
-REQUEST_S = 2.0  # from the connection, or a later request's first byte, to a request's last byte
-IDLE_S = 2.5  # after an answer, to the next request's first byte
-WRITE_S = 5.0  # a consumer gets this long to read an answer
 LINGER_S = 0.5  # a consumer that still writes gets this long to read why it is turned off ...
 LINGER_BYTES = 256 * 1024  # ... and is read this far: more would be work for nothing
-ACCEPT_S = 0.5  # after SIGTERM new connections still arrive
-LEAVE_S = 0.9  # after SIGTERM, connections without a call close
 
 READY = b"/up"
 BUDGET = re.compile(rb"([0-9]{1,18}(?:\.[0-9]{0,9})?)([mu])")
@@ -61,6 +55,10 @@
     return http1.write_response(504 if final.timed_out else 502, [], b"", close)
 
 
+def _printable(call: Call | None) -> str | None:
+    return call.name.decode("latin-1") if call is not None else None
+
+
 class Consumer:
     """One connection of a consumer; one call at a time."""
 
@@ -96,7 +94,7 @@
         except StreamClosedError:
             pass
         except Exception:  # a fault of ours: the consumer is told so rather than left without an answer
-            log.exception("consumer")
+            log.exception("fault at a consumer", call=_printable(self._call))
             await self._turn_off(http1.MalformedError(502, "internal fault"))
         finally:
             self.stream.close()
@@ -104,7 +102,7 @@
     async def _write(self, response: bytes) -> None:
         """One that does not read is not waited for: its connection would never be given back."""
         written = self.stream.write(response)
-        self._timer = IOLoop.current().call_later(WRITE_S, self.stream.close)
+        self._timer = IOLoop.current().call_later(self._all.tuning.write_s, self.stream.close)
         try:
             await written
         finally:
@@ -113,7 +111,8 @@
     async def _request(self) -> http1.Message:
         """The next request, whole. One that does not come in time is turned off, or the connection closes."""
         loop, asked, begun = IOLoop.current(), False, not self.used
-        self._timer = loop.call_later(REQUEST_S if begun else IDLE_S, self._overdue)
+        tuning = self._all.tuning
+        self._timer = loop.call_later(tuning.request_s if begun else tuning.idle_s, self._overdue)
         self._all.waits(self, self._parser.idle)
         try:
             while True:
@@ -126,7 +125,7 @@
                 if not (begun or self._parser.idle):
                     begun = True
                     loop.remove_timeout(self._timer)
-                    self._timer = loop.call_later(REQUEST_S, self._overdue)
+                    self._timer = loop.call_later(tuning.request_s, self._overdue)
                 self._parser.feed(await self.stream.read_bytes(65536, partial=True))
                 self._all.waits(self, False)
         finally:
@@ -199,8 +198,15 @@
 class Consumers:
     """Owns the listener and the consumers' connections."""
 
-    def __init__(self, calls: Calls, facade: Facade, sockets: Sockets, has_list: Callable[[], bool]) -> None:
-        self.calls, self.facade, self.sockets = calls, facade, sockets
+    def __init__(
+        self,
+        calls: Calls,
+        facade: Facade,
+        sockets: Sockets,
+        has_list: Callable[[], bool],
+        tuning: settings.Consumers = settings.Consumers(),  # noqa: B008 (frozen)
+    ) -> None:
+        self.calls, self.facade, self.sockets, self.tuning = calls, facade, sockets, tuning
         self.leaving = False
         self._has_list = has_list
         self._loop = IOLoop.current()
@@ -227,7 +233,7 @@
             except BlockingIOError:
                 return
             except OSError as error:  # aborted by the consumer, or no descriptor left
-                log.warning("listener: %s", error)
+                log.warning("listener", error=str(error))
                 self._drop_idle()
                 return
             self._admit(sock)
@@ -271,13 +277,13 @@
         # A new connection's first request is still on its way: only those that had one are idle.
         for consumer in [c for c in self._open if c.idle and c.used]:
             consumer.stream.close()
-        await sleep(ACCEPT_S)
+        await sleep(self.tuning.accept_s)
         if self._listener is not None:
             self._accept(BACKLOG)  # what waits in the queue would be reset with the listener
             self._loop.remove_handler(self._listener)
             self._listener.close()
             self._listener = None
-        await sleep(LEAVE_S - ACCEPT_S)
+        await sleep(self.tuning.leave_s - self.tuning.accept_s)
         for consumer in [c for c in self._open if c.idle]:
             consumer.stream.close()
         # Every call is answered by its deadline; who has not read its answer by then is not waited for.
--- a/limenotch/net/directory.py
+++ b/limenotch/net/directory.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 import math
 import socket
 from collections.abc import Callable
@@ -14,15 +13,13 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
+from .. import logs, settings
 from ..config import Address, ConfigError, address, host_port
 from ..facade import Provider, Status
 from . import http1
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
-# An empty line comes every 2 s while nothing changes: two of them missed, and the watch is dead though
-# its connection may stay open and silent.
-SILENCE_S = 5.0
 # After a move the list must be had within seconds, and the module's own wait between two attempts may be
 # longer than that: this soon, and this often, the new address is asked again before the module is told.
 AGAIN_S = 0.25
@@ -48,14 +45,14 @@
             since_ms=since,
         )
     except (ConfigError, KeyError, ValueError, TypeError, AttributeError) as error:
-        log.warning("directory: entry %r skipped: %s", entry, error)
+        log.warning("directory: entry skipped", entry=repr(entry)[:200], error=str(error))
         return None
 
 
 def list_of(raw: Any) -> tuple[int, bool, list[Provider]] | None:
     """A list or a change of it: version, whether whole, entries. None if it can't be understood."""
     if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
-        log.warning("directory: line skipped: no list")
+        log.warning("directory: line skipped", error="no list")
         return None
     version = raw.get("index")
     entries = [provider_of(entry) for entry in raw["endpoints"]]
@@ -69,7 +66,17 @@
 class Directory:
     """Owns the watch. Each watch that fails or ends is told once, by `broken`."""
 
-    def __init__(self, at: Address, heard: Heard, broken: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        at: Address,
+        heard: Heard,
+        broken: Callable[[], None],
+        tuning: settings.Directory = settings.Directory(),  # noqa: B008 (frozen)
+    ) -> None:
+        """An empty line comes every 2 s while nothing changes. A watch silent for `tuning.silence_s` is dead, though
+        its connection may stay open.
+        """
+        self._silence_s = tuning.silence_s
         self._at, self._heard, self._broken = at, heard, broken
         self._loop = IOLoop.current()
         self._version = 0
@@ -101,9 +108,9 @@
             try:
                 await self._follow()
             except (StreamClosedError, OSError, http1.MalformedError) as error:
-                log.warning("directory: watch ended: %s", getattr(error, "real_error", None) or error)
+                log.warning("directory: watch ended", error=str(getattr(error, "real_error", None) or error))
             except Exception:
-                log.exception("directory")
+                log.exception("directory: fault")
             if not self._again:
                 break
             self._again -= 1
@@ -114,7 +121,7 @@
     async def _follow(self) -> None:
         family = socket.AF_INET6 if ":" in self._at[0] else socket.AF_INET
         stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
-        timer = self._loop.call_later(SILENCE_S, stream.close)
+        timer = self._loop.call_later(self._silence_s, stream.close)
         try:
             await stream.connect(self._at)
             host = host_port(self._at).encode()
@@ -126,9 +133,9 @@
             while not answer.done:
                 lines = answer.feed(await stream.read_bytes(65536, partial=True))
                 self._loop.remove_timeout(timer)
-                timer = self._loop.call_later(SILENCE_S, stream.close)
+                timer = self._loop.call_later(self._silence_s, stream.close)
                 if answer.head is not None and answer.head.status != 200:
-                    log.warning("directory: answered %d", answer.head.status)
+                    log.warning("directory: no list", status=answer.head.status)
                     return
                 for line in lines:
                     if line.strip():
@@ -141,7 +148,7 @@
         try:
             raw = json.loads(line)
         except ValueError as error:
-            log.warning("directory: line skipped: %s", error)
+            log.warning("directory: line skipped", error=str(error))
             return
         self._tell(raw)
 
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import socket
 from collections.abc import Iterable
 from time import monotonic
@@ -11,20 +10,15 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
+from .. import logs, settings
 from ..facade import Ending, Provider, Status
 from . import http1
 from .calls import Calls, InvokerCall
 from .sockets import Share
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
-# Part of the provider's own idle time after which we close first: a request that crosses the provider's
-# closing ends in a reset, after which only calls that are safe to repeat can go out again.
-IDLE_PART = 0.4
 MAX_BUFFER = 512 * 1024
-# An answer that has begun goes on within this, and its head ends: heads that never end and bodies shorter
-# than announced would else hold their calls until nothing else can be tried.
-ANSWER_S = 0.5
 MAX_UTILISATION = 4.0  # no busy share of its cores is more, noise included: the report is spoilt
 
 
@@ -34,8 +28,11 @@
     It reads all the time, so that an idle one that the provider closed is never used again.
     """
 
-    def __init__(self, stream: IOStream, provider: str, address: tuple[str, int]) -> None:
-        self.stream, self.provider, self.address = stream, provider, address
+    def __init__(self, stream: IOStream, provider: str, address: tuple[str, int], answer_s: float = 0.5) -> None:
+        """An answer that has begun goes on within `answer_s`, and its head ends: heads that never end and bodies
+        shorter than announced would else hold their calls until nothing else can be tried.
+        """
+        self.stream, self.provider, self.address, self._answer_s = stream, provider, address, answer_s
         self.idle_timer: object = None
         self._parser = http1.ResponseParser()
         self._answer: asyncio.Future[http1.Message | None] | None = None
@@ -58,13 +55,13 @@
                     pass  # only interim answers so far
                 elif self._timer is None or self._parser.in_body:
                     self._untime()
-                    self._timer = IOLoop.current().call_later(ANSWER_S, self.close)
+                    self._timer = IOLoop.current().call_later(self._answer_s, self.close)
         except StreamClosedError as error:
             # Only an end in good order completes a body that has no length; a reset cuts it off.
             if self._answer is not None and not self._answer.done() and error.real_error is None:
                 self._answer.set_result(self._parser.end())
         except http1.MalformedError as error:
-            log.warning("provider %s: %s", self.provider, error)
+            log.warning("answer not understood", provider=self.provider, error=str(error))
         finally:
             self._untime()
             self.close()
@@ -104,9 +101,19 @@
 class Providers:
     """Owns the connections to providers and makes invoker calls over them."""
 
-    def __init__(self, calls: Calls, sockets: Share, connect_ms: float, idle_ms: float) -> None:
-        self._calls, self._sockets = calls, sockets
-        self._connect_s, self._idle_s = connect_ms / 1000.0, idle_ms * IDLE_PART / 1000.0
+    def __init__(
+        self,
+        calls: Calls,
+        sockets: Share,
+        connect_ms: float,
+        idle_ms: float,
+        tuning: settings.Providers = settings.Providers(),  # noqa: B008 (frozen)
+    ) -> None:
+        """`idle_ms` is the provider's own idle time, of which `tuning.idle_part` is used: a request that crosses the
+        provider's closing ends in a reset, after which only calls that are safe to repeat can go out again.
+        """
+        self._calls, self._sockets, self._answer_s = calls, sockets, tuning.answer_s
+        self._connect_s, self._idle_s = connect_ms / 1000.0, idle_ms * tuning.idle_part / 1000.0
         self._loop = IOLoop.current()
         self._listed: dict[str, Provider] = {}
         self._idle: dict[str, list[Connection]] = {}
@@ -154,7 +161,8 @@
         try:
             ending, response = await self._exchange(invoker_call)
         except Exception:
-            log.exception("invoker call to %s", invoker_call.provider)
+            name = invoker_call.call.name.decode("latin-1")
+            log.exception("fault in an invoker call", call=name, provider=invoker_call.provider)
         finally:
             self._loop.remove_timeout(timer)
             self._used.pop(invoker_call, None)
@@ -252,12 +260,12 @@
         try:
             sock = socket.socket(family, socket.SOCK_STREAM)
         except OSError as error:  # no descriptor left after all: nothing was sent, so nothing can have run
-            log.warning("provider %s: %s", provider.name, error)
+            log.warning("no descriptor", provider=provider.name, error=str(error))
             self._sockets.give_back()
             return None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         stream = IOStream(sock, max_buffer_size=MAX_BUFFER)
-        connection = Connection(stream, provider.name, provider.address)
+        connection = Connection(stream, provider.name, provider.address, self._answer_s)
         stream.set_close_callback(lambda: self._closed(connection))
         return connection
 
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -4,11 +4,7 @@
 
 from collections.abc import Callable
 
-# Standard streams, the loop's own, the listener, the directory, and what the interpreter holds.
-RESERVE = 24
-# Of the rest, the part that consumers may hold. Neither side can use up the other's: consumers that only stay
-# connected would else leave no descriptor to reach a provider by, and every call would be rejected.
-FOR_CONSUMERS = 0.5
+from ..settings import Descriptors
 
 
 class Share:
@@ -39,12 +35,17 @@
 class Sockets:
     """Shares the descriptors out to consumers and providers."""
 
-    def __init__(self, limit: int) -> None:
+    def __init__(self, limit: int, tuning: Descriptors = Descriptors()) -> None:  # noqa: B008 (frozen)
+        """`tuning.reserve`: standard streams, the loop's own, the listener, the directory, and what the interpreter
+        holds. Neither side can use up the other's part: consumers that only stay connected would else leave no
+        descriptor to reach a provider by, and every call would be rejected.
+        """
+        self._tuning = tuning
         self.consumers, self.providers = Share(), Share()
         self.limit_to(limit)
 
     def limit_to(self, limit: int) -> None:
         """Also under way: what is open beyond a new limit stays until it closes."""
-        whole = max(limit - RESERVE, 8)
-        self.consumers.limit = int(whole * FOR_CONSUMERS)
+        whole = max(limit - self._tuning.reserve, 8)
+        self.consumers.limit = int(whole * self._tuning.for_consumers)
         self.providers.limit = whole - self.consumers.limit
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -4,27 +4,28 @@
 
 import asyncio
 import gc
-import logging
 import os
 import signal
 
-from .config import Config, ConfigError, load
+from . import logs
+from .config import Config, ConfigError, host_port, load
 from .facade import Facade, Provider
 from .net.calls import Calls
 from .net.consumers import Consumers
 from .net.directory import Directory
 from .net.providers import Providers
 from .net.sockets import Sockets
+from .settings import Settings
 
-log = logging.getLogger(__name__)
+log = logs.get(__name__)
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, settings: Settings = Settings()) -> None:  # noqa: B008 (frozen)
     """Serve until SIGTERM or SIGINT, then finish what was taken. Raises OSError if it can't listen."""
     facade = Facade(config.settings, config.seed, config.zones, config.kinds)
-    sockets = Sockets(config.sockets)
+    sockets = Sockets(config.sockets, settings.descriptors)
     calls = Calls(facade, config.max_open)
-    providers = Providers(calls, sockets.providers, config.connect_ms, config.idle_ms)
+    providers = Providers(calls, sockets.providers, config.connect_ms, config.idle_ms, settings.providers)
     listed = asyncio.Event()
 
     def heard(entries: list[Provider], whole: bool) -> None:
@@ -33,18 +34,20 @@
         listed.set()
         calls.carry_out(facade.heard(entries, whole))
 
-    directory = Directory(config.directory, heard, lambda: calls.carry_out(facade.broken()))
+    directory = Directory(
+        config.directory, heard, lambda: calls.carry_out(facade.broken()), settings.directory
+    )
     calls.invoker, calls.watch = providers, directory.watch
-    consumers = Consumers(calls, facade, sockets, listed.is_set)
+    consumers = Consumers(calls, facade, sockets, listed.is_set, settings.consumers)
 
     def reload() -> None:
         """What may change under way: the directory's address and the limits. All else waits for a restart."""
         try:
             new = load(os.environ, again=True)
         except ConfigError as error:
-            log.error("reload: %s; the configuration held stays", error)
+            log.error("reload: the configuration held stays", error=str(error))
             return
-        log.info("reload: directory %s:%d, %d sockets", *new.directory, new.sockets)
+        log.info("reload", directory=host_port(new.directory), sockets=new.sockets)
         sockets.limit_to(new.sockets)
         calls.max_open = new.max_open
         directory.move(new.directory)
@@ -58,8 +61,8 @@
         directory.known(config.known)
     directory.watch()  # also where the module expects the list unasked: nobody else brings it here
     consumers.listen(config.listen)
-    log.info("%s: listening on %s:%d, layer %d", config.name, *config.listen, config.settings.layer)
+    log.info("listening", listen=host_port(config.listen), layer=config.settings.layer)
     gc.freeze()  # what stays for good is not looked through again
     await stop.wait()
-    log.info("%s: leaving with %d calls open", config.name, len(calls.open))
+    log.info("leaving", open_calls=len(calls.open))
     await consumers.leave()
--- /dev/null
+++ b/limenotch/settings.py
@@ -0,0 +1,81 @@
+"""The program's own settings: what operators of other installations may tune, in TOML, read and checked here.
+
+They stand beside the platform's JSON (`config.py`), which says who a sidecar is and what its tier is like. Every
+key has a default, which is what the platform's own sidecars run with. Unknown keys are faults.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from . import toml
+
+Seconds = Annotated[float, Meta(gt=0, le=3600)]
+Part = Annotated[float, Meta(gt=0, lt=1)]
+
+
+class Log(Struct, frozen=True, forbid_unknown_fields=True):
+    form: Literal["human", "json"] = "human"
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class Consumers(Struct, frozen=True, forbid_unknown_fields=True):
+    request_s: Seconds = 2.0
+    idle_s: Seconds = 2.5
+    write_s: Seconds = 5.0
+    accept_s: Seconds = 0.5
+    leave_s: Seconds = 0.9
+
+    def __post_init__(self) -> None:
+        if self.leave_s < self.accept_s:
+            raise ValueError("leave_s: expected accept_s or more")
+
+
+class Providers(Struct, frozen=True, forbid_unknown_fields=True):
+    idle_part: Part = 0.4
+    answer_s: Seconds = 0.5
+
+
+class Directory(Struct, frozen=True, forbid_unknown_fields=True):
+    silence_s: Seconds = 5.0
+
+
+class Descriptors(Struct, frozen=True, forbid_unknown_fields=True):
+    reserve: Annotated[int, Meta(ge=16, le=512)] = 24
+    for_consumers: Part = 0.5
+
+
+class Settings(Struct, frozen=True, forbid_unknown_fields=True):
+    log: Log = Log()
+    consumers: Consumers = Consumers()
+    providers: Providers = Providers()
+    directory: Directory = Directory()
+    descriptors: Descriptors = Descriptors()
+
+
+def parse(text: str, name: str) -> Settings:
+    """Raises toml.FaultError, whose text names file, line and key."""
+    return toml.decode(text, name, Settings)
+
+
+def load_settings(path: str | None, environ: Mapping[str, str]) -> Settings:
+    """Of the file given, else of the one that LIMENOTCH_SETTINGS names, else the defaults. Raises FaultError."""
+    path = path or environ.get("LIMENOTCH_SETTINGS")
+    if not path:
+        return Settings()
+    return parse(toml.read(Path(path)), path)
+
+
+def effective(settings: Settings) -> str:
+    """As TOML, every key with the value in force."""
+    tables = []
+    for table in settings.__struct_fields__:
+        values = msgspec.to_builtins(getattr(settings, table))
+        lines = [f"{key} = {msgspec.json.encode(value).decode()}" for key, value in values.items()]
+        tables.append("\n".join([f"[{table}]", *lines]) + "\n")
+    return "\n".join(tables)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from limenotch.__main__ import main
+from limenotch.cli import main
 from limenotch.config import ConfigError, load, parse
 
 CLASS = {"name": "look", "effect": "idempotent", "target_ms": 400.0, "hard_limit_ms": 900.0}
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,91 @@
+"""The program's own settings: the shipped file, faults by file, line and key, and what is in force."""
+
+from __future__ import annotations
+
+import json
+import logging
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from limenotch import logs, toml
+from limenotch.settings import Settings, effective, load_settings, parse
+
+SHIPPED = Path(__file__).parent.parent / "deploy" / "limenotch.toml"
+
+
+def test_the_shipped_file_is_the_defaults_and_names_every_key() -> None:
+    assert parse(SHIPPED.read_text(), "limenotch.toml") == Settings()
+    keys = re.findall(r"^(\w+) =", SHIPPED.read_text(), re.MULTILINE)
+    assert keys == re.findall(r"^(\w+) =", effective(Settings()), re.MULTILINE)
+
+
+def test_what_is_in_force_can_be_read_again() -> None:
+    settings = parse('[log]\nform = "json"\n[providers]\nanswer_s = 1.5\n', "x")
+    assert parse(effective(settings), "x") == settings and settings.providers.answer_s == 1.5
+
+
+@pytest.mark.parametrize(("text", "says"), [
+    ('[log]\n\nform = "xml"', "f.toml:3: log.form: "),
+    ("[consumers]\nidle_s = 0", "f.toml:2: consumers.idle_s: expected"),
+    ("[consumers]\nidel_s = 1", "f.toml:2: consumers.idel_s: unknown key"),
+    ("[consumers]\naccept_s = 2.0", "f.toml:1: consumers: leave_s: expected accept_s or more"),
+    ("[descriptors]\nreserve = 1.5", "f.toml:2: descriptors.reserve: expected `int`"),
+    ("log = 3", "f.toml:1: log: expected `object`"),
+    ("[log", "f.toml: not TOML: "),
+])
+def test_a_fault_names_file_line_and_key(text: str, says: str) -> None:
+    with pytest.raises(toml.FaultError, match="^" + re.escape(says)):
+        parse(text, "f.toml")
+
+
+def test_where_the_file_comes_from(tmp_path: Path) -> None:
+    path = tmp_path / "s.toml"
+    path.write_text("[providers]\nanswer_s = 2")
+    assert load_settings(None, {}) == Settings()
+    assert load_settings(None, {"LIMENOTCH_SETTINGS": str(path)}).providers.answer_s == 2
+    with pytest.raises(toml.FaultError, match="No such file"):
+        load_settings(str(tmp_path / "none.toml"), {"LIMENOTCH_SETTINGS": str(path)})
+    path.write_bytes(b"\xff")
+    with pytest.raises(toml.FaultError, match="not UTF-8"):
+        load_settings(str(path), {})
+
+
+def test_a_line_of_a_table_in_a_list() -> None:
+    text = "[[tier]]\n[[tier.kind]]\na = 1\n[[tier]]\n[[tier.kind]]\n[[tier.kind]]\nb = 2\n"
+    assert [toml.line_of(text, path) for path in ("tier[1].kind[1].b", "tier[1].kind[0].z", "tier[0].kind[0].a", "q")
+            ] == [7, 5, 3, None]
+
+
+@pytest.mark.parametrize("form", logs.FORMS)
+def test_a_log_line_has_its_fields(form: str, capsys: pytest.CaptureFixture[str]) -> None:
+    root = logging.getLogger()
+    handlers, level = list(root.handlers), root.level
+    try:
+        logs.configure(form, "info", "n3")
+        logs.get("some").warning("answer not understood", provider="p1", call="c1")
+        logging.getLogger("other").info("plain %d", 7)
+        lines = capsys.readouterr().err.splitlines()
+    finally:
+        root.handlers[:], root.level = handlers, level
+    if form == "json":
+        first = json.loads(lines[0])
+        assert (first["event"], first["provider"], first["call"], first["sidecar"], first["level"]) == (
+            "answer not understood", "p1", "c1", "n3", "warning")
+        assert json.loads(lines[1])["event"] == "plain 7"
+    else:
+        assert "provider" in lines[0] and "p1" in lines[0] and "plain 7" in lines[1]
+
+
+def test_serve_imports_nothing_of_the_laboratory() -> None:
+    """Guards the memory and the start of every sidecar."""
+    code = ("import sys, limenotch.cli.serve, limenotch.program; "
+            "print([m for m in sys.modules if m.split('.')[0] in ('numpy', 'scipy', 'rich', 'hdrh', 'matplotlib', "
+            "'jinja2') or m.startswith('limenotch.lab')])")
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
+                          cwd=SHIPPED.parent.parent)
+    # structlog looks for rich by itself where it is installed; the platform's own installation has none.
+    assert [m for m in eval(done.stdout) if not m.startswith(("rich", "pygments"))] == []
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,12 +16,15 @@
 
 from limenotch import config, program
 from limenotch.facade import Ending, Facade, Provider, Status
-from limenotch.net import consumers, directory, http1, providers
+from limenotch.net import directory, http1
 from limenotch.net.calls import Call, Calls, Final, InvokerCall, Verdict
 from limenotch.net.consumers import Consumers, budget_ms
 from limenotch.net.directory import Directory, list_of
 from limenotch.net.providers import Connection, Providers, ending_of, utilisation_of
-from limenotch.net.sockets import RESERVE, Share, Sockets
+from limenotch.net.sockets import Share, Sockets
+from limenotch.settings import Consumers as ConsumerTuning
+from limenotch.settings import Descriptors, Settings
+from limenotch.settings import Providers as ProviderTuning
 from switchthread.settings import read_settings
 
 Reader = asyncio.StreamReader
@@ -91,7 +94,8 @@
 
 
 async def with_sidecar(
-    handler: Handler, use: Callable[[int], Coroutine[Any, Any, None]], ends: bool = False
+    handler: Handler, use: Callable[[int], Coroutine[Any, Any, None]], ends: bool = False,
+    tuning: Settings = Settings(),  # noqa: B008 (frozen)
 ) -> None:
     """Starts a provider and a sidecar that knows it by two names; ends them unless `use` has."""
     provider = await asyncio.start_server(handler, "127.0.0.1", 0)
@@ -100,7 +104,7 @@
     port = free_port()
     raw = {"name": "n", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}", "seed": "1f",
            "known": {"index": 3, "snapshot": True, "endpoints": listed}, "settings": SETTINGS}
-    serving = asyncio.create_task(program.serve(config.parse(raw, {})))
+    serving = asyncio.create_task(program.serve(config.parse(raw, {}), tuning))
     while True:
         try:
             ready = await ask(port, b"GET /up HTTP/1.1\r\n\r\n")
@@ -222,12 +226,9 @@
 @pytest.mark.parametrize(("sent", "answer"), [
     (b"", b""), (b"GET /ap", b"HTTP/1.1 408 "), (DELIVER[:-1], b"HTTP/1.1 408 "), (LOOK, b"HTTP/1.1 200 "),
 ], ids=["silent", "half a head", "half a body", "idle after a call"])
-def test_connections_without_a_call_are_ended(
-    monkeypatch: pytest.MonkeyPatch, sent: bytes, answer: bytes
-) -> None:
+def test_connections_without_a_call_are_ended(sent: bytes, answer: bytes) -> None:
     # Guards the descriptors: consumers that ask once and stay, or never ask, once used them up for good.
-    monkeypatch.setattr(consumers, "REQUEST_S", 0.2)
-    monkeypatch.setattr(consumers, "IDLE_S", 0.0)
+    tuning = Settings(consumers=ConsumerTuning(request_s=0.2, idle_s=0.0))
 
     async def use(port: int) -> None:
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -235,7 +236,7 @@
         assert (await reader.read()).startswith(answer)
         writer.close()
 
-    run(with_sidecar(answering(whole(200))[0], use))
+    run(with_sidecar(answering(whole(200))[0], use, tuning=tuning))
 
 
 def test_idle_consumers_give_way_once_each() -> None:
@@ -424,7 +425,7 @@
     sockets.providers.drop_idle = drop
     while sockets.providers.take():
         pass
-    assert not idle and sockets.consumers.used + sockets.providers.used == 64 - RESERVE
+    assert not idle and sockets.consumers.used + sockets.providers.used == 64 - Descriptors().reserve
     assert not sockets.providers.room
 
 
@@ -494,10 +495,9 @@
     b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbo",
     b"HTTP/1.1 200 OK\r\n\r\nbo",
 ], ids=["endless head", "short body", "no length"])
-def test_an_answer_that_does_not_end_is_a_reset(monkeypatch: pytest.MonkeyPatch, sent: bytes) -> None:
+def test_an_answer_that_does_not_end_is_a_reset(sent: bytes) -> None:
     # Guards calls with time left to try elsewhere, and consumers: what there is of a body without a length
     # once passed for the whole when we closed the connection ourselves.
-    monkeypatch.setattr(providers, "ANSWER_S", 0.0)
 
     async def case() -> None:
         calls, sockets = Heard(), unlimited()
@@ -507,7 +507,7 @@
             await reader.read()
 
         server = await asyncio.start_server(handler, "127.0.0.1", 0)
-        pool = Providers(calls, sockets, 9000.0, 9000.0)
+        pool = Providers(calls, sockets, 9000.0, 9000.0, ProviderTuning(answer_s=0.0))
         pool.listed([Provider("a", server.sockets[0].getsockname(), Status.IN_SERVICE)], True)
         pool.make(invoker_call(monotonic() + 20))
         assert await calls.endings.get() is Ending.RESET
