--- a/limenotch/cli/__init__.py
+++ b/limenotch/cli/__init__.py
@@ -1,4 +1,4 @@
-"""The command line: one module a sub-command, each with its own usage text (docopt-ng) and a `run`.
+"""The command line: one module a sub-command, each with its own usage text (docopt-ng) and a `command`.
 
 A sub-command's module is imported when it is called, so that none pays for another's libraries.
 """
@@ -48,7 +48,7 @@
         return 2
     module = importlib.import_module(f"{package}.{modules[name]}")
     try:
-        return int(module.run([*before, name, *arguments["<arguments>"]]))
+        return int(module.command([*before, name, *arguments["<arguments>"]]))
     except SystemExit as end:
         if end.code is None or isinstance(end.code, int):
             return end.code or 0
--- a/limenotch/cli/check_config.py
+++ b/limenotch/cli/check_config.py
@@ -38,7 +38,7 @@
     )
 
 
-def run(arguments: list[str]) -> int:
+def command(arguments: list[str]) -> int:
     given = docopt(__doc__ or "", arguments)
     try:
         settings = load_settings(given["--settings"], os.environ)
--- a/limenotch/cli/lab/__init__.py
+++ b/limenotch/cli/lab/__init__.py
@@ -20,5 +20,5 @@
 MODULES = {"run": "run", "scenarios": "scenarios"}
 
 
-def run(arguments: list[str]) -> int:
+def command(arguments: list[str]) -> int:
     return dispatch(USAGE, MODULES, __name__, arguments[1:], ("lab",))
--- a/limenotch/cli/lab/run.py
+++ b/limenotch/cli/lab/run.py
@@ -30,7 +30,7 @@
 from ..arguments import whole_number
 
 
-def run(arguments: list[str]) -> int:
+def command(arguments: list[str]) -> int:
     given = docopt(__doc__ or "", arguments)
     try:
         first = whole_number(given, "--seed", 0)
--- a/limenotch/cli/lab/scenarios.py
+++ b/limenotch/cli/lab/scenarios.py
@@ -20,7 +20,7 @@
 from ...toml import FaultError
 
 
-def run(arguments: list[str]) -> int:
+def command(arguments: list[str]) -> int:
     given = docopt(__doc__ or "", arguments)
     try:
         if given["--check"] is not None:
--- a/limenotch/cli/serve.py
+++ b/limenotch/cli/serve.py
@@ -27,7 +27,7 @@
 from ..toml import FaultError
 
 
-def run(arguments: list[str]) -> int:
+def command(arguments: list[str]) -> int:
     given = docopt(__doc__ or "", arguments)
     try:
         settings = load_settings(given["--settings"], os.environ)
--- a/limenotch/cli/version.py
+++ b/limenotch/cli/version.py
@@ -11,7 +11,7 @@
 from .. import __version__
 
 
-def run(arguments: list[str]) -> int:
+def command(arguments: list[str]) -> int:
     docopt(__doc__ or "", arguments)
     print(__version__)
     return 0
--- a/limenotch/lab/scenario.py
+++ b/limenotch/lab/scenario.py
@@ -196,6 +196,7 @@
     tier: Annotated[tuple[Tier, ...], Meta(min_length=1, max_length=6)]
     cls: Annotated[tuple[Class, ...], Meta(min_length=1)] = msgspec.field(name="class")
     clients: Clients
+    extends: str | None = None  # a shipped scenario that this one is laid over
     look_for: str = ""
     length_s: Annotated[float, Meta(gt=0, le=3600)] = 60.0
     account: tuple[Account, ...] = ()
@@ -292,12 +293,22 @@
 
 def parse(text: str, name: str) -> Scenario:
     """Raises toml.FaultError, which names the key and the line."""
-    scenario = toml.decode(text, name, Scenario)
+    base = toml.decode_table(text, name).get("extends")
+    if base is None:
+        scenario = toml.decode(text, name, Scenario)
+    else:
+        if base not in shipped() or toml.decode_table(_shipped_text(base), base).get("extends") is not None:
+            raise toml.fault(text, name, "extends", f"{base!r} is no shipped scenario that stands by itself")
+        scenario = toml.decode_over(text, name, _shipped_text(base), f"{base}.toml", Scenario)
     for path, what in _faults(scenario):
         raise toml.fault(text, name, path, what)
     return scenario
 
 
+def _shipped_text(name: str) -> str:
+    return (resources.files(__package__) / "scenarios" / f"{name}.toml").read_text(encoding="utf-8")
+
+
 def shipped() -> list[str]:
     """The names of the scenarios that come with the program."""
     folder = resources.files(__package__) / "scenarios"
@@ -307,8 +318,7 @@
 def load(name: str) -> Scenario:
     """A shipped scenario by its name, or a file by its path. Raises toml.FaultError."""
     if name in shipped():
-        text = (resources.files(__package__) / "scenarios" / f"{name}.toml").read_text(encoding="utf-8")
-        return parse(text, f"{name}.toml")
+        return parse(_shipped_text(name), f"{name}.toml")
     path = Path(name)
     if not path.suffix:
         raise toml.FaultError(f"{name}: no such scenario; there are {', '.join(shipped())}, or a path to a .toml file")
--- a/limenotch/toml.py
+++ b/limenotch/toml.py
@@ -9,7 +9,7 @@
 
 import re
 from pathlib import Path
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -40,6 +40,7 @@
                 path = f"{path}.{part}" if path else part
                 if depth == len(parts) - 1 and header[1] == "[[":
                     counts[path] = counts.get(path, -1) + 1
+                    lines.setdefault(path, number)
                     for inner in [key for key in counts if key.startswith(f"{path}.")]:
                         del counts[inner]
                 if path in counts:
@@ -75,19 +76,53 @@
     try:
         return msgspec.toml.decode(text, type=kind)
     except msgspec.ValidationError as error:
-        message = str(error)
-        match = AT.search(message)
-        path = match[1] if match else ""
-        what = message[: match.start()] if match else message
-        for pattern, says in ((UNKNOWN, "unknown key"), (NEEDED, "missing")):
-            key = pattern.match(what)
-            if key is not None:
-                path, what = f"{path}.{key[1]}" if path else key[1], says
-        raise fault(text, name, path, what[0].lower() + what[1:]) from None
+        raise fault(text, name, *explain(str(error))) from None
     except msgspec.DecodeError as error:
         raise FaultError(f"{name}: not TOML: {error}") from None
 
 
+def decode_over(text: str, name: str, base: str, base_name: str, kind: type[Kind]) -> Kind:
+    """As `decode`, of a text that stands on another: its tables are laid over the base's key by key, its lists and
+    lists of tables replace the base's. A fault is told in the text that has the key.
+    """
+    merged = _lay(decode_table(base, base_name), decode_table(text, name))
+    try:
+        return msgspec.convert(merged, kind, strict=True)
+    except msgspec.ValidationError as error:
+        path, what = explain(str(error))
+        if line_of(text, path) is not None:
+            raise fault(text, name, path, what) from None
+        raise fault(base, base_name, path, what) from None
+
+
+def decode_table(text: str, name: str) -> dict[str, Any]:
+    try:
+        table = msgspec.toml.decode(text)
+    except msgspec.DecodeError as error:
+        raise FaultError(f"{name}: not TOML: {error}") from None
+    return dict(table)
+
+
+def _lay(under: dict[str, Any], over: dict[str, Any]) -> dict[str, Any]:
+    whole = dict(under)
+    for key, value in over.items():
+        held = whole.get(key)
+        whole[key] = _lay(held, value) if isinstance(held, dict) and isinstance(value, dict) else value
+    return whole
+
+
+def explain(message: str) -> tuple[str, str]:
+    """msgspec's message as the path of the key and what is wrong with it."""
+    match = AT.search(message)
+    path = match[1] if match else ""
+    what = message[: match.start()] if match else message
+    for pattern, says in ((UNKNOWN, "unknown key"), (NEEDED, "missing")):
+        key = pattern.match(what)
+        if key is not None:
+            path, what = f"{path}.{key[1]}" if path else key[1], says
+    return path, what[0].lower() + what[1:]
+
+
 def read(path: Path) -> str:
     try:
         return path.read_text(encoding="utf-8")
--- /dev/null
+++ b/tests/lab/test_rules.py
@@ -0,0 +1,108 @@
+"""Each rule's checker catches a planted violation, and lets pass what is allowed."""
+
+from __future__ import annotations
+
+import pytest
+
+from limenotch.lab.model.rules import COLD, DRAINS, MOST_KEPT, ONE_ANSWER, REPEATS, Limits, Rules
+
+
+def taken(effect: str = "idempotent", scope: str = "all", window: float = 1000.0, end: float = 500.0) -> Rules:
+    rules = Rules()
+    rules.taken(0.0, 1, effect, scope, window, end)
+    return rules
+
+
+def broken(rules: Rules) -> list[str]:
+    return [violation.rule for violation in rules.violations]
+
+
+def test_a_call_in_order_is_forgotten() -> None:
+    rules = taken()
+    assert rules.sent(1.0, 1, "s", "p", 0) == 0 and rules.sent(2.0, 1, "s", "q", 1) == 1
+    rules.ended(5.0, 1, 0, "ok", True)
+    rules.answered(5.0, 1, "served")
+    assert rules.open == 1  # the loser is still out
+    rules.ended(5.0, 1, 1, "cancelled", True)
+    rules.quiet(900.0)
+    assert rules.kept and rules.open == 0
+
+
+def test_no_answer_two_answers_a_late_answer() -> None:
+    rules = taken()
+    rules.quiet(900.0)
+    assert broken(rules) == [ONE_ANSWER]
+    rules = taken()
+    rules.answered(1.0, 1, "served")
+    rules.answered(2.0, 1, "failed")
+    assert broken(rules) == [ONE_ANSWER]
+    rules = taken(end=500.0)
+    rules.answered(500.0, 1, "failed")  # at its very end: in time
+    assert rules.kept
+    rules = taken(end=500.0)
+    rules.answered(500.1, 1, "failed")
+    assert broken(rules) == [ONE_ANSWER] and "0.1 ms late" in rules.violations[0].text
+    rules = taken(end=500.0)
+    rules.departed(500.0, 1)
+    assert broken(rules) == [ONE_ANSWER]
+    rules = taken(end=500.0)
+    rules.departed(400.0, 1)  # its consumer left early: nothing is owed
+    rules.quiet(900.0)
+    assert rules.kept
+
+
+@pytest.mark.parametrize(("effect", "scope", "group", "at", "ok"), [
+    ("idempotent", "all", 2, 400.0, True),
+    ("deduplicated", "zone", 1, 400.0, True),
+    ("deduplicated", "zone", 2, 400.0, False),
+    ("deduplicated", "all", 2, 400.0, True),
+    ("deduplicated", "zone", 1, 1002.0, False),
+    ("at_most_once", "all", 1, 400.0, False),
+])
+def test_repeats_only_as_the_class_allows(effect: str, scope: str, group: int, at: float, ok: bool) -> None:
+    rules = taken(effect, scope, end=5000.0)
+    rules.sent(1.0, 1, "s", "p", 1)
+    rules.ended(300.0, 1, 0, "reset", True)
+    rules.sent(at, 1, "s", "q", group)
+    assert rules.kept is ok
+    if not ok:
+        assert broken(rules) == [REPEATS] and any("attempt 0 ended: reset" in h for h in rules.violations[0].history)
+
+
+def test_what_never_ran_binds_nothing() -> None:
+    rules = taken("at_most_once", end=5000.0)
+    for _ in range(3):
+        number = rules.sent(1.0, 1, "s", "p", 1)
+        rules.ended(2.0, 1, number, "refused", False)
+    rules.answered(3.0, 1, "rejected")
+    assert rules.kept
+
+
+def test_rejection_of_what_may_have_run() -> None:
+    for effect, ok in (("idempotent", True), ("at_most_once", False)):
+        rules = taken(effect)
+        rules.sent(1.0, 1, "s", "p", 1)
+        rules.ended(2.0, 1, 0, "timeout", True)
+        rules.answered(3.0, 1, "rejected")
+        assert rules.kept is ok
+
+
+def test_nothing_new_to_what_drains() -> None:
+    for at, ok in ((350.0, True), (351.0, False)):
+        rules = Rules(Limits(grace_ms=250.0))
+        rules.taken(0.0, 1, "idempotent", "all", 0.0, 5000.0)
+        rules.told(100.0, "s", "p", "draining")
+        rules.told(300.0, "s", "p", "gone")  # the first word counts
+        rules.sent(at, 1, "s", "p", 0)
+        rules.sent(at, 1, "other", "p", 0)  # which nobody told
+        assert rules.kept is ok and (ok or broken(rules) == [DRAINS])
+    rules.told(400.0, "s", "p", "ready")
+    rules.sent(900.0, 1, "s", "p", 0)
+    assert len(rules.violations) == 1
+
+
+def test_a_cold_provider_that_fell() -> None:
+    rules = Rules()
+    for _ in range(MOST_KEPT + 5):
+        rules.fell(5.0, "p")
+    assert rules.counts[COLD] == MOST_KEPT + 5 and len(rules.violations) == MOST_KEPT and not rules.kept
