--- a/limenotch/cli/lab/__init__.py
+++ b/limenotch/cli/lab/__init__.py
@@ -12,12 +12,13 @@
 
 Commands:
   run        Play a scenario in simulated time, for one seed or many.
+  compare    Play variants on the same seeds and say which is better.
   scenarios  List the scenarios that come with the program, or show one.
 
 `limenotch lab <command> --help` tells more of one of them.
 """
 
-MODULES = {"run": "run", "scenarios": "scenarios"}
+MODULES = {"run": "run", "compare": "compare", "scenarios": "scenarios"}
 
 
 def command(arguments: list[str]) -> int:
--- a/limenotch/cli/lab/run.py
+++ b/limenotch/cli/lab/run.py
@@ -1,13 +1,16 @@
 """Play a scenario in simulated time and say what came of it.
 
 Usage:
-  limenotch lab run <scenario> [--seed N] [--seeds K] [--policy SPEC] [--json FILE] [--processes N] [--time]
+  limenotch lab run <scenario> [--seed N] [--seeds K] [--policy SPEC] [--json FILE] [--report FILE]
+                    [--png DIR] [--processes N] [--time]
 
 Options:
   --seed N       The first seed [default: 1].
   --seeds K      How many seeds, from the first on [default: 1].
   --policy SPEC  `installed`, `git:REVISION`, or the path of a policy file [default: installed].
   --json FILE    Write all figures there: one object, or a list of them for several seeds. `-`: standard output.
+  --report FILE  Write a page (HTML, self-contained) of the first seed's run there.
+  --png DIR      Write the page's plots there as images.
   --processes N  Processes to use; default: one a core, at most one a seed.
   --time         Say how long it took, and what part of that the decisions did.
 
@@ -42,6 +45,11 @@
         print_runs(results, sys.stderr if given["--json"] == "-" else sys.stdout)
         if given["--json"] is not None:
             write_json(given["--json"], [r.figures for r in results] if count > 1 else results[0].figures)
+        if given["--report"] is not None or given["--png"] is not None:
+            from ...lab.report import write_run
+
+            page, images = given["--report"], given["--png"]
+            write_run(Path(page) if page else None, results[0].figures, Path(images) if images else None)
     except FaultError as error:
         print(f"limenotch: {error}", file=sys.stderr)
         return 2
--- a/limenotch/lab/experiment.py
+++ b/limenotch/lab/experiment.py
@@ -21,6 +21,7 @@
     seed: int
     policy: str = "installed"
     timed: bool = False
+    over: str = ""  # TOML laid over the scenario
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +35,7 @@
 
 def play(job: Job) -> Result:
     """One run, in this process. Raises toml.FaultError for a scenario or policy that can't be used."""
-    plan = scenario.plan(scenario.load(job.scenario), job.seed)
+    plan = scenario.plan(scenario.load(job.scenario, job.over), job.seed)
     world = World(plan, policy.load(job.policy), perf_counter if job.timed else None)
     began = process_time()
     # A run allocates a lot and drops nearly all of it by reference: the collector's usual pace costs a fifth.
@@ -45,7 +46,8 @@
     finally:
         gc.set_threshold(*threshold)
     spent = process_time() - began
-    figures = {**record.result(), "policy": job.policy, "policy_digest": policy.digest(job.policy)}
+    figures = {**record.result(), "policy": job.policy, "policy_digest": policy.digest(job.policy),
+               "change": job.over}
     calls = sum(tier["attempts"] - tier["again"] for tier in figures["tiers"])
     return Result(job, figures, {
         "cpu_s": spent, "events": world.kernel.events, "calls": calls, "deciding_s": world.deciding,
--- a/limenotch/lab/record.py
+++ b/limenotch/lab/record.py
@@ -317,6 +317,7 @@
             },
             "requests": {"asked": asked, "tries": self.tries, **self.finals},
             "cut_short": self.cut_short,
+            "host": "",
             "classes": [
                 {"name": spec.name, **_sums(sums), "latency_ms": quantiles(hist)}
                 for spec, sums, hist in zip(self.plan.classes, self.classes, self.latency, strict=True)
--- /dev/null
+++ b/limenotch/lab/report/page.py
@@ -0,0 +1,76 @@
+"""Pages of runs and comparisons: figures in, one HTML file out, and the plots beside it as PNG where asked for."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from jinja2 import Environment, PackageLoader, StrictUndefined
+
+from ...toml import FaultError
+from ..compare import Comparison, Variant
+from . import plots
+
+SHOWN = ("score", "in_time", "worst_10s", "worst_class", "worst_account", "rejected", "failed", "wasted_work", "p50_ms",
+         "p95_ms", "p99_ms", "rules_broken")
+MOST_EVENTS = 40
+
+
+def _environment() -> Environment:
+    made = Environment(loader=PackageLoader("limenotch.lab.report", "."), autoescape=True, undefined=StrictUndefined,
+                       trim_blocks=True, lstrip_blocks=True)
+    made.filters["percent"] = lambda value: f"{value:.1%}"
+    made.filters["ms"] = lambda value: f"{value:,.0f}"
+    made.filters["three"] = lambda value: f"{value:.3f}"
+    return made
+
+
+def _write(path: Path, text: str) -> None:
+    try:
+        path.write_text(text, encoding="utf-8")
+    except OSError as error:
+        raise FaultError(f"{path}: {error.strerror}") from None
+
+
+def write_run(path: Path | None, run: dict[str, Any], png: Path | None = None) -> None:
+    """The page of one run; with `png`, a folder, its plots as images too. Raises FaultError."""
+    figures = plots.of_run(run)
+    try:
+        drawn = [(name, plots.svg(figure)) for name, figure in figures]
+        if png is not None:
+            try:
+                png.mkdir(parents=True, exist_ok=True)
+                for name, figure in figures:
+                    (png / f"{name}.png").write_bytes(plots.png(figure))
+            except OSError as error:
+                raise FaultError(f"{png}: {error.strerror}") from None
+    finally:
+        plots.done(figures)
+    if path is None:
+        return
+    text = _environment().get_template("run.html").render(run=run, plots=drawn, most_events=MOST_EVENTS)
+    _write(path, text)
+
+
+def write_comparison(
+    path: Path,
+    variants: Sequence[Variant],
+    comparisons: Sequence[Comparison],
+    runs: dict[tuple[str, str, int], dict[str, Any]],
+    whole: bool,
+) -> None:
+    """The page of a comparison. Raises FaultError."""
+    parts = []
+    for each in comparisons:
+        scores = [(seed, runs[each.first, each.scenario, seed]["metrics"]["score"],
+                   runs[each.other, each.scenario, seed]["metrics"]["score"]) for seed in each.seeds]
+        figures = plots.of_comparison(each, scores, SHOWN)
+        try:
+            drawn = [(name, plots.svg(figure)) for name, figure in figures]
+        finally:
+            plots.done(figures)
+        shown = [found for found in each.differences if found.metric in SHOWN]
+        parts.append({"comparison": each, "plots": drawn, "shown": shown})
+    text = _environment().get_template("comparison.html").render(variants=variants, parts=parts, whole=whole)
+    _write(path, text)
--- a/limenotch/lab/scenario.py
+++ b/limenotch/lab/scenario.py
@@ -291,15 +291,18 @@
             yield f"{path}.size", "expected a part, above 0 and at most 1"
 
 
-def parse(text: str, name: str) -> Scenario:
-    """Raises toml.FaultError, which names the key and the line."""
+def parse(text: str, name: str, over: str = "") -> Scenario:
+    """Raises toml.FaultError, which names the key and the line. `over` is laid over the text, key by key."""
     base = toml.decode_table(text, name).get("extends")
     if base is None:
-        scenario = toml.decode(text, name, Scenario)
+        scenario = toml.decode_over(over, "change", text, name, Scenario) if over else toml.decode(text, name, Scenario)
     else:
         if base not in shipped() or toml.decode_table(_shipped_text(base), base).get("extends") is not None:
             raise toml.fault(text, name, "extends", f"{base!r} is no shipped scenario that stands by itself")
-        scenario = toml.decode_over(text, name, _shipped_text(base), f"{base}.toml", Scenario)
+        under = _shipped_text(base)
+        scenario = toml.decode_over(text, name, under, f"{base}.toml", Scenario)
+        if over:
+            scenario = toml.decode_over(over, "change", text, name, Scenario, under)
     for path, what in _faults(scenario):
         raise toml.fault(text, name, path, what)
     return scenario
@@ -315,14 +318,14 @@
     return sorted(item.name.removesuffix(".toml") for item in folder.iterdir() if item.name.endswith(".toml"))
 
 
-def load(name: str) -> Scenario:
+def load(name: str, over: str = "") -> Scenario:
     """A shipped scenario by its name, or a file by its path. Raises toml.FaultError."""
     if name in shipped():
-        return parse(_shipped_text(name), f"{name}.toml")
+        return parse(_shipped_text(name), f"{name}.toml", over)
     path = Path(name)
     if not path.suffix:
         raise toml.FaultError(f"{name}: no such scenario; there are {', '.join(shipped())}, or a path to a .toml file")
-    return parse(toml.read(path), str(path))
+    return parse(toml.read(path), str(path), over)
 
 
 def read_trace(path: str, scenario: Scenario) -> tuple[TraceRow, ...]:
--- a/limenotch/lab/tables.py
+++ b/limenotch/lab/tables.py
@@ -7,6 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from .compare import Comparison
 from .experiment import Result
 
 COLUMNS = (
@@ -53,3 +54,27 @@
         console.print(f"{calls:.0f} calls of sidecars in {cpu:.2f} s of CPU: {calls / cpu:.0f} a second and core, "
                       f"{sum(r.cost['deciding_s'] for r in results) / cpu:.0%} of it decisions, "
                       f"{sum(r.cost['events'] for r in results) / cpu:.0f} events a second")
+
+
+SHOWN = ("score", "in_time", "worst_10s", "worst_class", "worst_account", "rejected", "failed", "wasted_work", "p50_ms",
+         "p95_ms", "p99_ms", "rules_broken")
+STYLES = {"better": "green", "worse": "red"}
+
+
+def print_comparisons(comparisons: list[Comparison], to: IO[str]) -> None:
+    console = Console(file=to, highlight=False, width=None if to.isatty() else 110)
+    for each in comparisons:
+        console.print(f"\n{each.scenario}: {each.other} against {each.first}, {len(each.seeds)} pairs: {each.verdict}",
+                      markup=False)
+        table = Table(box=None, pad_edge=False)
+        for title in ("metric", each.first, each.other, "difference", "95% interval", ""):
+            table.add_column(title, justify="left" if title in ("metric", "") else "right")
+        for found in each.differences:
+            if found.metric in SHOWN:
+                digits = ".0f" if found.metric.endswith("_ms") else ".4f"
+                table.add_row(
+                    found.metric, f"{found.first:{digits}}", f"{found.other:{digits}}", f"{found.mean:+{digits}}",
+                    f"{found.low:+{digits}} to {found.high:+{digits}}", found.verdict,
+                    style=STYLES.get(found.verdict, ""),
+                )
+        console.print(table)
--- a/limenotch/toml.py
+++ b/limenotch/toml.py
@@ -81,11 +81,13 @@
         raise FaultError(f"{name}: not TOML: {error}") from None
 
 
-def decode_over(text: str, name: str, base: str, base_name: str, kind: type[Kind]) -> Kind:
+def decode_over(text: str, name: str, base: str, base_name: str, kind: type[Kind], under: str = "") -> Kind:
     """As `decode`, of a text that stands on another: its tables are laid over the base's key by key, its lists and
-    lists of tables replace the base's. A fault is told in the text that has the key.
+    lists of tables replace the base's; the base itself may stand on a text `under` it. A fault is told in the text
+    that has the key.
     """
-    merged = _lay(decode_table(base, base_name), decode_table(text, name))
+    lower = _lay(decode_table(under, base_name), decode_table(base, base_name))
+    merged = _lay(lower, decode_table(text, name))
     try:
         return msgspec.convert(merged, kind, strict=True)
     except msgspec.ValidationError as error:
--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -202,7 +202,8 @@
     variant.write_text(text.replace(old, new))
     rough = TWO_TIERS + fault("error_burst", part=1.0, size=0.8) + fault("spoil", at_s=8, part=1.0, size=0.8)
     if rule == COLD:
-        rough = (TWO_TIERS.replace("load = 0.4", "load = 0.9").replace("cold_from = 0.3\ncold_s = 6", "cold_from = 0.12\ncold_s = 20")
+        colder = TWO_TIERS.replace("cold_from = 0.3\ncold_s = 6", "cold_from = 0.12\ncold_s = 20")
+        rough = (colder.replace("load = 0.4", "load = 0.9")
                  + "[rules]\nfall_multiple = 0.8\n" + fault("kill", length_s=1, part=0.5))
     assert figures(rough)["rules"]["kept"]
     broken = figures(rough, spec=str(variant))["rules"]
