Play scenarios on loopback sockets with real sidecars; demo, emulate and load

Need: simulated time shows the decisions alone. The unchanged program must be seen under the same faults, and a new user must see it work without a configuration of their own.

Change: lab/emulate puts the model's providers and directories behind listeners (one for each sidecar that may call, so that it is known who was told what), starts `limenotch serve` processes tier by tier, sends open-loop calls measured from their intended time, and checks the four rules. `lab rehearse`, `lab demo`, `lab emulate`, `lab load`. What a job is, what it waits for below and what is spoilt moved into the model, so that both hosts decide them alike.

--- a/limenotch/cli/lab/__init__.py
+++ b/limenotch/cli/lab/__init__.py
@@ -12,13 +12,18 @@
 
 Commands:
   run        Play a scenario in simulated time, for one seed or many.
+  demo       Twenty seconds on loopback that show what it does; needs nothing.
+  emulate    Keep a fleet and its sidecars on loopback.
+  load       Send calls to sidecars, open loop.
+  rehearse   Play a scenario on sockets in real time, with real sidecars.
   compare    Play variants on the same seeds and say which is better.
   scenarios  List the scenarios that come with the program, or show one.
 
 `limenotch lab <command> --help` tells more of one of them.
 """
 
-MODULES = {"run": "run", "compare": "compare", "scenarios": "scenarios"}
+MODULES = {"run": "run", "compare": "compare", "rehearse": "rehearse", "demo": "demo", "emulate": "emulate",
+           "load": "load", "scenarios": "scenarios"}
 
 
 def command(arguments: list[str]) -> int:
--- /dev/null
+++ b/limenotch/cli/lab/load.py
@@ -0,0 +1,131 @@
+"""Send calls to sidecars, open loop, and say how long they took from the moment they were meant to leave.
+
+Usage:
+  limenotch lab load <address>... --scenario NAME [--rate R] [--seconds S] [--connections N] [--seed N] [--json FILE]
+
+Options:
+  --scenario NAME   Whose classes, accounts and clients are played.
+  --rate R          Calls a second, 0.1 to 20000; default: the scenario's.
+  --seconds S       How long, 0.1 to 600 [default: 10].
+  --connections N   At most, for each address [default: 500].
+  --seed N          [default: 1].
+  --json FILE       Write all figures there; `-`: standard output.
+
+<address> is HOST:PORT; only loopback hosts are accepted. Exit code 3: a call had no answer in time, or two.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ipaddress
+import sys
+from time import monotonic, process_time
+from typing import Any
+
+from docopt import docopt
+from rich.console import Console
+
+from ...config import ConfigError, address
+from ...lab import scenario
+from ...lab.emulate.load import SLACK_MS, Load
+from ...lab.emulate.wire import Pool
+from ...lab.model.chance import Seeds
+from ...lab.model.clients import Clients, Request
+from ...lab.model.rules import Limits, Rules
+from ...lab.record import Record, histogram, quantiles
+from ...lab.scenario import Plan
+from ...toml import FaultError
+from ..arguments import number, whole_number
+from .run import write_json
+
+PROGRESS_S = 0.5
+
+
+def loopback(text: str) -> tuple[str, int]:
+    """Raises FaultError for anything that is not on this machine's loopback."""
+    try:
+        host, port = address(text, "<address>")
+        if not ipaddress.ip_address(host).is_loopback:
+            raise FaultError(f"<address>: {text}: only loopback addresses are loaded")
+    except (ConfigError, ValueError) as error:
+        raise FaultError(f"{error}") from None
+    return host, port
+
+
+async def send(plan: Plan, addresses: list[tuple[str, int]], connections: int, console: Console) -> dict[str, Any]:
+    seeds = Seeds(plan.seed)
+    clients = Clients(plan.clients, plan.classes, plan.accounts, len(plan.network.zones), plan.quota_per_s, seeds,
+                      plan.trace)
+    record, rules = Record(plan, []), Rules(Limits(slack_ms=SLACK_MS))
+    pools = [Pool(host, port, connections) for host, port in addresses]
+    began, cpu = monotonic(), process_time()
+    turn = [0]
+
+    def clock() -> float:
+        return (monotonic() - began) * 1000.0
+
+    def choose(request: Request) -> Pool:
+        turn[0] += 1
+        return pools[turn[0] % len(pools)]
+
+    # Ids of this run alone: another run's calls may still be open at the sidecars.
+    load = Load(plan, clients, record, rules, clock, choose, f"l{plan.seed}-{int(began * 1000) % 10**9}-")
+
+    async def progress() -> None:
+        with console.status("") as status:
+            while True:
+                p = load.progress
+                status.update(f"{clock() / 1000:5.1f} of {plan.length_ms / 1000:g} s  asked {p.asked}  open {p.open}  "
+                              f"served {p.served}  rejected {p.rejected}  failed {p.failed}")
+                await asyncio.sleep(PROGRESS_S)
+
+    beside = asyncio.get_running_loop().create_task(progress())
+    try:
+        await load.run(plan.length_ms)
+        spent = clock() / 1000.0
+    finally:
+        beside.cancel()
+        load.stop()
+        for pool in pools:
+            pool.close()
+    rules.quiet(clock())
+    record.rules, record.ended_ms = rules, clock()
+    late = histogram()
+    for value in load.late_us:
+        late.record_value(max(value, 1))
+    machine = {
+        "sent_late_ms": quantiles(late), "cpu_s": round(process_time() - cpu, 3), "seconds": round(spent, 3),
+        "connections": sum(pool.opened for pool in pools), "foreign_answers": load.foreign,
+    }
+    return {**record.result(), "host": "load", "machine": machine}
+
+
+def command(arguments: list[str]) -> int:
+    given = docopt(__doc__ or "", arguments)
+    try:
+        addresses = [loopback(text) for text in given["<address>"]]
+        over = [f"length_s = {number(given, '--seconds', 0.1, 600)!r}", "fault = []"]
+        if given["--rate"] is not None:
+            over.append(f"clients.rate_per_s = {number(given, '--rate', 0.1, 20_000)!r}")
+        chosen = scenario.load_for_load(given["--scenario"], over)
+        plan = scenario.plan(chosen, whole_number(given, "--seed", 0))
+        figures = asyncio.run(send(plan, addresses, whole_number(given, "--connections", 1), Console(stderr=True)))
+        if given["--json"] is not None:
+            write_json(given["--json"], figures)
+    except FaultError as error:
+        print(f"limenotch: {error}", file=sys.stderr)
+        return 2
+    except KeyboardInterrupt:
+        print("limenotch: interrupted", file=sys.stderr)
+        return 4
+    to = sys.stderr if given["--json"] == "-" else sys.stdout
+    m, machine, requests = figures["metrics"], figures["machine"], figures["requests"]
+    print(f"asked {requests['asked']}, tries {requests['tries']}, served {requests['served']}, "
+          f"rejected {requests['rejected']}, failed {requests['failed']}, timed out {requests['timed out']}", file=to)
+    print(f"in time {m['in_time']:.2%}; ms from the intended time: p50 {m['p50_ms']:.1f}, p95 {m['p95_ms']:.1f}, "
+          f"p99 {m['p99_ms']:.1f}", file=to)
+    late = machine["sent_late_ms"]
+    print(f"this tool: sent late by {late.get('p50', 0):.2f} ms (p50), {late.get('p99', 0):.2f} ms (p99); "
+          f"{requests['tries'] / max(machine['seconds'], 1e-9):.0f} calls a second on {machine['connections']} "
+          f"connections, {machine['cpu_s'] / max(requests['tries'], 1) * 1e6:.0f} us of CPU a call", file=to)
+    return 3 if m["rules_broken"] else 0
--- /dev/null
+++ b/limenotch/lab/emulate/sidecars.py
@@ -0,0 +1,134 @@
+"""Sidecars as processes: unchanged `limenotch serve`, one configuration file each, all ended with the rehearsal."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+START_S = 20.0  # a machine that is busy starting dozens of them
+AGAIN = 5  # ports tried, should somebody else take the one that was free
+STOP_S = 10.0
+
+
+class SidecarError(Exception):
+    """A sidecar could not be started; the text has what it said."""
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class SidecarProcess:
+    """One process. Owned by the rehearsal; `end` is the one place where it is ended and waited for."""
+
+    def __init__(self, name: str, folder: Path, settings: dict[str, Any], directory_port: int, seed: int,
+                 known: dict[str, Any], log_form: str = "json") -> None:
+        self.name, self._folder, self._log_form = name, folder, log_form
+        self._config = {
+            "name": name, "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{directory_port}", "seed": f"{seed:x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings,
+        }
+        self.port = 0
+        self.process: subprocess.Popen[bytes] | None = None
+        self.expected_end = False
+
+    @property
+    def log(self) -> Path:
+        return self._folder / f"{self.name}.log"
+
+    def spawn(self) -> None:
+        """Start it on a port that is free now."""
+        self.port = free_port()
+        self._config["listen"] = f"127.0.0.1:{self.port}"
+        config = self._folder / f"{self.name}.json"
+        config.write_text(json.dumps(self._config), encoding="utf-8")
+        environ = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
+        environ.update(LB_CONFIG=str(config), PYTHONUNBUFFERED="1")
+        root = str(Path(__file__).resolve().parents[3])
+        environ["PYTHONPATH"] = os.pathsep.join(part for part in (root, environ.get("PYTHONPATH")) if part)
+        with self.log.open("ab") as log:
+            # A group of its own: Ctrl-C at the terminal is for the rehearsal, which then ends its sidecars.
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "limenotch", "serve", "--log", self._log_form], env=environ, stdout=log,
+                stderr=log, stdin=subprocess.DEVNULL, start_new_session=True,
+            )
+
+    async def ready(self) -> None:
+        """Until `GET /up` answers 200. Raises SidecarError."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + START_S
+        tries = AGAIN
+        while loop.time() < end:
+            assert self.process is not None
+            code = self.process.poll()
+            if code is not None:
+                tries -= 1
+                if code != 1 or not tries:
+                    raise SidecarError(f"sidecar {self.name} ended with {code}: {self._said()}")
+                self.spawn()  # the port was taken in between
+            elif await self._up():
+                return
+            await asyncio.sleep(0.05)
+        raise SidecarError(f"sidecar {self.name} was not ready within {START_S:g} s: {self._said()}")
+
+    async def _up(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        except OSError:
+            return False
+        try:
+            writer.write(b"GET /up HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n")
+            return (await asyncio.wait_for(reader.read(64), 2.0)).startswith(b"HTTP/1.1 200")
+        except (TimeoutError, OSError):
+            return False
+        finally:
+            writer.close()
+
+    def _said(self) -> str:
+        try:
+            return self.log.read_text(errors="replace").strip()[-500:] or "nothing in its log"
+        except OSError:
+            return "no log"
+
+    @property
+    def crashed(self) -> bool:
+        return self.process is not None and self.process.poll() is not None and not self.expected_end
+
+    def kill(self) -> None:
+        """As a machine that dies takes it along."""
+        self.expected_end = True
+        if self.process is not None and self.process.poll() is None:
+            self.process.kill()
+
+    def memory_kb(self) -> int:
+        """Resident now; 0 if it is not there."""
+        try:
+            with open(f"/proc/{self.process.pid if self.process else 0}/statm", encoding="ascii") as file:
+                return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") // 1024
+        except (OSError, IndexError, ValueError):
+            return 0
+
+    def terminate(self) -> None:
+        self.expected_end = True
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+
+    def end(self) -> int | None:
+        """Wait for it, and no longer than STOP_S; its exit code."""
+        self.expected_end = True
+        if self.process is None:
+            return None
+        try:
+            return self.process.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return self.process.wait()
--- a/limenotch/lab/model/faults.py
+++ b/limenotch/lab/model/faults.py
@@ -68,9 +68,13 @@
         victims = self._victims(fault, tier, chance)
         make = getattr(self, f"_{fault.kind}")
         text = f"{fault.kind} {names[tier]}" + (f" x{len(victims)}" if victims else "")
+        if fault.kind in ("directory_down", "cut_link", "hot_sidecar"):
+            text = " ".join((fault.kind, *(fault.zones or ())))
         last = begin
         for deed in make(fault, chance, begin, length, size, tier, victims):
             last = max(last, deed.at_ms)
+            if deed.kind == "surge":
+                text = f"surge {self._plan.accounts[deed.target].name}"
             yield deed
         self.bands.append(Band(fault.kind, begin, max(last, begin + length), text))
 
--- a/limenotch/lab/model/fleet.py
+++ b/limenotch/lab/model/fleet.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from math import exp
 from typing import TYPE_CHECKING, NamedTuple
 
 from .chance import Seeds
@@ -12,7 +13,7 @@
 from .directory import Directory, Entry
 from .faults import Deed
 from .network import Network
-from .provider import Group, Provider
+from .provider import Group, Job, Provider
 
 if TYPE_CHECKING:
     from ..scenario import Machine, Plan
@@ -59,6 +60,7 @@
         self._everyone: dict[str, tuple[float, Group]] = {}
         self._groups: dict[tuple[int, str, int], Group] = {}
         self.every: list[list[Provider]] = [[] for _ in plan.tiers]  # processes, those gone included
+        self._work = [seeds.stream("work", tier) for tier in range(len(plan.tiers))]
         self._scope = next((c.scope for c in plan.classes if c.effect == "deduplicated"), "all")
         for tier, sites in enumerate(self.sites):
             for site in sites:
@@ -87,6 +89,29 @@
         site.process.error_burst = site.errors
         site.process.strain(now, site.slow, site.taken, site.stalled)
 
+    def job(self, tier: int, ticket: int, cls: int, size: float, key: str, end: float) -> Job:
+        """What an attempt at a call brings to a provider of this tier: its work, cut by the calls it makes below."""
+        spec, chance = self.plan.classes[cls], self._work[tier]
+        noise = spec.attempt_noise
+        factor = exp(noise * chance.normal() - noise * noise / 2) if noise else 1.0
+        work = spec.work_ms * self.plan.tiers[tier].work * size * factor
+        calls = self.plan.tiers[tier].calls
+        count = int(calls) + (1 if chance.uniform() < calls - int(calls) else 0)
+        return Job(ticket, [work / (count + 1)] * (count + 1), end, key, spec.window_ms, cls, size)
+
+    def budget_below(self, now: float, job: Job) -> float:
+        """How long a job waits for an answer of the tier below, ms."""
+        whole = self.plan.classes[job.cls].deadline_ms
+        return min(max(job.end - now, 1.0), whole) if self.plan.scenario.sidecars.passes_deadline else whole
+
+    def key_below(self, cls: int, number: int) -> str:
+        """A lower call is a call of its own, and so is its key."""
+        return f"b{number}" if self.plan.classes[cls].effect == "deduplicated" else ""
+
+    def spoils(self, site: Site) -> bool:
+        """Whether the answer that its process gives now arrives spoilt."""
+        return site.spoil > 0 and self._work[site.machine.tier].happens(site.spoil)
+
     def fall(self, now: float, site: Site) -> list[Changed]:
         """A process was pushed over: it is down, and the directory learns of it as of any death."""
         return self._end(now, site, "stopped")
--- a/limenotch/lab/scenario.py
+++ b/limenotch/lab/scenario.py
@@ -328,6 +328,17 @@
     return parse(toml.read(path), str(path), over)
 
 
+def load_for_load(name: str, over: list[str]) -> Scenario:
+    """As `load`; a rate among the changes takes the place of the scenario's load or trace. Raises toml.FaultError."""
+    scenario = load(name, "\n".join(line for line in over if not line.startswith("clients.rate_per_s")))
+    for line in over:
+        if line.startswith("clients.rate_per_s"):
+            rate = float(line.partition("=")[2])
+            clients = msgspec.structs.replace(scenario.clients, rate_per_s=rate, load=None, trace=None, wave=0.0)
+            scenario = msgspec.structs.replace(scenario, clients=clients)
+    return scenario
+
+
 def read_trace(path: str, scenario: Scenario) -> tuple[TraceRow, ...]:
     """Rows `at_ms,class,account,size`, in order of time; bursts of one instant are fine. Raises toml.FaultError."""
     classes = {cls.name: number for number, cls in enumerate(scenario.cls)}
