--- a/limenotch/lab/emulate/directory.py
+++ b/limenotch/lab/emulate/directory.py
@@ -81,8 +81,8 @@
             return
         if not self._begun:
             self._begun = True
-            self._watch.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        self._watch.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+            self._watch.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self._watch.write(b"%x\r\n%b\r\n" % (len(data), data))
         self._stop_beat()
         self._beat = asyncio.get_running_loop().call_later(HEARTBEAT_S, self._write, b"\n")
 
--- a/limenotch/lab/emulate/wire.py
+++ b/limenotch/lab/emulate/wire.py
@@ -15,6 +15,7 @@
 from ...net import http1
 
 MOST_BACKLOG = 512
+MOST_UNREAD = 1 << 20  # bytes that wait for a peer that does not read, before its connection is reset
 
 
 def reset(transport: asyncio.Transport) -> None:
@@ -62,15 +63,25 @@
                 self._request(self, message)
 
     def answer(self, wire: bytes, close: bool = False) -> None:
-        if self.transport is None or self.transport.is_closing():
+        if not self.write(wire):
             return
-        self.transport.write(wire)
+        assert self.transport is not None
         self.busy = False
         if close:
             self.transport.close()
         else:
             self.data_received(b"")
 
+    def write(self, wire: bytes) -> bool:
+        """False if the connection is gone, or goes because its peer does not read."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        if self.transport.get_write_buffer_size() > MOST_UNREAD:
+            reset(self.transport)
+            return False
+        self.transport.write(wire)
+        return True
+
     def end(self, hard: bool = False) -> None:
         if self.transport is not None:
             reset(self.transport) if hard else self.transport.close()
--- /dev/null
+++ b/tests/lab/test_emulate.py
@@ -0,0 +1,387 @@
+"""The socket host: the directory, providers' doors, real sidecars under a short day, and the tools' manners."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Coroutine
+from math import inf
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from limenotch.cli import main
+from limenotch.lab import scenario
+from limenotch.lab.emulate import host, sidecars
+from limenotch.lab.emulate.directory import DirectoryHost
+from limenotch.lab.emulate.host import Rehearsal, TooLargeError, rehearse
+from limenotch.lab.emulate.load import Load, call_wire, verdict_of
+from limenotch.lab.emulate.providers import SPOILT, ProviderHost
+from limenotch.lab.emulate.sidecars import SidecarError, SidecarProcess
+from limenotch.lab.emulate.wire import Pool, Served, listener
+from limenotch.lab.model.chance import Seeds
+from limenotch.lab.model.clients import Clients
+from limenotch.lab.model.directory import Directory, DirectorySpec, Entry
+from limenotch.lab.model.faults import Deed
+from limenotch.lab.model.fleet import Fleet
+from limenotch.lab.model.network import Network
+from limenotch.lab.model.rules import Rules
+from limenotch.lab.record import Record
+from limenotch.net import http1
+
+ROOT = Path(__file__).parents[2]
+ONE = """
+name = "one"
+length_s = 2
+[clients]
+rate_per_s = 50
+[network]
+same_ms = 0.01
+[[tier]]
+name = "only"
+providers = 2
+[[tier.kind]]
+name = "k"
+slots = 4
+queue = 2
+[[class]]
+name = "c"
+work_ms = 1
+dist = "fixed"
+aim_ms = 1000
+deadline_ms = 3000
+[[class]]
+name = "k"
+share = 0.2
+work_ms = 1
+dist = "fixed"
+aim_ms = 1000
+deadline_ms = 3000
+effect = "deduplicated"
+"""
+
+
+def run(case: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(case, 60))
+
+
+def plan(text: str = ONE, seed: int = 1) -> scenario.Plan:
+    return scenario.plan(scenario.parse(text, "t"), seed)
+
+
+def parts(made: scenario.Plan) -> tuple[Fleet, Clients, Record, Rules]:
+    seeds = Seeds(made.seed)
+    network = Network(made.network, seeds)
+    clients = Clients(made.clients, made.classes, made.accounts, 1, made.quota_per_s, seeds)
+    return Fleet(made, seeds, network, clients), clients, Record(made, []), Rules()
+
+
+class Doors:
+    """A provider host on a clock that the test moves; timers of the model are run by `until`."""
+
+    def __init__(self, text: str = ONE) -> None:
+        self.plan = plan(text)
+        self.now = 1.0
+        self.fleet, _, record, self.rules = parts(self.plan)
+        self.host = ProviderHost(self.fleet, self.rules, record, lambda: self.now, lambda *_: lambda: None)
+        self.site = self.fleet.sites[0][0]
+
+    async def ask(self, pool: Pool, name: str, work: float = 1.0) -> asyncio.Future[http1.Message | None]:
+        answer: asyncio.Future[http1.Message | None] = asyncio.get_running_loop().create_future()
+        self.rules.taken(self.now, name, "idempotent", "all", 0, inf)
+        pool.ask(call_wire(self.plan, 0, None, name, "", 3000.0, work), answer.set_result)
+        for _ in range(2000):
+            if self.rules._calls[name].attempts or answer.done():
+                break
+            await asyncio.sleep(0)
+        return answer
+
+    async def until(self, answer: asyncio.Future[http1.Message | None]) -> http1.Message | None:
+        for turn in range(20_000):
+            process = self.site.process
+            if answer.done():
+                break
+            # What is on its way through the kernel first; then the model's next event.
+            if turn % 50 == 49 and process is not None and process.due() < inf:
+                self.now = max(self.now, process.due())
+                self.host._run(self.site)
+            await asyncio.sleep(0)
+        return await answer
+
+
+def test_a_door_answers_refuses_and_resets() -> None:
+    async def case() -> None:
+        doors = Doors()
+        door = await doors.host.door((0, 0), doors.site, 0)
+        pool = Pool("127.0.0.1", door.port)
+        message = await doors.until(await doors.ask(pool, "a"))
+        assert message is not None and (message.status, message.body) == (200, b"a only-0-0")
+        assert message.fields[b"x-load-report"].startswith(b"TEXT util=")
+        held = [await doors.ask(pool, f"h{n}", 1e6) for n in range(6)]  # four slots, two waiting
+        full = await doors.until(await doors.ask(pool, "full"))
+        assert full is not None and full.status == 503 and full.fields[b"x-rejected"] == b"1"
+        process = doors.site.process
+        assert process is not None and process.held == 6
+        for changed in doors.fleet.carry_out(doors.now, Deed(doors.now, "kill", 0, 0)):
+            doors.host.stopped(changed.site, changed.tickets)
+        assert [await answer for answer in held] == [None] * 6 and not doors.host._attempts
+        refused: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        pool.ask(b"GET / HTTP/1.1\r\n\r\n", refused.set_result)
+        assert await refused is None
+        port = door.port
+        doors.fleet.carry_out(doors.now, Deed(doors.now, "start", 0, 0))
+        await door.open()  # the same address, another process
+        again = await doors.until(await doors.ask(pool, "again"))
+        assert door.port == port and again is not None and again.body == b"again only-0-1"
+        pool.close()
+        doors.host.close()
+
+    run(case())
+
+
+def test_an_abandoned_call_ends_its_job_and_a_silent_machine_says_nothing() -> None:
+    async def case() -> None:
+        doors = Doors()
+        door = await doors.host.door((0, 0), doors.site, 0)
+        pool, process = Pool("127.0.0.1", door.port), doors.site.process
+        assert process is not None
+        await doors.ask(pool, "left", 1e6)
+        assert process.held == 1
+        pool.close()
+        while process.held:
+            await asyncio.sleep(0)
+        assert process.ledger.unspent > 0 and not doors.host._attempts
+        pool = Pool("127.0.0.1", door.port)
+        doors.fleet.carry_out(doors.now, Deed(doors.now, "silent", 0, 0, 1.0))
+        silent = await doors.ask(pool, "silent")
+        assert not silent.done() and process.held == 0
+        doors.fleet.carry_out(doors.now, Deed(doors.now, "silent", 0, 0, 0.0))
+        doors.host.back(doors.site)
+        assert await silent is None  # reset once the machine is there again
+        doors.site.spoil = 1.0
+        spoilt = await doors.ask(pool, "spoilt")
+        assert await doors.until(spoilt) is None and SPOILT.startswith(b"HTTP/1.1 2OO")
+        assert doors.rules.kept
+        pool.close()
+        doors.host.close()
+
+    run(case())
+
+
+def test_a_peer_that_does_not_read_is_reset() -> None:
+    async def case() -> None:
+        ended = asyncio.Event()
+
+        def request(connection: Served, message: http1.Message) -> None:
+            connection.answer(http1.write_response(200, [], b"x" * 100_000))
+
+        server = await asyncio.get_running_loop().create_server(
+            lambda: Served(request, lambda _: ended.set(), lambda _: True), sock=listener())
+        with socket.create_connection(server.sockets[0].getsockname()) as peer:
+            peer.setblocking(False)
+            while not ended.is_set():
+                try:
+                    peer.send(b"GET / HTTP/1.1\r\n\r\n" * 10)
+                except BlockingIOError:
+                    pass
+                except OSError:
+                    break
+                await asyncio.sleep(0)
+            await ended.wait()
+        server.close()
+
+    run(case())
+
+
+def test_a_request_that_no_client_sent() -> None:
+    async def case() -> None:
+        doors = Doors()
+        door = await doors.host.door((0, 0), doors.site, 0)
+        pool = Pool("127.0.0.1", door.port)
+        for wire, status in ((b"GET /api HTTP/1.1\r\n\r\n", 404), (b"GET /api HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n", 400),
+                             (b"GET /alive HTTP/1.1\r\n\r\n", 200)):
+            answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+            pool.ask(wire, answer.set_result)
+            assert (await answer).status == status
+        assert doors.host.unknown == 2
+        pool.close()
+        doors.host.close()
+
+    run(case())
+
+
+def test_the_directory_is_watched_over_sockets() -> None:
+    async def case() -> None:
+        now = [0.0]
+        directory = Directory(DirectorySpec(period_ms=0.0, spread_ms=0.0, call_ms=0.0, drain_ms=(5.0, 5.0)),
+                              Seeds(1).stream("d"))
+        directory.known(Entry("p-0-0"))
+        told: list[str] = []
+        hosted = DirectoryHost([directory], lambda: now[0], lambda _, entries: [{"name": e.name, "s": e.stage}
+                               for e in entries], lambda _, tell: told.extend(e.stage for e in tell.entries))
+        port = await hosted.watcher((0, 0))
+        assert port == await hosted.watcher((0, 0))
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /discovery/hosts?follow=1 HTTP/1.1\r\n\r\n")
+        stream = http1.ChunkStream()
+
+        async def line() -> dict[str, Any]:
+            while True:
+                for each in stream.feed(await reader.read(65536)):
+                    if each.strip():
+                        found: dict[str, Any] = json.loads(each)
+                        return found
+
+        first = await line()
+        assert first["snapshot"] and first["endpoints"] == [{"name": "p-0-0", "s": "ready"}]
+        directory.happens(now[0], Entry("p-0-0", "draining"))
+        now[0] = 5.0
+        hosted.tend(0)
+        change = await line()
+        assert not change["snapshot"] and change["endpoints"] == [{"name": "p-0-0", "s": "draining"}]
+        assert told == ["ready", "draining"]
+        directory.go_down(now[0], True)
+        hosted.tend(0)
+        with pytest.raises(ConnectionError):
+            assert await reader.read() == b""
+            raise ConnectionResetError
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /discovery/hosts?follow=1 HTTP/1.1\r\n\r\n")
+        assert (await reader.read()).startswith(b"HTTP/1.1 503")
+        hosted.close()
+
+    run(case())
+
+
+def test_the_load_tool_counts_from_the_intended_time_and_gives_up() -> None:
+    """A server that holds its first answers back: later requests leave in time all the same."""
+    async def case() -> None:
+        made = plan(ONE.replace("deadline_ms = 3000", "deadline_ms = 400").replace("aim_ms = 1000", "aim_ms = 100"))
+        _, clients, record, rules = parts(made)
+        held: list[Served] = []
+        seen = [0]
+
+        def request(connection: Served, message: http1.Message) -> None:
+            seen[0] += 1
+            if seen[0] % 4 == 1:
+                held.append(connection)  # never answered: the client that does not wait for ever gives up
+            elif seen[0] % 4 == 2:
+                connection.answer(http1.write_response(503, [(b"Retry-After", b"0.5")]))
+            else:
+                body = message.fields[b"x-call-id"] if seen[0] % 4 == 3 else b"somebody else's"
+                connection.answer(http1.write_response(200, [], body))
+
+        server = await asyncio.get_running_loop().create_server(
+            lambda: Served(request, lambda _: None, lambda _: True), sock=listener())
+        pool = Pool("127.0.0.1", server.sockets[0].getsockname()[1])
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        load = Load(made, clients, record, rules, lambda: (loop.time() - began) * 1000.0, lambda _: pool)
+        await load.run(500.0)
+        asked = load.progress.asked
+        assert asked == seen[0] > 8 and record.finals["timed out"] == (asked + 3) // 4
+        assert record.finals["rejected"] == (asked + 2) // 4 and record.finals["served"] == (asked + 1) // 4
+        assert load.foreign == asked // 4 == record.finals["failed"]
+        # Those that had no answer by their end are seen as what they are.
+        assert rules.counts["one final answer in time"] == record.finals["timed out"]
+        pool.close()
+        server.close()
+
+    run(case())
+
+
+def test_verdicts() -> None:
+    def answer(status: int, body: bytes = b"", *headers: tuple[bytes, bytes]) -> http1.Message:
+        return http1.Message(list(headers), dict(headers), status=status, body=body)
+
+    assert verdict_of(answer(200, b"c1 p"), "c1") == ("served", 0.0)
+    assert verdict_of(answer(200, b"c11 p"), "c1") == ("failed", 0.0)
+    assert verdict_of(answer(503, b"", (b"retry-after", b"1.5")), "c1") == ("rejected", 1500.0)
+    assert verdict_of(answer(429, b"", (b"retry-after", b"x")), "c1") == ("rejected", 0.0)
+    assert verdict_of(answer(504), "c1") == verdict_of(None, "c1") == ("failed", 0.0)
+
+
+def test_a_short_day_with_real_sidecars(tmp_path: Path) -> None:
+    """Three seconds of two tiers with a death in them: every call is answered, the rules are kept, all is ended."""
+    low = '[[tier]]\nname = "low"\nproviders = 2\n[[tier.kind]]\nname = "l"\nslots = 4\n'
+    text = ONE.replace("length_s = 2", "length_s = 3").replace("[[class]]", low + "[[class]]", 1)
+    text += '[[fault]]\nkind = "kill"\nat_s = 1\nlength_s = 0.2\nvictims = [0]\n'
+    started: list[Rehearsal] = []
+
+    async def watch(rehearsal: Rehearsal) -> None:
+        started.append(rehearsal)
+
+    figures = asyncio.run(asyncio.wait_for(rehearse(plan(text), lambda _: None, watch), 90))
+    assert figures["rules"]["kept"], figures["rules"]
+    requests = figures["requests"]
+    assert requests["asked"] > 100 and requests["served"] > 0.9 * requests["asked"]
+    assert figures["machine"]["requests_not_understood"] == figures["machine"]["foreign_answers"] == 0
+    assert [event[1] for event in figures["events"]][:2] == ["stopped", "started"]
+    ended = [s.process.poll() for s in started[0].sidecars.values() if s.process is not None]
+    assert len(ended) == 6 and None not in ended
+
+
+def test_a_taken_port_is_left_to_its_owner(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        ports = [taken.getsockname()[1], sidecars.free_port()]
+        monkeypatch.setattr(sidecars, "free_port", lambda: ports.pop(0))
+        settings = scenario.settings_of(plan(), 0, 0, 1, 0)
+        sidecar = SidecarProcess("s", tmp_path, settings, 9, 1, {"index": 0, "snapshot": True, "endpoints": []})
+        sidecar.spawn()
+        try:
+            asyncio.run(sidecar.ready())
+            assert not ports and sidecar.port != taken.getsockname()[1] and sidecar.memory_kb() > 1000
+        finally:
+            sidecar.terminate()
+            assert sidecar.end() == 0
+    monkeypatch.undo()
+    bad = SidecarProcess("bad", tmp_path, {"classes": []}, 9, 1, {})
+    bad.spawn()
+    with pytest.raises(SidecarError, match="ended with 2: limenotch: settings.classes"):
+        asyncio.run(bad.ready())
+
+
+def test_what_is_too_large_for_sockets_is_said_before_anything_starts(tmp_path: Path) -> None:
+    rehearsal = Rehearsal(scenario.plan(scenario.load("thousand"), 1), tmp_path)
+    with pytest.raises(TooLargeError, match="650 sidecars"):
+        asyncio.run(rehearsal.start())
+    assert not rehearsal.sidecars and host.MOST_SIDECARS < 650
+    assert main(["lab", "rehearse", "thousand", "--quiet"]) == 2
+
+
+def test_ctrl_c_ends_everything(tmp_path: Path) -> None:
+    path = tmp_path / "one.toml"
+    path.write_text(ONE.replace("length_s = 2", "length_s = 600"))
+    process = subprocess.Popen([sys.executable, "-m", "limenotch", "lab", "emulate", str(path)], cwd=ROOT,
+                               stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True,
+                               env={**os.environ, "TMPDIR": str(tmp_path)})
+    assert process.stdout is not None
+    lines = []
+    while (line := process.stdout.readline().strip()) != "ready":
+        lines.append(line)
+    port = int(lines[0].rpartition(":")[2])
+    assert len(lines) == 4
+    code = subprocess.run([sys.executable, "-m", "limenotch", "lab", "load", *lines, "--scenario", str(path),
+                           "--seconds", "1", "--rate", "40", "--json", str(tmp_path / "l.json")], cwd=ROOT, check=False,
+                          stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL).returncode
+    figures = json.loads((tmp_path / "l.json").read_text())
+    assert code == 0 and figures["requests"]["served"] == figures["requests"]["asked"] > 10
+    process.send_signal(signal.SIGINT)
+    assert process.wait(30) == 0
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", port), 5)
+    assert not list(tmp_path.glob("limenotch-lab-*"))
+
+
+def test_only_loopback_is_loaded(capsys: pytest.CaptureFixture[str]) -> None:
+    for text in ("10.0.0.1:80", "example.org:80", "127.0.0.1"):
+        assert main(["lab", "load", text, "--scenario", "calm"]) == 2
+    assert "only loopback addresses are loaded" in capsys.readouterr().err
--- a/tests/lab/test_provider.py
+++ b/tests/lab/test_provider.py
@@ -115,6 +115,13 @@
     assert ledger.offered == pytest.approx(ledger.wasted + ledger.unspent)
 
 
+def test_a_cancel_that_crosses_the_answer_changes_nothing() -> None:
+    provider = make(ProviderSpec())
+    provider.offer(0.0, Job(1, [100.0]))
+    assert only(finish(provider)) == 100.0
+    assert provider.drop(100.0, 1) == [] and provider.ledger.served == 100.0 and provider.ledger.wasted == 0
+
+
 def test_a_job_whose_time_is_over_when_its_turn_comes_never_runs() -> None:
     provider = make(ProviderSpec())
     provider.offer(0.0, Job(1, [100.0]))
--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -151,6 +151,13 @@
         assert result["rules"]["kept"], result["rules"]["violations"]
 
 
+def test_a_provider_that_drains_while_it_is_cold() -> None:
+    result = figures(TWO_TIERS + fault("kill", at_s=2, length_s=0.5, victims=[1])
+                     + fault("deploy", at_s=4, length_s=2, victims=[1], drain_s=2.0))
+    assert "cdd" in rows(result)[1]["state"].replace("cc", "c") and result["rules"]["kept"]
+    assert [event[1] for event in result["events"]] == ["stopped", "started", "drains", "stopped", "started"]
+
+
 def test_faults_of_the_whole() -> None:
     accounts = "".join(f'[[account]]\nname = "{name}"\nshare = 0.5\n' for name in ("x", "y"))
     surge = figures(TWO_TIERS + accounts + fault("surge", account="y", size=6.0))
