--- a/limenotch/lab/compare.py
+++ b/limenotch/lab/compare.py
@@ -26,7 +26,7 @@
 METRICS = {
     "score": 1, "in_time": 1, "goodput": 1, "worst_10s": 1, "worst_class": 1, "worst_account": 1, "rejected": -1,
     "failed": -1, "retries": -1, "again": 0, "crossings": 0, "wasted_work": -1, "p50_ms": -1, "p95_ms": -1,
-    "p99_ms": -1, "rules_broken": -1,
+    "p99_ms": -1, "cold_push": 0, "rules_broken": -1,
 }
 CONFIDENCE = 0.95
 RESAMPLES = 4000
--- a/limenotch/lab/model/provider.py
+++ b/limenotch/lab/model/provider.py
@@ -207,6 +207,7 @@
         self._worked = 0.0
         self._sent: deque[tuple[float, float]] = deque()
         self._sent_work = 0.0
+        self.pushed = 0.0  # while cold: the most it was sent, as a part of what makes it fall
         self._over_since = self._rest_since = self._choked_at = inf
         self._report = self._shown = Report(0.0, 0.0, 0.0)
         self._shown_at, self._report_due = -inf, now + spec.report_ms * chance.uniform()
@@ -420,7 +421,9 @@
         self._sent_work += work
         while self._sent[0][0] <= now - spec.fall_ms:
             self._sent_work -= self._sent.popleft()[1]
-        return self._sent_work > spec.fall_multiple * able * spec.fall_ms
+        part = self._sent_work / (spec.fall_multiple * able * spec.fall_ms)
+        self.pushed = max(self.pushed, part)
+        return part > 1.0
 
     def _start(self, job: Job) -> None:
         self._busy_slots += 1
--- a/limenotch/lab/record.py
+++ b/limenotch/lab/record.py
@@ -314,6 +314,7 @@
                 "p50_ms": quantiles(everything).get("p50", 0.0),
                 "p95_ms": quantiles(everything).get("p95", 0.0),
                 "p99_ms": quantiles(everything).get("p99", 0.0),
+                "cold_push": round(max((w["pushed_most"] for w in self.work), default=0.0), 4),
                 "rules_broken": sum(rules.counts.values()),
             },
             "requests": {"asked": asked, "tries": self.tries, **self.finals},
@@ -392,7 +393,7 @@
     for tier in range(len(fleet.sites)):
         sums = dict.fromkeys(("offered", "refused", "served", "wasted", "unspent", "excess", "held_work"), 0.0)
         counts = dict.fromkeys(("jobs", "turned_away", "repeats", "double"), 0)
-        held, sojourn = 0.0, 0.0
+        held, sojourn, pushed = 0.0, 0.0, 0.0
         for process in fleet.every[tier]:
             process.report(now)
             ledger = process.ledger
@@ -402,10 +403,11 @@
                 counts[name] += getattr(ledger, name)
             held += ledger.held_ms
             sojourn += process.sojourn_ms(now)
+            pushed = max(pushed, process.pushed)
         accounted = sums["refused"] + sums["served"] + sums["wasted"] + sums["unspent"] + sums["held_work"]
         result.append({
             **{name: round(value, 3) for name, value in sums.items()}, **counts,
-            "held_ms": round(held, 3), "sojourn_ms": round(sojourn, 3),
+            "pushed_most": round(pushed, 4), "held_ms": round(held, 3), "sojourn_ms": round(sojourn, 3),
             "work_error": float(f"{abs(sums['offered'] - accounted) / max(sums['offered'], 1.0):.1e}"),
             "little_error": float(f"{abs(held - sojourn) / max(sojourn, 1.0):.1e}"),
         })
--- a/limenotch/lab/report/page.py
+++ b/limenotch/lab/report/page.py
@@ -13,7 +13,7 @@
 from . import plots
 
 SHOWN = ("score", "in_time", "worst_10s", "worst_class", "worst_account", "rejected", "failed", "wasted_work", "p50_ms",
-         "p95_ms", "p99_ms", "rules_broken")
+         "p95_ms", "p99_ms", "cold_push", "rules_broken")
 MOST_EVENTS = 40
 
 
--- a/limenotch/lab/report/plots.py
+++ b/limenotch/lab/report/plots.py
@@ -185,7 +185,8 @@
 
 def differences(comparison: Any, shown: Sequence[str]) -> Figure:
     """Each metric's difference with its interval, as a part of the first variant's value."""
-    found = [each for each in comparison.differences if each.metric in shown and not each.metric == "rules_broken"]
+    left_out = ("rules_broken", "cold_push")
+    found = [each for each in comparison.differences if each.metric in shown and each.metric not in left_out]
     figure, axes = _figure(0.7 + 0.21 * len(found))
     for row, each in enumerate(found):
         scale = max(abs(each.first), 1e-3) if each.metric.endswith("_ms") else 1.0
--- a/limenotch/lab/tables.py
+++ b/limenotch/lab/tables.py
@@ -57,7 +57,7 @@
 
 
 SHOWN = ("score", "in_time", "worst_10s", "worst_class", "worst_account", "rejected", "failed", "wasted_work", "p50_ms",
-         "p95_ms", "p99_ms", "rules_broken")
+         "p95_ms", "p99_ms", "cold_push", "rules_broken")
 STYLES = {"better": "green", "worse": "red"}
 
 
--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -39,6 +39,7 @@
 CROWD = 1.7  # times what the others hold each that one upstream may hold ...
 FREE = 2.0  # ... counting this many more: on a calm day the own zone does not spill over
 HEADROOM = 1.2  # of the even rate of a warm upstream, times its present part, that a cold one is sent
+MILD = 1.15  # a tier that is cold by less than this much is counted as warm: others take what it can't
 FILL = 0.3  # of the time between an idle answer and the aim that the wait may use before calls are refused
 AFAR = 0.05  # part of its weight left to an upstream of another zone while the own zone is no slower
 SPREAD = 1.0  # upstreams drawn from for each call held: our own calls then tell of each one's queue
@@ -160,7 +161,11 @@
     def _renew(self, now: float) -> None:
         if self.began >= 0:
             span = now - self.began
-            self.rate += (self.sent / span - self.rate) * (0.1 if self.rate else 1.0)
+            # As warm ones would get it: a cold tier is sent less, and must not be sent less still for that.
+            drawn = self.table[0]
+            able = sum(s.weight * self._capacity(s, now) for s in drawn)
+            alike = max(min(MILD * able / max(sum(s.weight for s in drawn), 1e-9), 1.0), 0.1)
+            self.rate += (self.sent / span / alike - self.rate) * (0.1 if self.rate else 1.0)
             self.flow += (self.served / span - self.flow) * (0.4 if self.flow else 1.0)
             self.pace = max(self.flow, self.pace * 0.9)  # lately shown: a lull in demand is no loss of pace
             self.good, self.bad, self.sent, self.served = self.good * 0.9, self.bad * 0.9, 0, 0
@@ -352,8 +357,8 @@
         last = call.tries[-1].server if call.tries else None
         one = self._draw(now, call, last) or self._draw(now, call, None, any_=True)
         if one is None:
-            # Nothing to send to now: hold the call by a timer, or a silent list would lose it.
-            if call.tries or now + self.window / 8 >= call.end:
+            # Nothing to send to now: while it can be in time hold the call, or a silent list would lose it.
+            if call.tries or now + self.window / 8 >= min(call.end, call.aim - self.typical):
                 self._finish(now, call, acts)
             else:
                 self._wake(now + self.window / 8, call, acts)
