--- a/limenotch/lab/emulate/host.py
+++ b/limenotch/lab/emulate/host.py
@@ -268,7 +268,8 @@
             loop.call_soon(answered, None)
         else:
             key = self.fleet.key_below(job.cls, self._lower)
-            pool.ask(call_wire(self.plan, job.cls, 0, name, key, budget, job.size), answered, began)
+            size = self.fleet.size_below(job, machine.tier)
+            pool.ask(call_wire(self.plan, job.cls, 0, name, key, budget, size), answered, began)
         return leave
 
     # Faults
--- a/limenotch/lab/model/clients.py
+++ b/limenotch/lab/model/clients.py
@@ -31,6 +31,7 @@
     deadline_ms: float = 3000.0
     worth: float = 1.0
     late_worth: float = 0.0
+    carried: bool = True  # a call's size is that of its lower calls; else each draws its own
 
 
 @dataclass(frozen=True, slots=True)
--- a/limenotch/lab/model/fleet.py
+++ b/limenotch/lab/model/fleet.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from .chance import Seeds
-from .clients import Clients
+from .clients import Clients, draw_size
 from .directory import Directory, Entry
 from .faults import Deed
 from .network import Network
@@ -104,6 +104,11 @@
         whole = self.plan.classes[job.cls].deadline_ms
         return min(max(job.end - now, 1.0), whole) if self.plan.scenario.sidecars.passes_deadline else whole
 
+    def size_below(self, job: Job, tier: int) -> float:
+        """Of a lower call of a job of this tier."""
+        spec = self.plan.classes[job.cls]
+        return job.size if spec.carried else draw_size(spec, self._work[tier])
+
     def key_below(self, cls: int, number: int) -> str:
         """A lower call is a call of its own, and so is its key."""
         return f"b{number}" if self.plan.classes[cls].effect == "deduplicated" else ""
--- a/limenotch/lab/scenario.py
+++ b/limenotch/lab/scenario.py
@@ -108,6 +108,7 @@
     attempt_noise: Range = 0.0
     worth: NotNegative = 1.0
     late_worth: Part = 0.0
+    carried: bool = True  # a large call is large in every tier; else each tier's part is drawn by itself
 
 
 class Account(Struct, frozen=True, forbid_unknown_fields=True):
@@ -493,7 +494,7 @@
         ClassSpec(
             cls.name, _draw(cls.share, draw), _draw(cls.work_ms, draw), cls.effect, cls.scope, cls.window_s * 1000.0,
             cls.dist, _draw(cls.cv, draw), _draw(cls.attempt_noise, draw), cls.aim_ms, cls.deadline_ms, cls.worth,
-            cls.late_worth,
+            cls.late_worth, cls.carried,
         )
         for cls in scenario.cls
     )
--- a/limenotch/lab/simulate/world.py
+++ b/limenotch/lab/simulate/world.py
@@ -306,7 +306,8 @@
             self.kernel.at(self.kernel.now, self._resume, site, process, ticket, verdict)
 
         key = self.fleet.key_below(job.cls, number)
-        lower = sidecar.take(number, job.cls, 0, job.size, key, budget, now + budget, answer)
+        size = self.fleet.size_below(job, machine.tier)
+        lower = sidecar.take(number, job.cls, 0, size, key, budget, now + budget, answer)
         if not lower.closed:
             self._below[ticket] = (sidecar, lower)
             self.kernel.late(now + budget, self._give_up_below, site, process, ticket, lower)
