Choose the entry and draw sidecar seeds in the fleet, once for both hosts; drop dead state

Need: on rereading, the front's choice and the sidecars' seeds stood in both hosts, though what decides belongs to the model; a simulated sidecar had its own copy of the program's idle part; the shown metrics were listed twice; a policy's text was read anew, with a git call for a revision, for each run's digest, and might differ from the text loaded.

Change: Fleet.entry_rank and Fleet.sidecar_seed; settings.Providers().idle_part; one SHOWN; sources read once a process; fields that nothing read are gone.

--- a/limenotch/cli/lab/load.py
+++ b/limenotch/cli/lab/load.py
@@ -89,7 +89,7 @@
         for pool in pools:
             pool.close()
     rules.quiet(clock())
-    record.rules, record.ended_ms = rules, clock()
+    record.rules = rules
     late = histogram()
     for value in load.late_us:
         late.record_value(max(value, 1))
--- a/limenotch/lab/compare.py
+++ b/limenotch/lab/compare.py
@@ -28,6 +28,9 @@
     "failed": -1, "retries": -1, "again": 0, "crossings": 0, "wasted_work": -1, "p50_ms": -1, "p95_ms": -1,
     "p99_ms": -1, "cold_push": 0, "rules_broken": -1,
 }
+# Those that tables and pages show.
+SHOWN = ("score", "in_time", "worst_10s", "worst_class", "worst_account", "rejected", "failed", "wasted_work", "p50_ms",
+         "p95_ms", "p99_ms", "cold_push", "rules_broken")
 CONFIDENCE = 0.95
 RESAMPLES = 4000
 FEWEST = 4  # pairs below which no verdict is given: the bootstrap of three values knows nothing of their spread
--- a/limenotch/lab/emulate/host.py
+++ b/limenotch/lab/emulate/host.py
@@ -65,7 +65,7 @@
 
     def __init__(self, plan: Plan, folder: Path, load: bool = True) -> None:
         self.plan, self.folder, self._with_load = plan, folder, load
-        self._seeds = seeds = Seeds(plan.seed)
+        seeds = Seeds(plan.seed)
         network = Network(plan.network, seeds)
         self.clients = Clients(
             plan.clients, plan.classes, plan.accounts, len(plan.network.zones), plan.quota_per_s, seeds, plan.trace)
@@ -80,7 +80,6 @@
         self.directories = DirectoryHost(self.fleet.directories, self.clock, self._lines, self._told)
         self.sidecars: dict[tuple[int, int], SidecarProcess] = {}
         self._pools: dict[tuple[int, int], Pool] = {}
-        self._front = seeds.stream("front")
         self._tasks: set[asyncio.Task[None]] = set()
         self._lag = Lag(self.clock)
         self.rules.lag_ms = self._lag.now_ms
@@ -123,13 +122,11 @@
     async def _start_sidecar(self, key: tuple[int, int], zone: int, rank: int, balancers: int) -> None:
         tier, number = key
         settings = settings_of(self.plan, tier, rank, balancers, zone)
-        generation = 0 if tier == 0 else self.fleet.sites[tier - 1][number].generation
-        seed = int(self._seeds.stream("sidecar", tier, number, generation).uniform() * 2**53)
         port = await self.directories.watcher(key)
         entries = tuple(self.fleet.directories[tier].entries.values())
         known = {"index": 0, "snapshot": True, "endpoints": self._lines(key, entries)}
         self.rules.forget(key)
-        sidecar = SidecarProcess(f"s{tier}-{number}", self.folder, settings, port, seed, known)
+        sidecar = SidecarProcess(f"s{tier}-{number}", self.folder, settings, port, self.fleet.sidecar_seed(key), known)
         self.sidecars[key] = sidecar
         sidecar.spawn()
         await sidecar.ready()
@@ -205,14 +202,7 @@
         }
 
     def _choose(self, request: Request) -> Pool | None:
-        draw = self._front.uniform()
-        for rank, part in self.fleet.hot.items():
-            draw -= part
-            if draw < 0:
-                return self._pools.get((0, rank))
-        count, zones = self.plan.scenario.sidecars.count, len(self.plan.network.zones)
-        ranks = range(request.zone, count, zones) or range(count)
-        return self._pools.get((0, ranks[self._front.index(len(ranks))]))
+        return self._pools.get((0, self.fleet.entry_rank(request.zone)))
 
     async def _sample(self) -> None:
         at = 0.0
--- a/limenotch/lab/emulate/load.py
+++ b/limenotch/lab/emulate/load.py
@@ -25,13 +25,11 @@
 class Progress:
     """What a progress line shows."""
 
-    now_ms: float = 0.0
     asked: int = 0
     open: int = 0
     served: int = 0
     rejected: int = 0
     failed: int = 0
-    late_ms: float = 0.0  # the most by which a request left after its time, lately
 
 
 def call_wire(plan: Plan, cls: int, account: int | None, name: str, key: str, budget_ms: float, size: float,
@@ -124,9 +122,7 @@
         now = self._clock()
         late = max(now - meant, 0.0)
         self.late_us.append(int(late * 1000.0))
-        self.progress.late_ms = max(self.progress.late_ms * 0.99, late)
         request.tries += 1
-        request.last_ms = meant
         self._open += 1
         self.progress.open = self._open
         self._record.tried(meant, request)
--- a/limenotch/lab/model/clients.py
+++ b/limenotch/lab/model/clients.py
@@ -71,8 +71,6 @@
     key: str
     in_share: bool = True
     tries: int = 0
-    last_ms: float = 0.0  # when the present try began
-    served_ms: float | None = None  # from its birth
     outcomes: list[str] = field(default_factory=list)
 
 
--- a/limenotch/lab/model/fleet.py
+++ b/limenotch/lab/model/fleet.py
@@ -60,6 +60,7 @@
         self._everyone: dict[str, tuple[float, Group]] = {}
         self._groups: dict[tuple[int, str, int], Group] = {}
         self.every: list[list[Provider]] = [[] for _ in plan.tiers]  # processes, those gone included
+        self._front = seeds.stream("front")
         self._work = [seeds.stream("work", tier) for tier in range(len(plan.tiers))]
         self._scope = next((c.scope for c in plan.classes if c.effect == "deduplicated"), "all")
         for tier, sites in enumerate(self.sites):
@@ -67,6 +68,23 @@
                 self._start(0.0, site, 0.0)
                 self.directories[tier].known(self.entry(site))
 
+    def entry_rank(self, zone: int) -> int:
+        """The entry sidecar that the front gives a try of this zone to: a hot one, or one of the zone."""
+        draw = self._front.uniform()
+        for rank, part in self.hot.items():
+            draw -= part
+            if draw < 0:
+                return rank
+        count = self.plan.scenario.sidecars.count
+        ranks = range(zone, count, len(self.plan.network.zones)) or range(count)
+        return ranks[self._front.index(len(ranks))]
+
+    def sidecar_seed(self, key: tuple[int, int]) -> int:
+        """Of the sidecar that sends to tier `key[0]`; an inner one's is new with each process of its machine."""
+        tier, number = key
+        generation = 0 if tier == 0 else self.sites[tier - 1][number].generation
+        return int(self._seeds.stream("sidecar", tier, number, generation).uniform() * 2**53)
+
     def group_of(self, machine: Machine) -> int:
         """The number of the group that drops the repeats of one another."""
         if self._scope == "zone":
--- a/limenotch/lab/policy.py
+++ b/limenotch/lab/policy.py
@@ -15,6 +15,7 @@
 import tarfile
 import tempfile
 from collections.abc import Callable
+from functools import cache
 from hashlib import sha256
 from pathlib import Path
 from types import ModuleType
@@ -108,8 +109,12 @@
     return files
 
 
+@cache
 def sources(spec: str) -> dict[str, bytes]:
-    """The files of a variant: `installed`, `git:REVISION`, or the path of a policy file. Raises FaultError."""
+    """The files of a variant: `installed`, `git:REVISION`, or the path of a policy file. Raises FaultError.
+
+    Read once a process, so that a digest is always of the text that was loaded.
+    """
     if spec == "installed":
         return _installed()
     if spec.startswith("git:"):
--- a/limenotch/lab/record.py
+++ b/limenotch/lab/record.py
@@ -113,7 +113,6 @@
         self.latency = [histogram() for _ in plan.classes]
         self.finals = dict.fromkeys(OUTCOMES, 0)  # of whole requests
         self.tries = self.retries = self.lines_told = 0
-        self.advice: list[float] = []
         self.events: list[tuple[float, str, str]] = []
         self.sampled_ms: list[float] = []
         self.spread: list[dict[str, list[float]]] = [{} for _ in plan.tiers]
@@ -127,10 +126,8 @@
                 for tier in plan.tiers
             ]
         self._busy: dict[tuple[int, int], tuple[object, float]] = {}
-        self._done = 0.0
         self.rules: Rules | None = None
         self.work: list[dict[str, float]] = []
-        self.ended_ms = 0.0
         self.cut_short = False
         self.machine: dict[str, Any] = {}  # of runs in real time
         self.host: dict[str, Any] = {}
@@ -255,7 +252,7 @@
 
     def end(self, now: float, world: Any) -> None:
         """The run is over: the rules' verdict and the providers' books."""
-        self.ended_ms, self.rules = now, world.rules
+        self.rules = world.rules
         self.cut_short = world.cut_short
         self.work = books(now, world.fleet)
 
--- a/limenotch/lab/report/page.py
+++ b/limenotch/lab/report/page.py
@@ -9,11 +9,9 @@
 from jinja2 import Environment, PackageLoader, StrictUndefined
 
 from ...toml import FaultError
-from ..compare import Comparison, Variant
+from ..compare import SHOWN, Comparison, Variant
 from . import plots
 
-SHOWN = ("score", "in_time", "worst_10s", "worst_class", "worst_account", "rejected", "failed", "wasted_work", "p50_ms",
-         "p95_ms", "p99_ms", "cold_push", "rules_broken")
 MOST_EVENTS = 40
 
 
--- a/limenotch/lab/simulate/sidecar.py
+++ b/limenotch/lab/simulate/sidecar.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
+from ... import settings
 from ...facade import time_left_ms
 from ..model.directory import Broken, Tell
 from ..model.fleet import Site
@@ -18,7 +19,7 @@
 if TYPE_CHECKING:
     from .world import World
 
-IDLE_PART = 0.4  # of the provider's idle time after which a connection is closed from here
+IDLE_PART = settings.Providers().idle_part  # the program's own
 
 Answer = Callable[[str, float], None]  # verdict, and when to come back
 
@@ -52,13 +53,13 @@
 
 
 class Sidecar:
-    def __init__(self, world: World, key: tuple[int, int], zone: int, tier: int, settings: dict[str, Any],
+    def __init__(self, world: World, key: tuple[int, int], zone: int, tier: int, told: dict[str, Any],
                  seed: int) -> None:
-        """`tier` is the one it sends to; `key` is unique in the world."""
+        """`told` are its settings; `tier` is the one it sends to; `key` is unique in the world."""
         self.world, self.key, self.zone, self.tier = world, key, zone, tier
         self.alive = True
         self.calls: dict[int, Call] = {}
-        self.decide = world.policy.instance(settings, seed)
+        self.decide = world.policy.instance(told, seed)
         self._face = world.policy.face
         self._idle: dict[Provider, list[float]] = {}  # when each idle connection was last used
         self._stage: dict[str, str] = {}  # as told
--- a/limenotch/lab/simulate/world.py
+++ b/limenotch/lab/simulate/world.py
@@ -33,7 +33,7 @@
         self.plan, self.policy, self.clock = plan, policy, clock
         self.deciding = 0.0
         self.kernel = Kernel()
-        self.seeds = seeds = Seeds(plan.seed)
+        seeds = Seeds(plan.seed)
         self.network = Network(plan.network, seeds)
         zones = len(plan.network.zones)
         self.clients = Clients(plan.clients, plan.classes, plan.accounts, zones, plan.quota_per_s, seeds, plan.trace)
@@ -41,7 +41,6 @@
         self.script = Script(plan, seeds)
         self.rules = Rules(Limits(grace_ms=plan.scenario.rules.drain_grace_ms))
         self.record = Record(plan, self.script.bands)
-        self._front = seeds.stream("front")
         self._count = 0
         self._names: dict[str, tuple[Site, Provider]] = {}
         self._attempts: dict[int, tuple[Sidecar, Attempt]] = {}  # by ticket: those that a provider holds
@@ -100,7 +99,6 @@
     def _try(self, request: Request) -> None:
         now = self.kernel.now
         request.tries += 1
-        request.last_ms = now
         self._open += 1
         self.record.tried(now, request)
         sidecar = self._entry(request.zone)
@@ -145,14 +143,7 @@
             self.kernel.at(now + wait, self._try, request)
 
     def _entry(self, zone: int) -> Sidecar:
-        draw = self._front.uniform()
-        for rank, part in self.fleet.hot.items():
-            draw -= part
-            if draw < 0:
-                return self.sidecars[(0, rank)]
-        count, zones = self.plan.scenario.sidecars.count, len(self.plan.network.zones)
-        ranks = range(zone, count, zones) or range(count)
-        return self.sidecars[(0, ranks[self._front.index(len(ranks))])]
+        return self.sidecars[(0, self.fleet.entry_rank(zone))]
 
     # Sidecars
 
@@ -162,14 +153,10 @@
 
     def _start_sidecar(self, key: tuple[int, int], zone: int, tier: int, rank: int, balancers: int) -> None:
         settings = settings_of(self.plan, tier, rank, balancers, zone)
-        seed = int(self.seeds.stream("sidecar", *key, self._generation(key)).uniform() * 2**53)
-        sidecar = self.sidecars[key] = Sidecar(self, key, zone, tier, settings, seed)
+        sidecar = self.sidecars[key] = Sidecar(
+            self, key, zone, tier, settings, self.fleet.sidecar_seed(key))
         sidecar.start()
 
-    def _generation(self, key: tuple[int, int]) -> int:
-        tier, rank = key
-        return 0 if tier == 0 else self.fleet.sites[tier - 1][rank].generation
-
     def _start_inner(self, tier: int, site: Site) -> None:
         """The sidecar of a provider, for its calls of the tier below."""
         machine = site.machine
--- a/limenotch/lab/tables.py
+++ b/limenotch/lab/tables.py
@@ -7,7 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from .compare import Comparison
+from .compare import SHOWN, Comparison
 from .experiment import Result
 
 COLUMNS = (
@@ -56,8 +56,6 @@
                       f"{sum(r.cost['events'] for r in results) / cpu:.0f} events a second")
 
 
-SHOWN = ("score", "in_time", "worst_10s", "worst_class", "worst_account", "rejected", "failed", "wasted_work", "p50_ms",
-         "p95_ms", "p99_ms", "cold_push", "rules_broken")
 STYLES = {"better": "green", "worse": "red"}
 
 
