--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -170,6 +171,13 @@
         """How long any consumer waits for a call of this class."""
         return self.classes[self._classes[class_name]].deadline_ms
 
+    def figures(self) -> dict[str, float]:
+        """What the decisions stand on, for the log: invoker calls out, and from how many calls are rejected."""
+        balancer = self._balancer
+        limit = balancer.limit if math.isfinite(balancer.limit) else -1.0
+        return {"out": balancer.out, "limit": round(limit, 1), "pace": round(balancer.pace * 1000, 1),
+                "typical_ms": round(balancer.typical), "drawn": len(balancer.table[0])}
+
     def start(self) -> Orders:
         return self._handle(face.Started())
 
@@ -191,11 +199,14 @@
         ending: Ending,
         closed: bool,
         utilisation: float | None = None,
+        per_s: float | None = None,
     ) -> Orders:
-        """An invoker call ended; `closed` says that its call has its final answer."""
+        """An invoker call ended; `closed` says that its call has its final answer. The last two are the provider's
+        report: the busy part of its cores, and the requests that it served a second for all sidecars.
+        """
         outcome = OUTCOMES[ending]
         return self._handle(
-            face.Finished(str(call), provider, number, spent_ms, outcome, closed, utilisation)
+            face.Finished(str(call), provider, number, spent_ms, outcome, closed, utilisation, per_s)
         )
 
     def tick(self, ticket: int) -> Orders:
--- a/limenotch/lab/simulate/sidecar.py
+++ b/limenotch/lab/simulate/sidecar.py
@@ -67,6 +67,7 @@
         self._idle_ms, self._rtts, self._connect_ms = plan.idle_ms, plan.handshake_rtts, plan.connect_timeout_ms
         face = self._face
         outcome = face.Outcome
+        self._reported = 2 if "per_s" in face.Finished._fields else 1  # a variant of an older interface
         self._outcomes = {
             "served": outcome.OK, "error": outcome.ERROR, "refused": outcome.REFUSED, "reset": outcome.RESET,
         }
@@ -278,11 +279,11 @@
             self.world.abandon(self, attempt)
             self._ended(attempt, outcome, None)
 
-    def ended(self, attempt: Attempt, how: str, util: float | None) -> None:
+    def ended(self, attempt: Attempt, how: str, report: tuple[float, float] | None) -> None:
         """From there: `served`, `error`, `refused`, `reset`."""
-        self._ended(attempt, self._outcomes[how], util)
+        self._ended(attempt, self._outcomes[how], report)
 
-    def _ended(self, attempt: Attempt, outcome: Any, util: float | None) -> None:
+    def _ended(self, attempt: Attempt, outcome: Any, report: tuple[float, float] | None) -> None:
         if attempt.over or not self.alive:
             return
         world, call, face = self.world, attempt.call, self._face
@@ -305,5 +306,5 @@
         elif call.closed:
             self._close(call)
         event = face.Finished(str(call.number), attempt.name, attempt.number, now - attempt.began, outcome,
-                              call.closed, util)
+                              call.closed, *(report or ())[: self._reported])
         self._handle(event)
--- a/limenotch/lab/simulate/world.py
+++ b/limenotch/lab/simulate/world.py
@@ -239,12 +239,13 @@
         if not self.reaches(sidecar.zone, site):
             attempt.hushed = True
             return
-        util = None
+        report: tuple[float, float] | None = None
         if how != "reset" and not process.stopped:
-            util = process.report(self.kernel.now).util
+            shown = process.report(self.kernel.now)
+            report = (shown.util, shown.qps)
             if how in ("served", "error") and self.fleet.spoils(site):
-                how, util = "reset", None  # an answer that can't be read: the sidecar closes the connection
-        self.kernel.at(self.kernel.now + self.one_way(sidecar.zone, site), sidecar.ended, attempt, how, util)
+                how, report = "reset", None  # an answer that can't be read: the sidecar closes the connection
+        self.kernel.at(self.kernel.now + self.one_way(sidecar.zone, site), sidecar.ended, attempt, how, report)
 
     # Providers
 
--- a/limenotch/logs.py
+++ b/limenotch/logs.py
@@ -17,6 +17,11 @@
 get = structlog.stdlib.get_logger
 
 
+def tracing() -> bool:
+    """Whether `debug` is on: asked once at the start, as each line per call costs its making."""
+    return logging.getLogger().isEnabledFor(logging.DEBUG)
+
+
 def configure(form: str, level: str, name: str) -> None:
     """For the whole process. `name` is the sidecar's, on every line."""
 
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -17,8 +17,11 @@
 from tornado.ioloop import IOLoop
 
 from .. import facade as house
+from .. import logs
 from ..facade import Ending, Facade, Orders, time_left_ms
 
+log = logs.get(__name__)
+
 
 class Verdict(Enum):
     SERVED = "served"
@@ -85,6 +88,7 @@
         self._out: dict[tuple[int, int], InvokerCall] = {}
         self._todo: deque[house.Order] = deque()
         self._working = False
+        self._trace = logs.tracing()
 
     def has(self, name: bytes) -> bool:
         """Whether a call of this name is open."""
@@ -111,6 +115,8 @@
             return call
         self.open[call.number] = call
         self._names.add(name)
+        if self._trace:
+            log.debug("taken", call=call.number, kind=class_name, account=tenant, left_ms=round(left), resent=resent)
         self.carry_out(self.facade.pick(call.number, class_name, tenant, left, resent))
         return call
 
@@ -125,7 +131,12 @@
                     self.invoker.abandon(invoker_call)
 
     def ended(
-        self, invoker_call: InvokerCall, ending: Ending, payload: Any = None, utilisation: float | None = None
+        self,
+        invoker_call: InvokerCall,
+        ending: Ending,
+        payload: Any = None,
+        utilisation: float | None = None,
+        per_s: float | None = None,
     ) -> None:
         """An invoker call ended; the first that served its call is its answer."""
         if invoker_call.over:
@@ -136,10 +147,13 @@
         if ending is Ending.SERVED and call.final is None and not call.gone:
             self._close(call, Final(Verdict.SERVED, payload))
         spent = (monotonic() - invoker_call.began) * 1000.0
+        if self._trace:
+            log.debug("invoked", call=call.number, number=invoker_call.number, provider=invoker_call.provider,
+                      ending=ending.value, spent_ms=round(spent, 1), util=utilisation, per_s=per_s)
         closed = call.final is not None or call.gone
         self.carry_out(
             self.facade.report(
-                call.number, invoker_call.number, invoker_call.provider, spent, ending, closed, utilisation
+                call.number, invoker_call.number, invoker_call.provider, spent, ending, closed, utilisation, per_s
             )
         )
 
@@ -195,6 +209,9 @@
 
     def _close(self, call: Call, final: Final) -> None:
         call.final = final
+        if self._trace:
+            log.debug("final", call=call.number, verdict=final.verdict.value, invoked=len(call.made),
+                      **self.facade.figures())
         self._forget(call)
         call.answer(final)
 
--- a/limenotch/net/directory.py
+++ b/limenotch/net/directory.py
@@ -80,6 +80,7 @@
         self._at, self._heard, self._broken = at, heard, broken
         self._loop = IOLoop.current()
         self._version = 0
+        self._trace = logs.tracing()
         self._again = 0  # attempts left in which a move is completed without the module
         self._task: asyncio.Task[None] | None = None
 
@@ -119,6 +120,8 @@
         self._broken()
 
     async def _follow(self) -> None:
+        if self._trace:
+            log.debug("watch", since=self._version)
         family = socket.AF_INET6 if ":" in self._at[0] else socket.AF_INET
         stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
         timer = self._loop.call_later(self._silence_s, stream.close)
@@ -156,4 +159,7 @@
         told = list_of(raw)
         if told is not None:
             self._version, self._again = told[0] or self._version, 0
+            if self._trace:
+                log.debug("told", version=told[0], whole=told[1] or whole,
+                          entries=[[p.name, p.status.value, p.since_ms, p.kind, p.zone, p.weight] for p in told[2]])
             self._heard(told[2], told[1] or whole)
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -19,7 +19,8 @@
 log = logs.get(__name__)
 
 MAX_BUFFER = 512 * 1024
-MAX_UTILISATION = 4.0  # no busy share of its cores is more, noise included: the report is spoilt
+# No busy share of its cores is more, noise included, and no provider of one process serves more a second.
+MOST_REPORTED = {b"util": 4.0, b"qps": 1e6}
 
 
 class Connection:
@@ -167,10 +168,8 @@
             self._loop.remove_timeout(timer)
             self._used.pop(invoker_call, None)
             self._cut.pop(invoker_call, None)
-            utilisation = None
-            if response is not None:
-                utilisation = utilisation_of(response.fields.get(b"x-load-report", b""))
-            self._calls.ended(invoker_call, ending, response, utilisation)
+            report = report_of(response.fields.get(b"x-load-report", b"")) if response is not None else (None, None)
+            self._calls.ended(invoker_call, ending, response, *report)
 
     async def _exchange(self, invoker_call: InvokerCall) -> tuple[Ending, http1.Message | None]:
         connection = await self._connection(invoker_call)
@@ -313,14 +312,20 @@
     return Ending.ERROR
 
 
-def utilisation_of(report: bytes) -> float | None:
-    """`util` of a load report; None if there is none or the report is malformed."""
+def report_of(report: bytes) -> tuple[float | None, float | None]:
+    """`util` and `qps` of a load report; None for what is missing or out of any range.
+
+    A report that is malformed in one of them is spoilt: neither counts.
+    """
+    found: dict[bytes, float] = {}
     for pair in report.removeprefix(b"TEXT ").split(b","):
         name, _, value = pair.strip().partition(b"=")
-        if name == b"util":
+        if name in MOST_REPORTED:
             try:
                 number = float(value)
             except ValueError:
-                return None
-            return number if 0.0 <= number <= MAX_UTILISATION else None
-    return None
+                return None, None
+            if not 0.0 <= number <= MOST_REPORTED[name]:
+                return None, None
+            found[name] = number
+    return found.get(b"util"), found.get(b"qps")
--- a/switchthread/benchlink.py
+++ b/switchthread/benchlink.py
@@ -62,11 +62,11 @@
     )
 
 
-def _utilisation(report: str | None) -> float | None:
-    for pair in (report or "").split(","):
-        if pair.startswith("util:"):
-            return float(pair[5:])
-    return None
+def _report(report: str | None) -> tuple[float | None, float | None]:
+    """Utilisation and requests a second; None for what the report lacks."""
+    values = dict(pair.split(":", 1) for pair in (report or "").split(",") if ":" in pair)
+    util, per_s = values.get("util"), values.get("qps")
+    return (float(util) if util else None, float(per_s) if per_s else None)
 
 
 def _event(name: str, pairs: dict[str, str]) -> face.Event:
@@ -87,7 +87,7 @@
             float(pairs["spent_ms"]),
             OUTCOMES[pairs["how"]],
             pairs.get("closed") == "1",
-            _utilisation(pairs.get("report")),
+            *_report(pairs.get("report")),
         )
     if name == "TIMER":
         return face.TimerFired(int(pairs["ctx"]))
--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -23,7 +23,6 @@
 ENOUGH = 8  # samples before a window's mean counts: fewer make the lowest mean sit too low
 PRIOR = 4.0  # samples with which an upstream's own mean weighs as much as its kind's
 LEAN = 2.0  # share falls with this power of relative slowness: much hides behind time spent in tiers below
-STEER = 0.5  # each window a kind's share moves by this power of its relative slowness
 SHUN = 3.0  # share falls with this power of the relative part served
 FLOOR = 0.02  # of its weight, always left to an upstream so that recovery is seen
 CLIP = 4.0  # one answer counts at most this many times the usual: a costly call is not a slow upstream
@@ -38,13 +37,15 @@
 QUIET = 8.0  # answers overdue by its mean, with none at all, after which an upstream counts as silent
 CROWD = 1.7  # times what the others hold each that one upstream may hold ...
 FREE = 2.0  # ... counting this many more: on a calm day the own zone does not spill over
-HEADROOM = 1.2  # of the even rate of a warm upstream, times its present part, that a cold one is sent
-MILD = 1.15  # a tier that is cold by less than this much is counted as warm: others take what it can't
+HEADROOM = 0.375  # of what would push a cold upstream over: what all balancers together may send it
 FILL = 0.3  # of the time between an idle answer and the aim that the wait may use before calls are refused
 AFAR = 0.05  # part of its weight left to an upstream of another zone while the own zone is no slower
 SPREAD = 1.0  # upstreams drawn from for each call held: our own calls then tell of each one's queue
 OVERLAP = 4.0  # balancers that draw from each upstream at the least, so that none depends on one of them
 FEWEST = 8  # upstreams drawn from at the least, so that one in trouble is a small part
+FULL = 0.6  # use of the own zone's upstreams up to which calls stay in it: beyond, waits grow
+REPORTS = 1.2  # reports fade over this many of the longest aims: a jam shows within two or three of them
+BUSY = 0.5  # use of cores reported that weighs as much as what its kind has shown
 SPILL = 6.0  # power of the own zone's relative slowness by which that part grows
 
 
@@ -69,8 +70,9 @@
         self.calls: dict[str, Call] = {}
         self.timers: dict[int, Call | None] = {}
         self.token, self.failures, self.now, self.began, self.due = 0, 0, -inf, -1.0, -inf  # window's ends
-        self.budget, self.out, self.held, self.sent, self.served = BURST, 0, 0.0, 0, 0
-        self.good = self.bad = self.rate = self.flow = self.pace = self.even = 0.0
+        self.budget, self.out, self.held, self.arrived, self.served = BURST, 0, 0.0, 0, 0
+        self.good = self.bad = self.flow = self.pace = self.room = self.demand = 0.0
+        self.reports = REPORTS * max(aims)
         self.copyable = self.copied = self.came = 0.0
         self.fair = self.afar = self.best = 1.0
         self.typical = 0.0  # mean latency over all classes
@@ -124,6 +126,8 @@
             if old is None or old.at.started_ms != at.started_ms:
                 # A restart is a new process: nothing that its predecessor showed holds for it.
                 old = Server(at, self.kinds.setdefault(at.kind, Mean()), now, now)
+                # Out of step, or all balancers' first calls would reach a new one at the same time.
+                old.credit = self.random.random()
             held[at.name], old.at = old, at
             old.weight = at.weight if self.set.weights_listed else 1.0
         self.servers = {name: s for name, s in held.items() if s.at.stage is not Stage.GONE}
@@ -161,24 +165,18 @@
     def _renew(self, now: float) -> None:
         if self.began >= 0:
             span = now - self.began
-            # As warm ones would get it: a cold tier is sent less, and must not be sent less still for that.
-            drawn = self.table[0]
-            able = sum(s.weight * self._capacity(s, now) for s in drawn)
-            alike = max(min(MILD * able / max(sum(s.weight for s in drawn), 1e-9), 1.0), 0.1)
-            self.rate += (self.sent / span / alike - self.rate) * (0.1 if self.rate else 1.0)
+            self.demand += (self.arrived / span * 1000 - self.demand) * (0.2 if self.demand else 1.0)
             self.flow += (self.served / span - self.flow) * (0.4 if self.flow else 1.0)
             self.pace = max(self.flow, self.pace * 0.9)  # lately shown: a lull in demand is no loss of pace
-            self.good, self.bad, self.sent, self.served = self.good * 0.9, self.bad * 0.9, 0, 0
+            self.good, self.bad, self.arrived, self.served = self.good * 0.9, self.bad * 0.9, 0, 0
             self.copyable, self.copied, self.came = self.copyable * 0.9, self.copied * 0.9, self.came * 0.9
             for mean in (self.tier, self.near, self.far, *self.kinds.values()):
+                mean.done, mean.busy = mean.done * 0.9, mean.busy * 0.9
                 if mean.count >= ENOUGH:
                     recent = mean.total / mean.count
                     mean.now += (recent - mean.now) * mean.count / (mean.count + ENOUGH)
                     mean.lows = [*mean.lows[1 - SPAN:], recent]
                     mean.low, mean.total, mean.count = min(mean.lows), 0.0, 0.0
-                    # A slower kind loses share until it answers as fast as the tier: its mean alone tells
-                    # little of its speed while most time is spent in the tiers below.
-                    mean.lean = min(max(mean.lean * (self.tier.now / mean.now) ** STEER, 1 / CLIP), CLIP)
             whole = sum(u * n for u, n in zip(self.usual, self.answers, strict=True))
             self.typical = whole / max(sum(self.answers), 1)
             if not self.set.layer:  # the tiers above have paid for their calls: only the entry refuses
@@ -187,33 +185,76 @@
         self._shares(now)
 
     def _shares(self, now: float) -> None:
-        drawn = self._subset()
+        drawn, ready = self._subset(), self.order[0] + self.order[1]
+        for s in ready:
+            self._gauge(s, now)
+        able = sum(s.able for s in ready)
         self.fair = (self.good + PRIOR) / (self.good + self.bad + PRIOR)
         self.best = max((s.ok for s in drawn), default=1.0)
-        # Calls that fail at once make the own zone no slower, and are as much of a reason to go elsewhere.
-        own = self.order[0]
-        sound = sum((s.ok / self.best) ** SHUN for s in own if not s.quiet) / max(len(own), 1)
-        slow = max(self.near.now / self.far.now, 0.1) ** SPILL
-        afar = AFAR * slow / max(sound, AFAR) if self.set.crossing_cost else 1.0
-        self.afar = min(max(afar, AFAR), 1.0)
-        self.even = self.rate / max(sum(s.weight for s in drawn), 1e-9)
-        self.table = (drawn, list(accumulate(self._share(s, now) for s in drawn)))
+        for s in drawn:
+            self._share(s, now)
+        if self.set.crossing_cost:
+            self._distances(drawn, able)
+        whole = max(sum(s.share for s in drawn), 1e-9)
+        # Where no reports tell what a tier can do, demand does, and not what is sent: a cold tier gets less.
+        part = able / self.set.balancers
+        if not self.tier.done:
+            part = self.demand * sum(s.able for s in drawn) / max(sum(s.weight for s in drawn), 1e-9)
+        self.room = HEADROOM * self.set.cold.fall_multiple * part / 1000 / whole
+        self.table = (drawn, list(accumulate(s.share for s in drawn)))
         self.groups.clear()
 
-    def _share(self, server: Server, now: float) -> float:
-        """An even share or the listed weight, bent by slowness, misses, warmth and distance."""
+    def _gauge(self, server: Server, now: float) -> None:
+        """What it can do now: by its own reports as far as they go, else as others of its kind and age.
+
+        Served over used is what it would serve in full use (gRPC's client-side weighted round robin, proposal
+        A58, weighs by that). Reports hold what all balancers sent: a few answers tell as much as many.
+        """
+        like = server.like if server.like.done else self.tier
+        usual = like.done / like.busy if like.done else 1.0
+        fade = exp((server.told_at - now) / self.reports)
+        prior = server.weight * usual * self._capacity(server, now)
+        # A span in which nothing was done yet shows use alone: that is no proof of a dead upstream.
+        shown = (server.done * fade + BUSY * prior) / (server.busy * fade + BUSY)
+        server.able = max(shown, FLOOR * prior, 1e-9)
+
+    def _share(self, server: Server, now: float) -> None:
+        """What it can do, bent by slowness and misses."""
         fade = exp((server.stamp - now) / self.memory)
         count, good, bad = server.count * fade, server.good * fade, server.bad * fade
         server.slow = (server.ratios * fade + PRIOR * server.like.now) / (count + PRIOR)
         server.ok = (good + PRIOR * self.fair) / (good + bad + PRIOR)
-        # If everything is slow or failing nothing is singled out: both factors are relative to the tier.
-        bend = min((server.like.now / server.slow) ** LEAN, 4.0) * min(server.ok / self.best, 1.0) ** SHUN
-        capacity = self._capacity(server, now)
-        server.rate = capacity * HEADROOM * self.even * server.weight
-        distance = self.afar if server.at.zone != self.set.zone else 1.0
-        bend = FLOOR if server.quiet else max(bend, FLOOR)
-        server.share = server.weight * server.like.lean * bend * capacity * distance
-        return server.share
+        # If everything is slow or failing nothing is singled out: both factors are relative, slowness to its
+        # kind where reports tell what each kind can do.
+        usual = (server.like if self.tier.done else self.tier).now
+        bend = min((usual / server.slow) ** LEAN, 4.0) * min(server.ok / self.best, 1.0) ** SHUN
+        server.share = server.able * (FLOOR if server.quiet else max(bend, FLOOR))
+
+    def _distances(self, drawn: list[Server], able: float) -> None:
+        """Calls stay in their zone as far as it can carry them; the rest goes to zones that have room.
+
+        All balancers know the list, so all of a zone move alike as soon as it changes. Latencies, the second
+        reason to go elsewhere, tell it seconds later, when boxes are jammed.
+        """
+        own, zones = self.order[0], dict[int, float]()
+        sound = sum((s.ok / self.best) ** SHUN for s in own if not s.quiet) / max(len(own), 1)
+        slow = max(self.near.now / self.far.now, 0.1) ** SPILL
+        self.afar = min(max(AFAR * slow / max(sound, AFAR), AFAR), 1.0)
+        for s in self.order[0] + self.order[1]:
+            zones[s.at.zone] = zones.get(s.at.zone, 0.0) + s.able
+        if self.tier.done and self.set.zone in zones:
+            calls = self.demand * self.set.balancers / len(zones)  # of each zone, a second
+            full = max(FULL, calls * len(zones) / able)
+            kept = min(full * zones[self.set.zone] / max(calls, 1e-9), 1.0)
+            near = sum(s.share for s in drawn if s.at.zone == self.set.zone)
+            if kept < 1:
+                for s in drawn:
+                    if s.at.zone != self.set.zone:
+                        s.share *= max(1 - calls / (full * zones[s.at.zone]), AFAR)
+                far = sum(s.share for s in drawn if s.at.zone != self.set.zone)
+                self.afar = max(self.afar, near * (1 - kept) / max(kept * far, 1e-9))
+        for s in drawn:
+            s.share *= self.afar if s.at.zone != self.set.zone else 1.0
 
     def _admission(self) -> None:
         """How many calls may be held at once so that they are on time: by Little's law, pace times wait."""
@@ -267,15 +308,18 @@
         key = (call.cls.scope, bound.server.at.zone if zone else bound.server.at.cell)
         if key not in self.groups:
             members = [s for part in self.order for s in part if (s.at.zone if zone else s.at.cell) == key[1]]
-            self.groups[key] = (members, list(accumulate(self._share(s, now) for s in members)))
+            for s in members:
+                self._share(s, now)
+            self.groups[key] = (members, list(accumulate(s.share for s in members)))
         return self.groups[key]
 
     def _warm_enough(self, server: Server, now: float) -> bool:
         """A cold upstream gets no more than its part of what warm ones take, also when most are cold."""
         if self._capacity(server, now) >= 1.0:
             return True
-        credit = server.credit + (now - server.credit_at) * server.rate
-        server.credit, server.credit_at = min(credit, 1.0 + server.rate * self.set.cold.fall_ms / 2), now
+        rate = self.room * server.share
+        credit = server.credit + (now - server.credit_at) * rate
+        server.credit, server.credit_at = min(credit, 1.0 + rate * self.set.cold.fall_ms / 2), now
         return server.credit >= 1.0
 
     def _load(self, server: Server) -> float:
@@ -315,7 +359,7 @@
         if not server.out:
             server.heard = now
         server.out += 1
-        self.out, self.sent = self.out + 1, self.sent + 1
+        self.out += 1
         self.copied, self.budget = self.copied + copy, self.budget - copy
         server.credit -= 1
         acts.append(face.Send(call.name, server.at.name, max(call.end - now, 0.001)))
@@ -329,7 +373,7 @@
         useful = min(event.budget_ms, cls.aim_ms) if cls.late_worth <= 0 else event.budget_ms
         call = Call(event.call, event.traffic_class, cls, now + useful, now + cls.aim_ms)
         self.calls[call.name] = call
-        self.came += 1
+        self.came, self.arrived = self.came + 1, self.arrived + 1
         if useful <= 0 or (not self.set.layer and self._refused(now, call, event)):
             self._finish(now, call, acts)
         else:
@@ -476,6 +520,8 @@
         server.good, server.bad, server.stamp = server.good * fade, server.bad * fade, now
         if event.utilisation is not None:
             server.util = event.utilisation
+            if event.per_s is not None and (event.utilisation, event.per_s) != server.told:
+                self._told(now, server, event.utilisation, event.per_s)
         index, ok = call.index, event.outcome is Outcome.OK
         if ok and now <= call.aim:
             # Only answers in time count: a jam that ends in time-outs would else pass for a fair pace.
@@ -495,3 +541,12 @@
             for mean in (server.like, self.tier, near):
                 mean.total, mean.count = mean.total + ratio, mean.count + 1
         self.held += (self.out - self.held) / 20
+
+    def _told(self, now: float, server: Server, util: float, per_s: float) -> None:
+        """A report that is new; most answers repeat the last one."""
+        fade = exp((server.told_at - now) / self.reports)
+        server.told, server.told_at = (util, per_s), now
+        server.done, server.busy = server.done * fade + per_s, server.busy * fade + util
+        if self._capacity(server, now) >= 1.0:
+            for mean in (server.like, self.tier):
+                mean.done, mean.busy = mean.done + per_s, mean.busy + util * server.weight
--- a/switchthread/interface.py
+++ b/switchthread/interface.py
@@ -184,6 +184,7 @@
     outcome: Outcome
     closed: bool = False
     utilisation: float | None = None  # as the upstream reports it
+    per_s: float | None = None  # requests a second that it served, of all balancers, as it reports it
 
 
 class AnswerBegun(NamedTuple):
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -13,10 +13,11 @@
 
     now: float = 1.0
     low: float = 1.0
-    lean: float = 1.0  # what the mean has made of the kind's shares
     total: float = 0.0
     count: float = 0.0
     lows: list[float] = field(default_factory=list)  # of the latest windows
+    done: float = 0.0  # over the reports of its warm upstreams: requests a second, and use times weight
+    busy: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -36,11 +37,15 @@
     bad: float = 0.0
     slow: float = 1.0  # mean ratio, shrunk toward the kind's
     ok: float = 1.0  # part of attempts served in time, shrunk toward the tier's
-    credit: float = 0.0  # sends a cold upstream may still get, growing by `rate`
-    rate: float = 0.0
+    credit: float = 0.0  # sends a cold upstream may still get
     heard: float = 0.0  # when it last answered, or was first sent to since nothing was out
     quiet: bool = False  # it owes more answers than chance explains, and has given none since
     util: float | None = None
+    told: tuple[float | None, float | None] = (None, None)  # its last report, which many answers repeat
+    done: float = 0.0  # sums over its reports, fading: requests a second, and the use of its cores
+    busy: float = 0.0
+    told_at: float = 0.0
+    able: float = 1.0  # requests a second that it can do now, from all balancers; its weight where none are reported
 
 
 @dataclass(slots=True, eq=False)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,177 @@
+"""Forty balancers and sixty upstreams: what is harmless from one balancer, and what reports tell of all of them."""
+
+from __future__ import annotations
+
+from random import Random
+
+from switchthread import Balancer
+from switchthread import interface as face
+
+LOOK = face.TrafficClass("look", face.Effect.IDEMPOTENT, 2000.0, 5000.0, late_worth=0.5)
+COLD = face.ColdStart(0.12, 24_000.0, 4.0, 3000.0)
+
+
+def settings(balancers: int = 40, rank: int = 0, crossing: float = 0.015) -> face.Settings:
+    return face.Settings(classes=(LOOK,), balancers=balancers, rank=rank, crossing_cost=crossing, cold=COLD,
+                         must_ask=True, layer=1)
+
+
+def ups(names: str, zone: int = 0, started: float = 0.0) -> tuple[face.Upstream, ...]:
+    return tuple(face.Upstream(name, zone=zone, started_ms=started) for name in names.split())
+
+
+class Host:
+    """One balancer; every attempt is answered after `spent` ms with the report that its upstream has now."""
+
+    def __init__(self, given: face.Settings, listed: tuple[face.Upstream, ...], seed: int = 1) -> None:
+        self.balancer, self.now, self.count, self.spent = Balancer(given, seed), 0.0, 0, 100.0
+        self.reports: dict[str, tuple[float, float]] = {}
+        self.sent: list[tuple[float, str]] = []
+        self.due: list[tuple[float, face.Finished]] = []
+        self.wakes: list[tuple[float, int]] = []
+        self.do(face.Started())
+        self.do(face.Membership(face.Listing.WHOLE, listed))
+
+    def do(self, event: face.Event) -> None:
+        for action in self.balancer.handle(self.now, event):
+            if isinstance(action, face.Send):
+                self.sent.append((self.now, action.upstream))
+                number = sum(a.open for a in self.balancer.calls[action.call].tries) - 1
+                report: tuple[float | None, float | None] = (None, None)
+                if action.upstream in self.reports:  # refreshed every 0.8 s, and a little noisy
+                    util, per_s = self.reports[action.upstream]
+                    report = (util, per_s * (1 + 1e-6 * (self.now // 800)))
+                done = face.Finished(action.call, action.upstream, number, self.spent, face.Outcome.OK, True, *report)
+                self.due.append((self.now + self.spent, done))
+            elif isinstance(action, face.SetTimer):
+                self.wakes.append((action.at_ms, action.token))
+
+    def until(self, time: float) -> None:
+        while True:
+            at = min([t for t, _ in self.due] + [t for t, _ in self.wakes], default=time)
+            if at >= time:
+                break
+            self.now = max(self.now, at)
+            for item in [d for d in self.due if d[0] <= at]:
+                self.due.remove(item)
+                self.do(item[1])
+            for wake in [w for w in self.wakes if w[0] <= at]:
+                self.wakes.remove(wake)
+                self.do(face.TimerFired(wake[1]))
+        self.now = time
+
+    def calls(self, until: float, per_s: float) -> None:
+        while self.now < until:
+            self.count += 1
+            self.do(face.Arrival(f"c{self.count}", 0, 5000.0))
+            self.until(self.now + 1000.0 / per_s)
+
+    def part(self, name: str, since: float = 0.0) -> float:
+        names = [n for at, n in self.sent if at >= since]
+        return names.count(name) / max(len(names), 1)
+
+
+def test_shares_follow_what_each_upstream_reports_it_can_do() -> None:
+    """Latency tells little of speed while most time is spent in tiers below: a slow box was sent as much."""
+    host = Host(settings(crossing=0.0), ups("fast slow"))
+    host.reports = {"fast": (0.5, 40.0), "slow": (0.5, 10.0)}
+    host.calls(30_000.0, 20)
+    assert 0.65 < host.part("fast", 10_000.0) < 0.85  # of 4 to 1, with one mean of their kind mixed in
+
+
+def test_one_balancer_learns_from_a_few_answers_what_all_have_sent() -> None:
+    """A jam that others made shows in two or three reports, though this balancer sent it next to nothing."""
+    host = Host(settings(crossing=0.0), ups("a b c d"))
+    host.reports = dict.fromkeys("abcd", (0.6, 20.0))
+    host.calls(20_000.0, 4)
+    host.reports["a"] = (1.0, 8.0)
+    host.calls(24_000.0, 4)
+    assert host.balancer.servers["a"].share < 0.7 * host.balancer.servers["b"].share
+
+
+def test_a_report_that_answers_repeat_counts_once() -> None:
+    host = Host(settings(crossing=0.0), ups("a b"))
+    host.reports = {"a": (0.5, 10.0), "b": (0.5, 10.0)}
+    host.calls(790.0, 40)
+    assert host.balancer.servers["a"].busy == 0.5
+
+
+def test_a_span_in_which_nothing_was_done_yet_starves_nobody() -> None:
+    """Cores in use and no request ended: the ratio is nothing in a second, and so was the share."""
+    host = Host(settings(), (*ups("a"), *ups("b", 1)))
+    host.reports = {"a": (0.3, 0.0), "b": (0.3, 0.0)}
+    host.calls(10_000.0, 10)
+    assert host.part("a") > 0.1 and host.part("b") > 0.01
+
+
+def zoned() -> Host:
+    """Four zones with two upstreams each; this balancer is in zone 0, and its calls are a fortieth of 160 a second."""
+    host = Host(settings(), sum((ups(f"{z}x {z}y", z) for z in range(4)), ()))
+    host.reports = {f"{z}{n}": (0.4, 20.0) for z in range(4) for n in "xy"}
+    host.calls(30_000.0, 4)
+    return host
+
+
+def test_calls_stay_in_a_zone_that_can_carry_them() -> None:
+    host = zoned()
+    assert host.part("0x", 10_000.0) + host.part("0y", 10_000.0) > 0.8
+
+
+def test_a_zone_that_loses_its_upstreams_hands_calls_on_as_soon_as_the_list_tells() -> None:
+    """Two old boxes of a zone were sent all of its calls, jammed, and stayed so for the rest of the day."""
+    host = zoned()
+    host.do(face.Membership(face.Listing.CHANGES, (face.Upstream("0x", face.Stage.DRAINING),)))
+    told = host.now
+    host.calls(told + 20_000.0, 4)
+    # One of 50 a second is left for 40 a second; the mean use of the whole tier is 160 of 350.
+    assert 0.5 < host.part("0y", told) < 0.9
+    host.do(face.Membership(face.Listing.CHANGES, (face.Upstream("0y", started_ms=host.now),)))
+    told = host.now
+    host.calls(told + 4_000.0, 4)
+    assert host.part("0y", told) < 0.35  # cold: it can do an eighth to a quarter
+
+
+def test_zones_with_no_room_are_not_handed_calls() -> None:
+    host = zoned()
+    host.reports["1x"] = host.reports["1y"] = (0.9, 20.0)
+    host.do(face.Membership(face.Listing.CHANGES, (face.Upstream("0x", face.Stage.GONE),)))
+    host.do(face.Membership(face.Listing.CHANGES, (face.Upstream("1x", face.Stage.GONE),)))
+    told = host.now
+    host.calls(told + 60_000.0, 4)
+    assert host.part("1y", told) < 0.5 * host.part("2x", told)
+
+
+def fleet_of(balancers: int, per_s: float, started: float, cold: str) -> list[tuple[float, str]]:
+    """All sends of a fleet to upstreams that carry 50 a second each when warm; `cold` ones replace as many warm."""
+    warm = [f"w{n}" for n in range(12)]
+    sent = []
+    for rank in range(balancers):
+        host = Host(settings(balancers, rank, crossing=0.0), ups(" ".join(warm)), seed=rank)
+        host.reports = dict.fromkeys(warm, (0.5, 25.0))
+        host.until(Random(rank).random() * 1000 / (per_s / balancers))
+        host.calls(started, per_s / balancers)
+        gone = tuple(face.Upstream(n, face.Stage.GONE) for n in warm[: len(cold.split())])
+        host.do(face.Membership(face.Listing.CHANGES, (*gone, *ups(cold, started=started))))
+        host.calls(started + 12_000.0, per_s / balancers)
+        sent += host.sent
+    return sent
+
+
+def test_all_balancers_together_send_a_newcomer_what_it_can_do() -> None:
+    """Told at the same instant, forty balancers' first calls must not reach it at the same time, nor add up."""
+    sent = fleet_of(40, 300.0, 12_000.0, "cold other")
+    for name in ("cold", "other"):
+        times = sorted(at for at, n in sent if n == name)
+        assert times, "never used"
+        for begin in times:
+            span = [t for t in times if begin <= t < begin + COLD.fall_ms]
+            able = 50 * (COLD.capacity + (1 - COLD.capacity) * (begin - 12_000.0) / COLD.warm_ms)
+            assert len(span) < 2.5 * able * COLD.fall_ms / 1000  # 4 push it over
+        first = [t for t in times if t < 12_500.0]
+        assert len(first) < 0.4 * 50 * 0.5  # and no burst at the start
+
+
+def test_a_tier_that_is_mostly_cold_is_used_for_what_it_can_do() -> None:
+    sent = fleet_of(10, 300.0, 12_000.0, "a b c d e f g h")
+    late = [n for at, n in sent if at >= 20_000.0]
+    assert sum(n in "abcdefgh" for n in late) > 0.25 * len(late)
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -20,7 +20,7 @@
 from limenotch.net.calls import Call, Calls, Final, InvokerCall, Verdict
 from limenotch.net.consumers import Consumers, budget_ms
 from limenotch.net.directory import Directory, list_of
-from limenotch.net.providers import Connection, Providers, ending_of, utilisation_of
+from limenotch.net.providers import Connection, Providers, ending_of, report_of
 from limenotch.net.sockets import Share, Sockets
 from limenotch.settings import Consumers as ConsumerTuning
 from limenotch.settings import Descriptors, Settings
@@ -341,7 +341,7 @@
         self.endings: asyncio.Queue[Ending] = asyncio.Queue()
 
     def ended(
-        self, invoker_call: InvokerCall, ending: Ending, payload: Any = None, utilisation: float | None = None
+        self, invoker_call: InvokerCall, ending: Ending, payload: Any = None, *report: float | None
     ) -> None:
         invoker_call.over = True
         self.endings.put_nowait(ending)
@@ -481,9 +481,10 @@
     for text in (b"", b"m", b"480", b"-1m", b"0m", b"infm", b"1e400m"):
         with pytest.raises(http1.MalformedError):
             budget_ms(text)
-    assert utilisation_of(b"TEXT qps=3, util=0.5") == 0.5
+    assert report_of(b"TEXT qps=3, util=0.5, latency_ms=x") == (0.5, 3.0)
+    assert report_of(b"TEXT util=0.5") == (0.5, None)
     for text in (b"", b"util", b"TEXT util=x", b"util=nan", b"util=9e9", b"util=-1", b"\xff=,="):
-        assert utilisation_of(text) is None
+        assert report_of(text) == (None, None)
     marked = http1.Message([], {b"x-rejected": b"1"}, status=503)
     assert ending_of(marked) is Ending.TURNED_AWAY
     marked.status = 500
