--- a/limenotch/cli/lab/__init__.py
+++ b/limenotch/cli/lab/__init__.py
@@ -18,12 +18,13 @@
   rehearse   Play a scenario on sockets in real time, with real sidecars.
   compare    Play variants on the same seeds and say which is better.
   scenarios  List the scenarios that come with the program, or show one.
+  timeline   Count what a fleet did, second by second, over its sidecars' logs.
 
 `limenotch lab <command> --help` tells more of one of them.
 """
 
 MODULES = {"run": "run", "compare": "compare", "rehearse": "rehearse", "demo": "demo", "emulate": "emulate",
-           "load": "load", "scenarios": "scenarios"}
+           "load": "load", "scenarios": "scenarios", "timeline": "timeline"}
 
 
 def command(arguments: list[str]) -> int:
