Build the list of those ready and those elsewhere once a window; drop an unused parameter

`_distances` put together the list that `_shares` had just made, and tested each drawn provider's zone four times; `timeline.read` had an `origin` that nobody gave, `_age` a None that 0 already says; a docstring of `_warm_enough` told the old rule.

Change: the lists are passed on or made once, the parameter and the None are gone, the docstring tells what holds. No decision changes.

--- a/limenotch/lab/timeline.py
+++ b/limenotch/lab/timeline.py
@@ -40,10 +40,8 @@
     skipped: int = 0
 
 
-def _age(seconds: float | None) -> str:
+def _age(seconds: float) -> str:
     """Name of the span that an age lies in; providers that started long ago are `warm`."""
-    if seconds is None:
-        return "warm"
     return next((f"<{bound:g}s" for bound in AGES_S if seconds < bound), "warm")
 
 
@@ -61,8 +59,8 @@
             yield None
 
 
-def read(files: Iterable[Path], origin: float | None = None) -> Timeline:
-    """Counts every file of the fleet. `origin`: the time that counts as 0, by default the earliest line's."""
+def read(files: Iterable[Path]) -> Timeline:
+    """Counts every file of the fleet. Raises OSError if one can't be read."""
     parsed: list[tuple[float, float, dict[str, Any], int]] = []
     timeline = Timeline()
     for path in files:
@@ -77,8 +75,8 @@
                     layer = event["layer"]
                 parsed.append((at, own, event, layer))
         timeline.sidecars[layer] += 1
-    start = origin if origin is not None else (
-        0.0 if parsed and parsed[0][0] < 1e8 else min((p[0] for p in parsed), default=0.0))
+    # Seconds that stand before the lines count from the day's begin; Unix times from the earliest line.
+    start = 0.0 if parsed and parsed[0][0] < 1e8 else min((p[0] for p in parsed), default=0.0)
     starts: dict[str, set[float]] = defaultdict(set)
     for _, _, event, _ in parsed:
         if event.get("event") == "told":
@@ -105,7 +103,7 @@
         second.counts["further"] += further
         sent = own - spent_ms / 1000.0
         begun = max((start for start in starts[provider] if start <= sent), default=0.0)  # one may restart
-        second.ages[_age(sent - begun if begun else None)] += 1
+        second.ages[_age(sent - begun)] += 1  # 0 stands for long ago
         second.providers[provider] += 1
         second.spent_ms.append(spent_ms)
     elif name == "final":
--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -194,7 +194,7 @@
         for s in drawn:
             self._share(s, now)
         if self.set.crossing_cost:
-            self._distances(drawn, able)
+            self._distances(drawn, ready, able)
         whole = max(sum(s.share for s in drawn), 1e-9)
         # Where no reports tell what a tier can do, demand does, and not what is sent: a cold tier gets less.
         part = able / self.set.balancers
@@ -230,31 +230,31 @@
         bend = min((usual / server.slow) ** LEAN, 4.0) * min(server.ok / self.best, 1.0) ** SHUN
         server.share = server.able * max(bend, FLOOR)
 
-    def _distances(self, drawn: list[Server], able: float) -> None:
+    def _distances(self, drawn: list[Server], ready: list[Server], able: float) -> None:
         """Calls stay in their zone as far as it can carry them; the rest goes to zones that have room.
 
         All balancers know the list, so all of a zone move alike as soon as it changes. Latencies, the second
         reason to go elsewhere, tell it seconds later, when boxes are jammed.
         """
-        own, zones = self.order[0], dict[int, float]()
+        own, others = self.order[0], [s for s in drawn if s.at.zone != self.set.zone]
         sound = sum((s.ok / self.best) ** SHUN for s in own if not s.quiet) / max(len(own), 1)
         slow = max(self.near.now / self.far.now, 0.1) ** SPILL
         self.afar = min(max(AFAR * slow / max(sound, AFAR), AFAR), 1.0)
-        for s in self.order[0] + self.order[1]:
+        zones: dict[int, float] = {}
+        for s in ready:
             zones[s.at.zone] = zones.get(s.at.zone, 0.0) + s.able
         if self.tier.done and self.set.zone in zones:
             calls = self.demand * self.set.balancers / len(zones)  # of each zone, a second
             full = max(FULL, calls * len(zones) / able)
             kept = min(full * zones[self.set.zone] / max(calls, 1e-9), 1.0)
-            near = sum(s.share for s in drawn if s.at.zone == self.set.zone)
             if kept < 1:
-                for s in drawn:
-                    if s.at.zone != self.set.zone:
-                        s.share *= max(1 - calls / (full * zones[s.at.zone]), AFAR)
-                far = sum(s.share for s in drawn if s.at.zone != self.set.zone)
+                for s in others:
+                    s.share *= max(1 - calls / (full * zones[s.at.zone]), AFAR)
+                near = sum(s.share for s in drawn if s.at.zone == self.set.zone)
+                far = sum(s.share for s in others)
                 self.afar = max(self.afar, near * (1 - kept) / max(kept * far, 1e-9))
-        for s in drawn:
-            s.share *= self.afar if s.at.zone != self.set.zone else 1.0
+        for s in others:
+            s.share *= self.afar
 
     def _admission(self) -> None:
         """How many calls may be held at once so that they are on time: by Little's law, pace times wait."""
@@ -314,7 +314,7 @@
         return self.groups[key]
 
     def _warm_enough(self, server: Server, now: float) -> bool:
-        """A cold upstream gets no more than its part of what warm ones take, also when most are cold."""
+        """A cold upstream gets no more than this balancer's part of what all may send it."""
         if self._capacity(server, now) >= 1.0:
             return True
         rate = self.room * server.share
