--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -11,11 +11,11 @@
 from itertools import accumulate
 from math import exp, inf
 from random import Random
-from zlib import crc32
 
 from . import interface as face
-from .interface import Action, Effect, Outcome, Scope, Stage
-from .records import Attempt, Call, Mean, Server
+from .interface import Action, Effect, Outcome, Scope
+from .records import Attempt, Call, Mean, Server, Usual
+from .roster import Roster
 
 MEMORY = 4.0  # evidence on an upstream fades over this many of the longest aims: troubles last a few aims
 WINDOW = 0.5  # shares and means are renewed after this part of the mean aim: answers still matter by then
@@ -57,29 +57,26 @@
     """Feed it events in order; carry out the actions it returns in order."""
 
     def __init__(self, settings: face.Settings, seed: int) -> None:
-        self.set, self.random = settings, Random(seed)
-        aims = [c.aim_ms for c in settings.classes]
-        self.memory, self.window = MEMORY * max(aims), WINDOW * sum(aims) / len(aims)
-        self.servers: dict[str, Server] = {}
+        self.random = Random(seed)
+        self.roster = Roster(self.random)
         self.order: list[list[Server]] = [[], []]  # those ready: own zone, others
         self.table: Table = ([], [])  # those drawn from, and their shares summed up
         self.groups: dict[tuple[Scope, int], Table] = {}
-        self.kinds: dict[int, Mean] = {}
         self.tier, self.near, self.far = Mean(), Mean(), Mean()
-        self.usual, self.answers = [0.0] * len(aims), [0] * len(aims)  # mean latency of each class
         self.calls: dict[str, Call] = {}
         self.timers: dict[int, Call | None] = {}
         self.token, self.failures, self.now, self.began, self.due = 0, 0, -inf, -1.0, -inf  # window's ends
         self.budget, self.out, self.held, self.arrived, self.served = BURST, 0, 0.0, 0, 0
         self.good = self.bad = self.flow = self.pace = self.room = self.demand = 0.0
-        self.reports = REPORTS * max(aims)
         self.copyable = self.copied = self.came = 0.0
         self.fair = self.afar = self.best = 1.0
         self.typical = 0.0  # mean latency over all classes
         self.silent: set[Server] = set()
         self.limit = inf  # of attempts out, from which calls are refused for load
         self.values: dict[float, float] = {}
-        self.quota = [(BURST, 0.0)] * len(settings.tenants)
+        self.usual: dict[str, Usual] = {}  # of each class
+        self.quota: dict[str, tuple[float, float]] = {}  # of each tenant: calls saved up, and when
+        self._adopt(settings)
 
     def handle(self, now_ms: float, event: face.Event) -> list[Action]:
         acts: list[Action] = []
@@ -103,6 +100,12 @@
             if event.call in self.calls and not self.calls[event.call].done:
                 self.calls[event.call].streaming = True
                 self._cancel(self.calls[event.call], event.attempt, acts)
+        elif isinstance(event, face.Ban):
+            self.roster.ban(now_ms, event)
+            self._ready(now_ms)
+        elif isinstance(event, face.Retuned):
+            self._adopt(event.settings)
+            self._ready(now_ms)
         elif isinstance(event, face.Started):
             if self.set.must_ask:
                 acts.append(face.Subscribe())
@@ -110,6 +113,14 @@
             raise TypeError(f"not an event of interface.py: {event!r}")
         return acts
 
+    def _adopt(self, settings: face.Settings) -> None:
+        """Rules for the calls to come. What was learnt stays with the names that stay."""
+        self.set, aims = settings, [c.aim_ms for c in settings.classes]
+        self.memory, self.window = MEMORY * max(aims), WINDOW * sum(aims) / len(aims)
+        self.reports = REPORTS * max(aims)
+        self.usual = {c.name: self.usual.get(c.name) or Usual() for c in settings.classes}
+        self.quota = {t.name: self.quota.get(t.name, (BURST, 0.0)) for t in settings.tenants}
+
     # The list of upstreams
 
     def _membership(self, now: float, event: face.Membership, acts: list[Action]) -> None:
@@ -120,20 +131,13 @@
             self._wake(now + wait, None, acts)
             return
         self.failures = 0
-        held = {} if event.listing is face.Listing.WHOLE else dict(self.servers)
-        for at in event.upstreams:
-            old = self.servers.get(at.name)
-            if old is None or old.at.started_ms != at.started_ms:
-                # A restart is a new process: nothing that its predecessor showed holds for it.
-                old = Server(at, self.kinds.setdefault(at.kind, Mean()), now, now)
-                # Out of step, or all balancers' first calls would reach a new one at the same time.
-                old.credit = self.random.random()
-            held[at.name], old.at = old, at
-            old.weight = at.weight if self.set.weights_listed else 1.0
-        self.servers = {name: s for name, s in held.items() if s.at.stage is not Stage.GONE}
-        self.silent.intersection_update(self.servers.values())
-        ready = [s for s in self.servers.values() if s.at.stage is Stage.READY]
-        ready.sort(key=lambda s: crc32(s.at.name.encode()))
+        self.roster.heard(now, event, self.set.weights_listed)
+        self._ready(now)
+
+    def _ready(self, now: float) -> None:
+        """The list or the operators have changed who may be sent to."""
+        self.silent.intersection_update(self.roster.servers.values())
+        ready = self.roster.ready(now, self.set.cold.warm_ms)
         apart = self.set.crossing_cost > 0  # own zone and others are then drawn from separately
         self.order = [[s for s in ready if apart and s.at.zone == self.set.zone],
                       [s for s in ready if not apart or s.at.zone != self.set.zone]]
@@ -152,13 +156,9 @@
             chosen += (group[first:] + group[:first])[:size]
         return chosen
 
-    def _capacity(self, server: Server, now: float) -> float:
-        """The least part of its work that an upstream can do now, by the slowest ramp allowed."""
-        cold = self.set.cold
-        age = now - server.at.started_ms
-        if server.at.started_ms <= 0 or age >= cold.warm_ms:
-            return 1.0
-        return cold.capacity + (1 - cold.capacity) * max(age, 0.0) / cold.warm_ms
+    def left_out(self) -> int:
+        """How many of those listed are sent nothing, or one call at a time to see whether they are back."""
+        return len(self.roster.servers) - sum(not s.quiet for part in self.order for s in part)
 
     # Windows: means, shares, what to refuse
 
@@ -170,15 +170,10 @@
             self.pace = max(self.flow, self.pace * 0.9)  # lately shown: a lull in demand is no loss of pace
             self.good, self.bad, self.arrived, self.served = self.good * 0.9, self.bad * 0.9, 0, 0
             self.copyable, self.copied, self.came = self.copyable * 0.9, self.copied * 0.9, self.came * 0.9
-            for mean in (self.tier, self.near, self.far, *self.kinds.values()):
-                mean.done, mean.busy = mean.done * 0.9, mean.busy * 0.9
-                if mean.count >= ENOUGH:
-                    recent = mean.total / mean.count
-                    mean.now += (recent - mean.now) * mean.count / (mean.count + ENOUGH)
-                    mean.lows = [*mean.lows[1 - SPAN:], recent]
-                    mean.low, mean.total, mean.count = min(mean.lows), 0.0, 0.0
-            whole = sum(u * n for u, n in zip(self.usual, self.answers, strict=True))
-            self.typical = whole / max(sum(self.answers), 1)
+            for mean in (self.tier, self.near, self.far, *self.roster.kinds.values()):
+                mean.renew(ENOUGH, SPAN)
+            usual = self.usual.values()
+            self.typical = sum(u.mean * u.answers for u in usual) / max(sum(u.answers for u in usual), 1)
             if not self.set.layer:  # the tiers above have paid for their calls: only the entry refuses
                 self._admission()
         self.began, self.due = now, now + self.window
@@ -213,7 +208,7 @@
         like = server.like if server.like.done else self.tier
         usual = like.done / like.busy if like.done else 1.0
         fade = exp((server.told_at - now) / self.reports)
-        prior = server.weight * usual * self._capacity(server, now)
+        prior = server.weight * usual * server.capacity(now, self.set.cold)
         # A span in which nothing was done yet shows use alone: that is no proof of a dead upstream.
         shown = (server.done * fade + BUSY * prior) / (server.busy * fade + BUSY)
         server.able = max(shown * (FLOOR if server.quiet else 1.0), FLOOR * prior, 1e-9)
@@ -288,8 +283,7 @@
 
     def _quiet(self, now: float, server: Server) -> bool:
         """Whether it has gone silent: its machine may be gone though its connections stay open."""
-        mean = self.typical * server.slow / self._capacity(server, now)
-        wait = now - server.heard
+        mean, wait = self.typical * server.slow / server.capacity(now, self.set.cold), now - server.heard
         if not server.quiet and mean and wait > OVERDUE * mean and wait * server.out > QUIET * mean:
             server.quiet = True
             self.silent.add(server)
@@ -315,7 +309,7 @@
 
     def _warm_enough(self, server: Server, now: float) -> bool:
         """A cold upstream gets no more than this balancer's part of what all may send it."""
-        if self._capacity(server, now) >= 1.0:
+        if server.capacity(now, self.set.cold) >= 1.0:
             return True
         rate = self.room * server.share
         credit = server.credit + (now - server.credit_at) * rate
@@ -331,7 +325,7 @@
 
     def _miss(self, now: float, call: Call, server: Server, load: float) -> float:
         """Chance that the wait exceeds the limit t = time left less v, or that the call fails there."""
-        service = max(self.usual[call.index] * server.like.low, 1e-3)  # v, at an idle upstream of this kind
+        service = max(call.usual.mean * server.like.low, 1e-3)  # v, at an idle upstream of this kind
         limit = call.end - now - service
         if load >= 1 or limit <= 0:
             return 1.0
@@ -371,7 +365,8 @@
             raise ValueError(f"traffic_class: {event.traffic_class} is no class of the settings")
         cls = self.set.classes[event.traffic_class]
         useful = min(event.budget_ms, cls.aim_ms) if cls.late_worth <= 0 else event.budget_ms
-        call = Call(event.call, event.traffic_class, cls, now + useful, now + cls.aim_ms)
+        most, usual = self.set.max_attempts, self.usual[cls.name]
+        call = Call(event.call, cls, usual, most, now + useful, now + cls.aim_ms)
         self.calls[call.name] = call
         self.came, self.arrived = self.came + 1, self.arrived + 1
         if useful <= 0 or (not self.set.layer and self._refused(now, call, event)):
@@ -383,14 +378,15 @@
 
     def _refused(self, now: float, call: Call, event: face.Arrival) -> bool:
         worth = call.cls.worth
-        if event.tenant < len(self.quota):
-            rate = self.set.tenants[event.tenant].quota_per_s / self.set.balancers / 1000
-            saved, since = self.quota[event.tenant]
+        if event.tenant < len(self.set.tenants):
+            tenant = self.set.tenants[event.tenant]
+            rate = tenant.quota_per_s / self.set.balancers / 1000
+            saved, since = self.quota[tenant.name]
             saved = min(saved + (now - since) * rate, max(BURST, rate * self.window))
             if saved < 1 and rate > 0:
                 worth *= self.set.over_share_worth
-            self.quota[event.tenant] = (max(saved - 1, min(saved, 0.0)), now)
-        value = float(f"{worth / max(self.usual[call.index], 1.0):.1g}")
+            self.quota[tenant.name] = (max(saved - 1, min(saved, 0.0)), now)
+        value = float(f"{worth / max(call.usual.mean, 1.0):.1g}")
         self.values[value] = self.values.get(value, 0.0) + 1
         above = sum(n for v, n in self.values.items() if v > value) / sum(self.values.values())
         # Calls that hang at a silent upstream are no load on the others.
@@ -412,17 +408,17 @@
         if two is not None and self._odds(two) > self._odds(one):
             one, two = two, one
         self._send(now, call, one, acts)
-        repeat = repeat and call.end - now <= self.usual[call.index] * one.like.low * URGENT
+        repeat = repeat and call.end - now <= call.usual.mean * one.like.low * URGENT
         self.copyable += repeat and two is not None
         if repeat and two and self._copy_allowed(now, call, two) and self._gate(
                 now, call, one, two, self.copyable / self.came):
             self._send(now, call, two, acts, copy=1)
         elif call.cls.effect is not Effect.AT_MOST_ONCE:
-            wait = max(OVERDUE * self.usual[call.index] * one.slow, self.window / 8)
+            wait = max(OVERDUE * call.usual.mean * one.slow, self.window / 8)
             self._wake(now + wait, call, acts)
 
     def _copy_allowed(self, now: float, call: Call, server: Server) -> bool:
-        if len(call.tries) >= self.set.max_attempts or self.budget < BURST / 2:
+        if len(call.tries) >= call.most or self.budget < BURST / 2:
             return False
         # A drawn second may lie outside the group that drops the call's repeats, also in a large group.
         return server in self._reach(now, call)[0]
@@ -432,10 +428,10 @@
         lone = next(t for t in call.tries if t.open)
         two = self._draw(now, call, lone.server)
         if self._quiet(now, lone.server) and two is not None and self.set.may_copy:
-            if len(call.tries) < self.set.max_attempts and two in self._reach(now, call)[0]:
+            if len(call.tries) < call.most and two in self._reach(now, call)[0]:
                 self._send(now, call, two, acts)
             return
-        usual = self.usual[call.index]
+        usual = call.usual.mean
         if now < call.end:
             self._wake(now + max(OVERDUE * usual * lone.server.slow, self.window / 8), call, acts)
         urgent = call.cls.late_worth < LAX and call.end - now <= usual * lone.server.like.low * URGENT
@@ -466,8 +462,8 @@
             self._further(now, call, acts)
 
     def _further(self, now: float, call: Call, acts: list[Action]) -> None:
-        left = call.end - now - self.usual[call.index] * self.tier.low
-        if left > 0 and len(call.tries) < self.set.max_attempts and self.budget >= 1 and not call.streaming:
+        left = call.end - now - call.usual.mean * self.tier.low
+        if left > 0 and len(call.tries) < call.most and self.budget >= 1 and not call.streaming:
             self.budget -= 1
             self._place(now, call, acts)
         else:
@@ -515,14 +511,12 @@
     # Evidence
 
     def _learn(self, now: float, call: Call, server: Server, event: face.Finished) -> None:
-        fade = exp((server.stamp - now) / self.memory)
-        server.ratios, server.count = server.ratios * fade, server.count * fade
-        server.good, server.bad, server.stamp = server.good * fade, server.bad * fade, now
+        server.fade(now, self.memory)
         if event.utilisation is not None:
             server.util = event.utilisation
             if event.per_s is not None and (event.utilisation, event.per_s) != server.told:
                 self._told(now, server, event.utilisation, event.per_s)
-        index, ok = call.index, event.outcome is Outcome.OK
+        ok = event.outcome is Outcome.OK
         if ok and now <= call.aim:
             # Only answers in time count: a jam that ends in time-outs would else pass for a fair pace.
             self.served += 1
@@ -532,21 +526,18 @@
         if event.outcome not in (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED):
             return  # a fast failure is no fast answer
         if ok:
-            self.answers[index] += 1
-            self.usual[index] += (event.spent_ms - self.usual[index]) / min(self.answers[index], 100)
-        ratio = min(event.spent_ms / max(self.usual[index], 1e-3), CLIP)
+            call.usual.add(event.spent_ms)
+        ratio = min(event.spent_ms / max(call.usual.mean, 1e-3), CLIP)
         if ok or ratio > server.slow:  # cut off: at least that slow
             server.ratios, server.count = server.ratios + ratio, server.count + 1
             near = self.near if server.at.zone == self.set.zone else self.far
             for mean in (server.like, self.tier, near):
-                mean.total, mean.count = mean.total + ratio, mean.count + 1
+                mean.add(ratio)
         self.held += (self.out - self.held) / 20
 
     def _told(self, now: float, server: Server, util: float, per_s: float) -> None:
         """A report that is new; most answers repeat the last one."""
-        fade = exp((server.told_at - now) / self.reports)
-        server.told, server.told_at = (util, per_s), now
-        server.done, server.busy = server.done * fade + per_s, server.busy * fade + util
-        if self._capacity(server, now) >= 1.0:
+        server.add_report(now, self.reports, util, per_s)
+        if server.capacity(now, self.set.cold) >= 1.0:
             for mean in (server.like, self.tier):
                 mean.done, mean.busy = mean.done + per_s, mean.busy + util * server.weight
--- a/switchthread/interface.py
+++ b/switchthread/interface.py
@@ -158,6 +158,23 @@
     upstreams: tuple[Upstream, ...] = ()
 
 
+class Ban(NamedTuple):
+    """An upstream is taken out by hand, or let back: it holds whatever the list says, until the next word.
+
+    One that is back is cold from `at_ms` on, unless the list tells a later start.
+    """
+
+    upstream: str
+    out: bool
+    at_ms: float = 0.0  # of the return
+
+
+class Retuned(NamedTuple):
+    """Other settings from now on; calls that are open keep the rules that they came under."""
+
+    settings: Settings
+
+
 class Arrival(NamedTuple):
     """A call came in; it is owed exactly one final answer within `budget_ms`."""
 
@@ -201,7 +218,7 @@
 
 
 Event = Union[
-    Started, Membership, Arrival, Departure, Finished, AnswerBegun, TimerFired
+    Started, Membership, Ban, Retuned, Arrival, Departure, Finished, AnswerBegun, TimerFired
 ]
 
 
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -1,12 +1,28 @@
-"""What a balancer keeps of upstreams, calls and attempts. Plain records: decide.py alone acts on them."""
+"""What a balancer keeps of upstreams, calls and attempts, and how evidence adds up and fades.
+
+No record knows another's; decide.py alone draws conclusions and acts.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import exp
 
 from . import interface as face
 
 
+@dataclass(slots=True, eq=False)
+class Usual:
+    """Mean latency of one class, in ms, over its latest hundred answers or so."""
+
+    mean: float = 0.0
+    answers: int = 0
+
+    def add(self, spent_ms: float) -> None:
+        self.answers += 1
+        self.mean += (spent_ms - self.mean) / min(self.answers, 100)
+
+
 @dataclass(slots=True)
 class Mean:
     """Recent and lowest mean latency, as multiples of each class's usual, of upstreams that are alike."""
@@ -19,6 +35,18 @@
     done: float = 0.0  # over the reports of its warm upstreams: requests a second, and use times weight
     busy: float = 0.0
 
+    def add(self, ratio: float) -> None:
+        self.total, self.count = self.total + ratio, self.count + 1
+
+    def renew(self, enough: int, span: int) -> None:
+        """A window ends: its mean counts if it has `enough` samples, and its lowest over `span` such windows."""
+        self.done, self.busy = self.done * 0.9, self.busy * 0.9
+        if self.count >= enough:
+            recent = self.total / self.count
+            self.now += (recent - self.now) * self.count / (self.count + enough)
+            self.lows = [*self.lows[1 - span:], recent]
+            self.low, self.total, self.count = min(self.lows), 0.0, 0.0
+
 
 @dataclass(slots=True, eq=False)
 class Server:
@@ -45,8 +73,27 @@
     done: float = 0.0  # sums over its reports, fading: requests a second, and the use of its cores
     busy: float = 0.0
     told_at: float = 0.0
+    since: float = 0.0  # when it last started, by the list or by its return from a ban; 0: long ago
     able: float = 1.0  # requests a second that it can do now, from all balancers; its weight where none are reported
 
+    def capacity(self, now: float, cold: face.ColdStart) -> float:
+        """The least part of its work that it can do now, by the slowest ramp allowed."""
+        age = now - self.since
+        if self.since <= 0 or age >= cold.warm_ms:
+            return 1.0
+        return cold.capacity + (1 - cold.capacity) * max(age, 0.0) / cold.warm_ms
+
+    def fade(self, now: float, memory: float) -> None:
+        """What answers have shown, brought to `now`."""
+        fade = exp((self.stamp - now) / memory)
+        self.ratios, self.count = self.ratios * fade, self.count * fade
+        self.good, self.bad, self.stamp = self.good * fade, self.bad * fade, now
+
+    def add_report(self, now: float, memory: float, util: float, per_s: float) -> None:
+        fade = exp((self.told_at - now) / memory)
+        self.told, self.told_at = (util, per_s), now
+        self.done, self.busy = self.done * fade + per_s, self.busy * fade + util
+
 
 @dataclass(slots=True, eq=False)
 class Attempt:
@@ -59,8 +106,9 @@
 @dataclass(slots=True, eq=False)
 class Call:
     name: str
-    index: int
-    cls: face.TrafficClass
+    cls: face.TrafficClass  # this and `most` as they were when it came
+    usual: Usual  # of its class
+    most: int  # attempts
     end: float  # an answer after this is worth nothing
     aim: float  # and after this less
     tries: list[Attempt] = field(default_factory=list)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -87,14 +87,14 @@
     host.calls(20_000.0, 4)
     host.reports["a"] = (1.0, 8.0)
     host.calls(24_000.0, 4)
-    assert host.balancer.servers["a"].share < 0.7 * host.balancer.servers["b"].share
+    assert host.balancer.roster.servers["a"].share < 0.7 * host.balancer.roster.servers["b"].share
 
 
 def test_a_report_that_answers_repeat_counts_once() -> None:
     host = Host(settings(crossing=0.0), ups("a b"))
     host.reports = {"a": (0.5, 10.0), "b": (0.5, 10.0)}
     host.calls(790.0, 40)
-    assert host.balancer.servers["a"].busy == 0.5
+    assert host.balancer.roster.servers["a"].busy == 0.5
 
 
 def test_a_span_in_which_nothing_was_done_yet_starves_nobody() -> None:
@@ -208,7 +208,7 @@
     host = zoned()
     balancer = host.balancer
     balancer.demand = 7.0  # 70 a second for each zone, of which one box can do 50
-    balancer.servers["0x"].quiet = True
+    balancer.roster.servers["0x"].quiet = True
     balancer._shares(host.now)
     own = sum(s.share for s in balancer.table[0] if s.at.zone == 0)
     assert own < 0.6 * sum(s.share for s in balancer.table[0])  # at the use of the tier left: 0.58
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,7 +22,7 @@
     TimerFired,
     Upstream,
 )
-from switchthread.records import Call
+from switchthread.records import Call, Usual
 
 from .referee import READ, WRITE, Referee, fleet, sends, settings
 
@@ -309,7 +309,7 @@
     one, two = balancer.table[0][:2]
     name, _ = referee.arrive(0)
     call = balancer.calls[name]
-    balancer.usual[0], balancer.copyable = 150.0, balancer.came
+    balancer.usual[balancer.set.classes[0].name].mean, balancer.copyable = 150.0, balancer.came
     for server in (one, two):
         server.slow, server.like.low, server.out = 1.2, 1.0, 0
     assert balancer._gate(referee.now, call, one, two, 1.0)
@@ -325,7 +325,7 @@
     one, two = balancer.table[0][:2]
     name, _ = referee.arrive(0)
     call = balancer.calls[name]
-    balancer.usual[0], balancer.copyable = 100.0, balancer.came
+    balancer.usual[balancer.set.classes[0].name].mean, balancer.copyable = 100.0, balancer.came
     for load, copies in ((0.2, True), (0.6, False)):
         one.util = two.util = load
         one.out = two.out = 0
@@ -335,7 +335,7 @@
 def test_placement_follows_shares() -> None:
     """Even shares: each of eight upstreams gets an eighth of the draws, within four standard deviations."""
     referee = Referee(settings(), 5, fleet(8))
-    call = Call("c", 0, READ, 1e9, 1e9)
+    call = Call("c", READ, Usual(), 3, 1e9, 1e9)
     drawn = [referee.balancer._draw(referee.now, call, None) for _ in range(8000)]
     for server in referee.balancer.table[0]:
         assert abs(drawn.count(server) - 1000) < 4 * (8000 * 0.125 * 0.875) ** 0.5
@@ -410,7 +410,7 @@
 
 def test_an_upstream_that_is_heard_again_is_silent_no_more() -> None:
     referee = near_and_far()
-    near = referee.balancer.servers[next(iter(referee.rows))]
+    near = referee.balancer.roster.servers[next(iter(referee.rows))]
     near.quiet = True
     referee.balancer.silent.add(near)
     while True:
@@ -423,11 +423,11 @@
 def test_failures_at_once_let_calls_leave_the_own_zone() -> None:
     """A near upstream that answered 500 within 2 ms got half of all calls: it was never slow."""
     balancer = near_and_far().balancer
-    for server in balancer.servers.values():
+    for server in balancer.roster.servers.values():
         own = server.at.zone == 0
         server.good, server.bad = (0.0, 10.0) if own else (5.0, 0.0)
         balancer.good, balancer.bad = balancer.good + server.good, balancer.bad + server.bad
     for _ in range(2):  # the second sees what the first has made of the evidence
         balancer._shares(balancer.now)
-    share = {server.at.zone: server.share for server in balancer.servers.values()}
+    share = {server.at.zone: server.share for server in balancer.roster.servers.values()}
     assert share[0] < 0.05 * 3 * share[1]
