Answer operators at an address of their own: health, figures, bans kept by id

The pool checks bans before the first byte, and idle connections to a banned provider close. Logging is set up for every test, since the reload test passed only after others had done so.

--- a/limenotch/config.py
+++ b/limenotch/config.py
@@ -16,6 +16,7 @@
 Address = tuple[str, int]
 
 DEFAULT_SOCKETS = 1024
+DEFAULT_MEMORY_MB = 192.0
 DEFAULT_MAX_OPEN = 20_000
 DEFAULT_IDLE_MS = 60_000.0
 DEFAULT_CONNECT_MS = 250.0
@@ -35,7 +36,10 @@
     zones: tuple[str, ...] = ()
     kinds: tuple[str, ...] = ()
     known: dict[str, Any] = field(default_factory=dict)  # the list as held last, in the directory's form
+    admin: Address | None = None  # where operators ask; None: nowhere
+    folder: str | None = None  # kept from one process to the next; None: nothing is
     sockets: int = DEFAULT_SOCKETS
+    memory_mb: float = DEFAULT_MEMORY_MB
     max_open: int = DEFAULT_MAX_OPEN
     idle_ms: float = DEFAULT_IDLE_MS
     connect_ms: float = DEFAULT_CONNECT_MS
@@ -84,7 +88,7 @@
 
 
 def parse(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
-    """What the file holds; LB_NAME, LB_LISTEN and LB_DISCOVERY override it where they are set."""
+    """What the file holds; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_ADMIN_ADDR override it where they are set."""
     env = _object(raw, "settings", "settings")
     if not env:
         raise ConfigError("settings: missing")
@@ -96,6 +100,8 @@
         raise ConfigError(f"settings.{error}") from None
     listen = environ.get("LB_LISTEN") or raw.get("listen")
     directory = environ.get("LB_DISCOVERY") or raw.get("discovery")
+    admin = environ.get("LB_ADMIN_ADDR") or raw.get("admin_addr")
+    admin_key = "LB_ADMIN_ADDR" if environ.get("LB_ADMIN_ADDR") else "admin_addr"
     path = "settings.permissions."
     return Config(
         name=str(environ.get("LB_NAME") or raw.get("name") or "limenotch"),
@@ -106,6 +112,9 @@
         zones=_names(env, "zones", "settings.zones"),
         kinds=_names(env, "skus", "settings.skus"),
         known=_object(raw, "known", "known"),
+        admin=None if admin is None else address(admin, admin_key),
+        folder=environ.get("TMPDIR") or None,
+        memory_mb=_number(limits, "memory_mb", "limits.memory_mb", DEFAULT_MEMORY_MB, 8),
         sockets=int(_number(limits, "sockets", "limits.sockets", DEFAULT_SOCKETS, 64)),
         max_open=int(_number(allowed, "max_open", path + "max_open", DEFAULT_MAX_OPEN, 1)),
         idle_ms=_number(allowed, "conn_idle_ms", path + "conn_idle_ms", DEFAULT_IDLE_MS, 1),
--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -10,7 +10,7 @@
 import math
 import time
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from typing import NamedTuple
 
@@ -152,14 +152,21 @@
         kinds: Iterable[str] = (),
         clock: Callable[[], float] | None = None,
     ) -> None:
-        self.classes = settings.classes
         self._balancer = Balancer(settings, seed)
         self._clock = clock or Clock()
-        self._classes = {cls.name: number for number, cls in enumerate(settings.classes)}
-        self._tenants = {tenant.name: number for number, tenant in enumerate(settings.tenants)}
+        self._adopt(settings)
         self._zones = _Names({name: number for number, name in enumerate(zones)})
         self._kinds = _Names({name: number for number, name in enumerate(kinds)})
 
+    def _adopt(self, settings: face.Settings) -> None:
+        self.classes = settings.classes
+        self._classes = {cls.name: number for number, cls in enumerate(settings.classes)}
+        self._tenants = {tenant.name: number for number, tenant in enumerate(settings.tenants)}
+
+    def now_ms(self) -> float:
+        """Unix time, as the module is told it."""
+        return self._clock()
+
     def knows_class(self, name: str) -> bool:
         return name in self._classes
 
@@ -178,6 +185,24 @@
         return {"out": balancer.out, "limit": round(limit, 1), "pace": round(balancer.pace * 1000, 1),
                 "typical_ms": round(balancer.typical), "drawn": len(balancer.table[0])}
 
+    def avoided(self) -> int:
+        """Listed providers that the module leaves out now: draining, banned or silent."""
+        return self._balancer.left_out()
+
+    def ban(self, name: str, out: bool, at_ms: float = 0.0) -> Orders:
+        """A provider is taken out by hand or, since `at_ms`, let back."""
+        return self._handle(face.Ban(name, out, at_ms))
+
+    def retune(self, settings: face.Settings, zones: Iterable[str] = (), kinds: Iterable[str] = ()) -> Orders:
+        """Other settings for the calls to come. Indexes of zones and kinds are those of the start, and go on."""
+        names = list(zones)
+        for kind in kinds:
+            self._kinds[kind]
+        if settings.zone < len(names):
+            settings = replace(settings, zone=self._zones[names[settings.zone]])
+        self._adopt(settings)
+        return self._handle(face.Retuned(settings))
+
     def start(self) -> Orders:
         return self._handle(face.Started())
 
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -19,6 +19,7 @@
 from .. import facade as house
 from .. import logs
 from ..facade import Ending, Facade, Orders, time_left_ms
+from ..figures import Figures
 
 log = logs.get(__name__)
 
@@ -29,6 +30,9 @@
     FAILED = "failed"
 
 
+ENDS = {Verdict.SERVED: "answered", Verdict.REJECTED: "deferred", Verdict.FAILED: "errored"}  # in the figures
+
+
 @dataclass(frozen=True, slots=True)
 class Final:
     """The one final answer of a call."""
@@ -58,6 +62,7 @@
 class Call:
     number: int
     name: bytes  # as the consumer calls it
+    kind: str  # its class
     payload: Any
     end: float  # by time.monotonic
     answer: Callable[[Final], None]
@@ -77,8 +82,9 @@
 class Calls:
     """Owns all open calls; carries out what the facade orders."""
 
-    def __init__(self, facade: Facade, max_open: int) -> None:
+    def __init__(self, facade: Facade, max_open: int, figures: Figures | None = None) -> None:
         self.facade, self.max_open = facade, max_open
+        self.figures = figures or Figures()
         self.open: dict[int, Call] = {}
         self._names: set[bytes] = set()  # of those open
         self.invoker: Invoker
@@ -109,7 +115,8 @@
         budget_ms = min(budget_ms, self.facade.longest_ms(class_name))  # else a call could stay open for days
         left = time_left_ms(budget_ms)
         self._count += 1
-        call = Call(self._count, name, payload, monotonic() + left / 1000.0, answer)
+        call = Call(self._count, name, class_name, payload, monotonic() + left / 1000.0, answer)
+        self.figures.took()
         if not room or len(self.open) >= self.max_open:
             self._close(call, Final(Verdict.REJECTED, retry_after_ms=1000.0))
             return call
@@ -124,6 +131,7 @@
         """The consumer is gone: nothing is owed, its invoker calls end."""
         if call.final is None and not call.gone:
             call.gone = True
+            self.figures.ended(call.kind, "departed")
             self._forget(call)
             self.carry_out(self.facade.depart(call.number))
             for invoker_call in call.made:  # those the module may not cancel
@@ -209,6 +217,7 @@
 
     def _close(self, call: Call, final: Final) -> None:
         call.final = final
+        self.figures.ended(call.kind, ENDS[final.verdict])
         if self._trace:
             log.debug("final", call=call.number, verdict=final.verdict.value, invoked=len(call.made),
                       **self.facade.figures())
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -117,6 +117,7 @@
         self._connect_s, self._idle_s = connect_ms / 1000.0, idle_ms * tuning.idle_part / 1000.0
         self._loop = IOLoop.current()
         self._listed: dict[str, Provider] = {}
+        self._banned: set[str] = set()  # by hand, listed or not
         self._idle: dict[str, list[Connection]] = {}
         self._used: dict[InvokerCall, Connection] = {}  # of those that have one now
         self._cut: dict[InvokerCall, Ending] = {}  # those that end at our wish, and as what
@@ -130,10 +131,34 @@
         held = {} if whole else dict(self._listed)
         held.update((p.name, p) for p in providers)
         self._listed = {n: p for n, p in held.items() if p.status is not Status.TERMINATED}
+        self._drop_unusable()
+
+    def knows(self, name: str) -> bool:
+        """Whether the directory lists it."""
+        return name in self._listed
+
+    def __len__(self) -> int:
+        """How many are listed."""
+        return len(self._listed)
+
+    def ban(self, name: str, out: bool) -> None:
+        """Taken out by hand, or let back; to be called before the facade hears of it."""
+        if out:
+            self._banned.add(name)
+        else:
+            self._banned.discard(name)
+        self._drop_unusable()
+
+    def _usable(self, name: str) -> Provider | None:
+        """The one of that name, if anything new may be sent to it now."""
+        provider = self._listed.get(name)
+        return provider if provider is not None and provider.takes_new and name not in self._banned else None
+
+    def _drop_unusable(self) -> None:
         for name in list(self._idle):
-            provider = self._listed.get(name)
+            provider = self._usable(name)
             for connection in list(self._idle[name]):
-                if provider is None or not provider.takes_new or provider.address != connection.address:
+                if provider is None or provider.address != connection.address:
                     connection.close()
 
     # Invoker calls
@@ -185,6 +210,7 @@
             try:
                 await connection.stream.write(self._request(invoker_call))
                 written = True
+                self._calls.figures.sent(invoker_call.call.kind)
             except StreamClosedError:
                 pass  # an answer may have come before the request was written whole
             response = await answer
@@ -198,12 +224,11 @@
             self._release(connection, response)
 
     def _may_write(self, invoker_call: InvokerCall, connection: Connection) -> bool:
-        provider = self._listed.get(invoker_call.provider)
+        provider = self._usable(invoker_call.provider)
         return (
             invoker_call.wanted
             and invoker_call not in self._cut
             and provider is not None
-            and provider.takes_new
             and provider.address == connection.address
             and monotonic() < invoker_call.end
         )
@@ -224,8 +249,8 @@
 
     async def _connection(self, invoker_call: InvokerCall) -> Connection | None:
         """An idle connection or a new one; None if there is none in time."""
-        provider = self._listed.get(invoker_call.provider)
-        if provider is None or not provider.takes_new or invoker_call in self._cut:
+        provider = self._usable(invoker_call.provider)
+        if provider is None or invoker_call in self._cut:
             self._cut.setdefault(invoker_call, Ending.NOT_SENT)
             return None
         while idle := self._idle.get(provider.name):
@@ -270,8 +295,7 @@
 
     def _release(self, connection: Connection, response: http1.Message | None) -> None:
         """Back to the idle ones if the exchange left it clean, else closed."""
-        provider = self._listed.get(connection.provider)
-        wanted = provider is not None and provider.takes_new
+        wanted = self._usable(connection.provider) is not None
         if response is None or not wanted or not connection.reusable(response):
             connection.close()
             return
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -7,12 +7,17 @@
 import os
 import signal
 
+from tornado.ioloop import PeriodicCallback
+
 from . import logs
+from .bans import LOOK_S, Bans
 from .config import Config, ConfigError, host_port, load
 from .facade import Facade, Provider
+from .figures import Figures
 from .net.calls import Calls
 from .net.consumers import Consumers
 from .net.directory import Directory
+from .net.operators import Operators
 from .net.providers import Providers
 from .net.sockets import Sockets
 from .settings import Settings
@@ -24,7 +29,9 @@
     """Serve until SIGTERM or SIGINT, then finish what was taken. Raises OSError if it can't listen."""
     facade = Facade(config.settings, config.seed, config.zones, config.kinds)
     sockets = Sockets(config.sockets, settings.descriptors)
-    calls = Calls(facade, config.max_open)
+    figures = Figures()
+    figures.know(cls.name for cls in config.settings.classes)
+    calls = Calls(facade, config.max_open, figures)
     providers = Providers(calls, sockets.providers, config.connect_ms, config.idle_ms, settings.providers)
     listed = asyncio.Event()
 
@@ -40,13 +47,36 @@
     calls.invoker, calls.watch = providers, directory.watch
     consumers = Consumers(calls, facade, sockets, listed.is_set, settings.consumers)
 
+    def banned(name: str, out: bool, at_ms: float) -> None:
+        log.info("taken out" if out else "may serve again", provider=name)
+        providers.ban(name, out)
+        calls.carry_out(facade.ban(name, out, at_ms))
+
+    bans = Bans(config.folder, banned)
+
+    async def ban(name: str, out: bool) -> bool | None:
+        if not providers.knows(name) and name not in bans.out:
+            return None
+        return await bans.set(name, out, facade.now_ms())
+
+    def stats() -> bytes:
+        return figures.lines({
+            "current": len(calls.open),
+            "cluster_size": len(providers),
+            "cluster_unhealthy": facade.avoided(),
+        })
+
+    operators = Operators(lambda: consumers.ready() and not consumers.leaving, stats, ban)
+
     def reload() -> None:
         """What may change under way: the directory's address and the limits. All else waits for a restart."""
         try:
             new = load(os.environ, again=True)
         except ConfigError as error:
+            figures.reloaded(False)
             log.error("reload: the configuration held stays", error=str(error))
             return
+        figures.reloaded(True)
         log.info("reload", directory=host_port(new.directory), sockets=new.sockets)
         sockets.limit_to(new.sockets)
         calls.max_open = new.max_open
@@ -59,10 +89,17 @@
     calls.carry_out(facade.start())
     if config.known:
         directory.known(config.known)
+    bans.load()
+    looking = PeriodicCallback(bans.look, LOOK_S * 1000.0)
     directory.watch()  # also where the module expects the list unasked: nobody else brings it here
     consumers.listen(config.listen)
+    if config.admin is not None:
+        operators.listen(config.admin)
+        looking.start()
     log.info("listening", listen=host_port(config.listen), layer=config.settings.layer)
     gc.freeze()  # what stays for good is not looked through again
     await stop.wait()
     log.info("leaving", open_calls=len(calls.open))
     await consumers.leave()
+    looking.stop()
+    operators.close()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,5 +2,9 @@
 
 from hypothesis import settings
 
+from limenotch.logs import configure
+
 settings.register_profile("steady", derandomize=True, deadline=None, max_examples=150, database=None)
 settings.load_profile("steady")
+# Log lines go to the standard library's logging whichever test runs alone, not only after one that has set it up.
+configure("human", "info", "test")
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,316 @@
+"""The operators' address on loopback, bans and their file, figures."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import json
+import os
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from limenotch import bans as bans_module
+from limenotch.bans import FILE, LOCK, Bans, read, written
+from limenotch.figures import Figures
+from limenotch.net import http1
+from limenotch.net.operators import Operators
+from limenotch.net.sockets import OPERATORS as MOST
+from switchthread import Balancer
+from switchthread import interface as face
+from switchthread.records import Server
+
+from .test_sidecar import DELIVER, LOOK, answering, ask, free_port, run, whole, with_sidecar
+
+GET_HEALTH = b"GET /healthcheck HTTP/1.1\r\nHost: o\r\n\r\n"
+GET_STATS = b"GET /stats HTTP/1.1\r\nHost: o\r\n\r\n"
+
+
+def post(name: str, action: str) -> bytes:
+    return b"POST /endpoints/%b/%b HTTP/1.1\r\nContent-Length: 0\r\n\r\n" % (name.encode(), action.encode())
+
+
+def figures_of(answer: http1.Message) -> dict[str, tuple[float, str]]:
+    lines = answer.body.decode().splitlines()
+    pairs = [(line.partition(":")[0], line.partition(":")[2].partition("|")) for line in lines]
+    assert len({name for name, _ in pairs}) == len(pairs), "a figure stands twice"
+    return {name: (float(value), kind) for name, (value, _, kind) in pairs}
+
+
+async def conserved(admin: int) -> dict[str, tuple[float, str]]:
+    """The figures, which must add up at every step."""
+    figures = figures_of(await ask(admin, GET_STATS))
+    ends = sum(v for n, (v, _) in figures.items() if n.endswith((".answered", ".deferred", ".errored", ".departed")))
+    assert figures["lb.taken"][0] == ends + figures["lb.current"][0]
+    return figures
+
+
+Use = Callable[[int, int], Coroutine[Any, Any, None]]
+
+
+def play(answers: list[bytes], use: Use, folder: Path | None = None) -> list[http1.Message]:
+    handler, seen = answering(*answers)
+    admin = free_port()
+    environ = {"TMPDIR": str(folder)} if folder is not None else {}
+
+    async def both(port: int) -> None:
+        await use(port, admin)
+
+    run(with_sidecar(handler, both, more={"admin_addr": f"127.0.0.1:{admin}"}, environ=environ))
+    return seen
+
+
+def test_calls_of_operators_and_their_faults() -> None:
+    async def use(port: int, admin: int) -> None:
+        for wire, status in [
+            (GET_HEALTH, 200), (GET_STATS, 200), (GET_HEALTH.replace(b"check", b""), 404), (post("zz", "maint"), 404),
+            (post("zz", "ready"), 404), (post("a", "away"), 404), (b"nonsense\r\n\r\n", 400), (post("", "maint"), 404),
+            (GET_HEALTH.replace(b"GET", b"HTTP"), 405),
+        ]:
+            answer = await ask(admin, wire)
+            assert (answer.status, answer.keep_alive) == (status, False), wire
+        for wire, allow in [(GET_STATS.replace(b"GET", b"POST"), b"GET"),
+                            (post("a", "maint").replace(b"POST", b"GET"), b"POST")]:
+            answer = await ask(admin, wire)
+            assert (answer.status, answer.fields[b"allow"]) == (405, allow)
+        assert (await ask(port, GET_STATS)).status == 400  # consumers get none of this
+
+    play([whole(200)], use)
+
+
+def test_silent_callers_keep_nobody_out() -> None:
+    # Guards the 1 s in which an answer is owed beside callers that hold their connections and say nothing.
+    async def use(port: int, admin: int) -> None:
+        silent = [await asyncio.open_connection("127.0.0.1", admin) for _ in range(MOST * 2)]
+        for _, writer in silent:
+            writer.write(b"GET /hea")
+        for _ in range(3):
+            assert (await ask(admin, GET_HEALTH)).status == 200
+        assert [await reader.read() for reader, _ in silent[:MOST]] == [b""] * MOST
+        for _, writer in silent:
+            writer.close()
+
+    play([whole(200)], use)
+
+
+def test_a_slow_caller_is_told_so(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("limenotch.net.operators.HEAD_S", 0.1)
+
+    async def use(port: int, admin: int) -> None:
+        assert (await ask(admin, b"GET /healthch")).status == 408
+
+    play([whole(200)], use)
+
+
+def test_figures_say_what_peers_saw() -> None:
+    async def use(port: int, admin: int) -> None:
+        assert (await ask(port, LOOK)).status == 200
+        assert (await ask(port, DELIVER)).status == 502  # tried twice
+        assert (await ask(port, LOOK)).status == 503  # likewise, and harmless to repeat
+        figures = await conserved(admin)
+        for name, value in {"look.answered": 1, "look.deferred": 1, "look.errored": 0, "deliver.errored": 1,
+                            "deliver.sends": 2, "look.sends": 3}.items():
+            assert figures["lb.transactions." + name] == (value, "c"), name
+        for name, value in {"current": 0, "cluster_size": 2, "cluster_unhealthy": 0}.items():
+            assert figures["lb." + name] == (value, "g"), name
+        assert figures["lb.sends"] == (5, "c")
+
+    play([whole(200), whole(500)], use)
+
+
+def test_a_call_under_way_is_current_and_one_whose_consumer_goes_departs() -> None:
+    async def case() -> None:
+        arrived = asyncio.Event()
+
+        async def handler(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            arrived.set()
+            await reader.read()
+            writer.close()
+
+        admin = free_port()
+
+        async def use(port: int) -> None:
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(LOOK)
+            await arrived.wait()
+            figures = await conserved(admin)
+            assert figures["lb.current"] == (1, "g") and figures["lb.transactions.look.sends"] == (1, "c")
+            writer.close()
+            while (await conserved(admin))["lb.transactions.look.departed"][0] < 1:
+                pass
+
+        await with_sidecar(handler, use, more={"admin_addr": f"127.0.0.1:{admin}"})
+
+    run(case())
+
+
+def test_names_of_classes_cannot_break_a_line() -> None:
+    figures = Figures()
+    figures.ended("a.b:1|c\nx", "answered")
+    (line,) = [n for n in figures.lines({}).split(b"\n") if n.endswith(b"answered:1|c")]
+    assert line == b"lb.transactions.a_b_1_c_x.answered:1|c"
+
+
+def test_banned_providers_get_nothing_and_serve_again(tmp_path: Path) -> None:
+    async def use(port: int, admin: int) -> None:
+        for _ in range(2):  # repeated calls change nothing
+            assert (await ask(admin, post("a", "maint"))).status == 200
+        assert (await ask(admin, post("b", "maint"))).status == 200  # all of them
+        assert (await conserved(admin))["lb.cluster_unhealthy"] == (2, "g")
+        budget = LOOK.replace(b"20000m", b"100m")
+        assert (await ask(port, budget)).status in (502, 503, 504)
+        assert read((tmp_path / FILE).read_bytes())[0] == {"a", "b"}
+        assert (await ask(admin, post("a", "ready"))).status == 200
+        assert (await conserved(admin))["lb.cluster_unhealthy"] == (1, "g")
+        assert (await ask(port, LOOK)).status == 200
+
+    assert len(play([whole(200)], use, tmp_path)) == 1
+
+
+def test_bans_outlive_the_process_and_a_full_folder_refuses_none(tmp_path: Path) -> None:
+    (tmp_path / FILE).write_bytes(written({"a", "b", "gone"}, {"c": 5.0}))
+
+    async def use(port: int, admin: int) -> None:
+        assert (await conserved(admin))["lb.cluster_unhealthy"] == (2, "g")
+        (tmp_path / FILE).unlink()
+        tmp_path.rename(tmp_path.with_name("elsewhere"))  # nothing can be written from now on
+        answer = await ask(admin, post("gone", "ready"))  # not listed, but out
+        assert answer.status == 200 and b"not kept" in answer.body
+        assert (await ask(admin, post("a", "ready"))).status == 200
+        assert (await conserved(admin))["lb.cluster_unhealthy"] == (1, "g")
+
+    play([whole(200)], use, tmp_path)
+
+
+Told = tuple[str, bool, float]
+
+
+def kept(folder: Path) -> tuple[Bans, list[Told]]:
+    told: list[Told] = []
+    return Bans(str(folder), lambda *change: told.append(change)), told
+
+
+def test_two_processes_see_each_others_bans(tmp_path: Path) -> None:
+    async def case() -> None:
+        (one, told_one), (two, told_two) = kept(tmp_path), kept(tmp_path)
+        assert await one.set("a", True, 1.0)
+        two.look()
+        assert told_two == [("a", True, 0.0)]
+        assert await two.set("b", True, 2.0) and await two.set("a", False, 3.0)
+        one.look()
+        assert one.out == two.out == {"b"} and one.back == {"a": 3.0}
+        assert sorted(told_one) == [("a", False, 3.0), ("a", True, 0.0), ("b", True, 0.0)]
+        # Both at once, each with what the other has not seen yet: neither ban is lost.
+        await asyncio.gather(one.set("c", True, 4.0), two.set("d", True, 4.0))
+        one.look()
+        two.look()
+        assert one.out == two.out == {"b", "c", "d"}
+
+    run(case())
+
+
+def test_a_lock_that_is_never_given_back_delays_a_ban_only(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(bans_module, "LOCK_STEP_S", 0.0)
+
+    async def case() -> None:
+        held = os.open(tmp_path / LOCK, os.O_RDWR | os.O_CREAT)
+        fcntl.flock(held, fcntl.LOCK_EX)
+        one, told = kept(tmp_path)
+        assert not await one.set("a", True, 1.0)  # in force, and said not to be sure to last
+        assert told == [("a", True, 0.0)]
+        os.close(held)
+
+    run(case())
+
+
+@pytest.mark.parametrize("raw", [
+    b"", b"{", b"[]", b"null", b'{"limenotch_bans": 2}', b'{"limenotch_bans": 1, "out": "a", "back": {}}',
+    b'{"limenotch_bans": 1, "out": [], "back": {"a": NaN}}', b'{"limenotch_bans": 1, "out": [1], "back": {}}',
+    b"\xff\xfe", written({"a"}, {})[:-3],
+])
+def test_a_foreign_or_torn_file_counts_as_none(tmp_path: Path, raw: bytes) -> None:
+    (tmp_path / FILE).write_bytes(raw)
+    bans, told = kept(tmp_path)
+    bans.load()
+    assert not told and not bans.out
+
+
+def test_what_is_written_is_read() -> None:
+    assert read(written({"a", "ä"}, {"b": 1.5})) == ({"a", "ä"}, {"b": 1.5})
+    assert json.loads(written(set(), {}))["out"] == []
+
+
+# The module
+
+CLASSES = (face.TrafficClass("look", face.Effect.IDEMPOTENT, 400, 900),)
+COLD = face.ColdStart(0.1, 20_000.0, 4.0, 3000.0)
+
+
+def balancer_of(*names: str) -> Balancer:
+    balancer = Balancer(face.Settings(classes=CLASSES, cold=COLD), seed=3)
+    balancer.handle(0.0, face.Membership(face.Listing.WHOLE, tuple(face.Upstream(n) for n in names)))
+    return balancer
+
+
+def sent(balancer: Balancer, now: float, call: str) -> list[str]:
+    return [a.upstream for a in balancer.handle(now, face.Arrival(call, 0, 900)) if isinstance(a, face.Send)]
+
+
+def server_of(balancer: Balancer, name: str) -> Server:
+    return balancer.roster.servers[name]
+
+
+def test_a_ban_holds_whatever_the_list_says() -> None:
+    balancer = balancer_of("a", "b")
+    balancer.handle(1.0, face.Ban("a", True))
+    lists = [
+        face.Membership(face.Listing.WHOLE, (face.Upstream("a"), face.Upstream("b"))),
+        face.Membership(face.Listing.CHANGES, (face.Upstream("a", face.Stage.GONE),)),
+        face.Membership(face.Listing.CHANGES, (face.Upstream("a", started_ms=2.0),)),
+    ]
+    for number, listed in enumerate(lists):
+        balancer.handle(2.0, listed)
+        for again in range(5):
+            assert set(sent(balancer, 2.0, f"{number}.{again}")) <= {"b"}
+    assert balancer.left_out() == 1
+
+
+def test_back_from_a_ban_it_is_cold_from_that_moment() -> None:
+    balancer = balancer_of("a", "b")
+    balancer.handle(1.0, face.Ban("a", True))
+    balancer.handle(1000.0, face.Ban("a", False, 1000.0))
+    assert server_of(balancer, "a").capacity(1000.0, COLD) == pytest.approx(0.1)
+    # The list still tells the old start: that does not warm it.
+    balancer.handle(1000.0, face.Membership(face.Listing.CHANGES, (face.Upstream("a"),)))
+    assert server_of(balancer, "a").capacity(11_000.0, COLD) == pytest.approx(0.55)
+    balancer.handle(2000.0, face.Membership(face.Listing.CHANGES, (face.Upstream("a", started_ms=1500.0),)))
+    assert server_of(balancer, "a").since == 1500.0
+    # One that comes back draining is not used.
+    balancer.handle(2000.0, face.Membership(face.Listing.CHANGES, (face.Upstream("a", face.Stage.DRAINING),)))
+    assert all(server.at.name == "b" for server in balancer.table[0])
+
+
+def test_a_ban_during_a_call_leaves_that_call_alone() -> None:
+    balancer = balancer_of("a")
+    assert sent(balancer, 0.0, "1") == ["a"]
+    balancer.handle(1.0, face.Ban("a", True))
+    assert balancer.handle(50.0, face.Finished("1", "a", 0, 50.0, face.Outcome.OK, True)) == []
+
+
+def test_operators_close_with_their_owner() -> None:
+    async def case() -> None:
+        async def nobody(name: str, out: bool) -> None:
+            return None
+
+        operators, port = Operators(lambda: False, lambda: b"", nobody), free_port()
+        operators.listen(("127.0.0.1", port))
+        assert (await ask(port, GET_HEALTH)).status == 503
+        reader, _ = await asyncio.open_connection("127.0.0.1", port)
+        await ask(port, GET_STATS)
+        operators.close()
+        assert await reader.read() == b""
+
+    run(case())
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -21,7 +21,7 @@
 from limenotch.net.consumers import Consumers, budget_ms
 from limenotch.net.directory import Directory, list_of
 from limenotch.net.providers import Connection, Providers, ending_of, report_of
-from limenotch.net.sockets import Share, Sockets
+from limenotch.net.sockets import OPERATORS, Share, Sockets
 from limenotch.settings import Consumers as ConsumerTuning
 from limenotch.settings import Descriptors, Settings
 from limenotch.settings import Providers as ProviderTuning
@@ -96,15 +96,19 @@
 async def with_sidecar(
     handler: Handler, use: Callable[[int], Coroutine[Any, Any, None]], ends: bool = False,
     tuning: Settings = Settings(),  # noqa: B008 (frozen)
+    more: dict[str, Any] | None = None, environ: dict[str, str] | None = None,
 ) -> None:
-    """Starts a provider and a sidecar that knows it by two names; ends them unless `use` has."""
+    """Starts a provider and a sidecar that knows it by two names; ends them unless `use` has.
+
+    `more` is laid over the configuration.
+    """
     provider = await asyncio.start_server(handler, "127.0.0.1", 0)
     address = "127.0.0.1:%d" % provider.sockets[0].getsockname()[1]  # noqa: UP031
     listed = [{"name": name, "address": address, "zone": "a", "status": "in_service"} for name in "ab"]
     port = free_port()
     raw = {"name": "n", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}", "seed": "1f",
-           "known": {"index": 3, "snapshot": True, "endpoints": listed}, "settings": SETTINGS}
-    serving = asyncio.create_task(program.serve(config.parse(raw, {}), tuning))
+           "known": {"index": 3, "snapshot": True, "endpoints": listed}, "settings": SETTINGS, **(more or {})}
+    serving = asyncio.create_task(program.serve(config.parse(raw, environ or {}), tuning))
     while True:
         try:
             ready = await ask(port, b"GET /up HTTP/1.1\r\n\r\n")
@@ -353,7 +357,7 @@
 
 def invoker_call(end: float) -> InvokerCall:
     message = http1.Message([], {}, b"GET", b"/api")
-    return InvokerCall(Call(1, b"1", message, end, lambda final: None), 0, "a", 0.0, end)
+    return InvokerCall(Call(1, b"1", "look", message, end, lambda final: None), 0, "a", 0.0, end)
 
 
 def test_nothing_is_written_to_a_provider_that_drains_while_we_connect() -> None:
@@ -425,7 +429,7 @@
     sockets.providers.drop_idle = drop
     while sockets.providers.take():
         pass
-    assert not idle and sockets.consumers.used + sockets.providers.used == 64 - Descriptors().reserve
+    assert not idle and sockets.consumers.used + sockets.providers.used == 64 - Descriptors().reserve - OPERATORS
     assert not sockets.providers.room
 
 
