Take new classes, effects and attempts at SIGHUP, or turn a faulty file down whole

Need: operators retune under way; only the directory's address and two limits were read again. Change: a file read again is checked whole (finite numbers above 0, no lost key against the file in force, no class twice) and applied at one instant; open calls keep class, deadline, attempts. Faults name classes[n].key.

--- a/limenotch/config.py
+++ b/limenotch/config.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -41,6 +42,7 @@
     sockets: int = DEFAULT_SOCKETS
     memory_mb: float = DEFAULT_MEMORY_MB
     max_open: int = DEFAULT_MAX_OPEN
+    shape: frozenset[str] = frozenset()  # the keys of the file, see shape_of
     idle_ms: float = DEFAULT_IDLE_MS
     connect_ms: float = DEFAULT_CONNECT_MS
 
@@ -68,7 +70,7 @@
 
 def _number(source: Mapping[str, Any], key: str, path: str, default: float, least: float) -> float:
     value = source.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or not value >= least:
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < math.inf:
         raise ConfigError(f"{path}: expected a number of {least:g} or more, not {value!r}")
     return float(value)
 
@@ -111,6 +113,7 @@
         settings=settings,
         zones=_names(env, "zones", "settings.zones"),
         kinds=_names(env, "skus", "settings.skus"),
+        shape=shape_of(raw),
         known=_object(raw, "known", "known"),
         admin=None if admin is None else address(admin, admin_key),
         folder=environ.get("TMPDIR") or None,
@@ -122,10 +125,29 @@
     )
 
 
-def load(environ: Mapping[str, str], again: bool = False) -> Config:
+# Of a start only, or free to come and go: a file read again may lack them.
+OF_THE_START = frozenset({"name", "listen", "admin_addr", "seed", "known"})
+
+
+def shape_of(raw: Mapping[str, Any]) -> frozenset[str]:
+    """The keys that a file has, by path: of all objects of `settings`, and of its classes those that all have."""
+    found = {key for key in raw if key not in OF_THE_START}
+    env = raw.get("settings")
+    if isinstance(env, dict):
+        found |= {f"settings.{key}" for key in env}
+        for name in ("permissions", "rules"):
+            found |= {f"settings.{name}.{key}" for key in env[name]} if isinstance(env.get(name), dict) else set()
+        classes = env.get("classes")
+        if isinstance(classes, list) and classes and all(isinstance(entry, dict) for entry in classes):
+            found |= {f"settings.classes[].{key}" for key in set.intersection(*(set(entry) for entry in classes))}
+    return frozenset(found)
+
+
+def load(environ: Mapping[str, str], again: Config | None = None) -> Config:
     """The configuration that the environment points to.
 
-    Read `again` in a running program, the file has the word on the directory: LB_DISCOVERY is of the start.
+    Read `again` in a running program, given what is in force there, the file has the word on the directory
+    (LB_DISCOVERY is of the start) and may lack no key that the file in force has: one that was cut can still be JSON.
     """
     path = environ.get("LB_CONFIG")
     if not path:
@@ -139,6 +161,10 @@
         raise ConfigError(f"LB_CONFIG: {path}: not JSON: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError(f"LB_CONFIG: {path}: expected an object")
-    if again and raw.get("discovery"):
-        environ = {name: value for name, value in environ.items() if name != "LB_DISCOVERY"}
+    if again is not None:
+        lost = sorted(again.shape - shape_of(raw))
+        if lost:
+            raise ConfigError(f"{lost[0]}: missing, the file in force has it")
+        if raw.get("discovery"):
+            environ = {name: value for name, value in environ.items() if name != "LB_DISCOVERY"}
     return parse(raw, environ)
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -114,7 +114,8 @@
         provider's closing ends in a reset, after which only calls that are safe to repeat can go out again.
         """
         self._calls, self._sockets, self._answer_s = calls, sockets, tuning.answer_s
-        self._connect_s, self._idle_s = connect_ms / 1000.0, idle_ms * tuning.idle_part / 1000.0
+        self._idle_part = tuning.idle_part
+        self.tune(connect_ms, idle_ms)
         self._loop = IOLoop.current()
         self._listed: dict[str, Provider] = {}
         self._banned: set[str] = set()  # by hand, listed or not
@@ -124,6 +125,10 @@
         self._tasks: set[asyncio.Task[None]] = set()
         sockets.drop_idle = self._drop_oldest
 
+    def tune(self, connect_ms: float, idle_ms: float) -> None:
+        """Also under way: a wait that has begun keeps its end."""
+        self._connect_s, self._idle_s = connect_ms / 1000.0, idle_ms * self._idle_part / 1000.0
+
     # The directory's list
 
     def listed(self, providers: Iterable[Provider], whole: bool) -> None:
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -27,6 +27,7 @@
 
 async def serve(config: Config, settings: Settings = Settings()) -> None:  # noqa: B008 (frozen)
     """Serve until SIGTERM or SIGINT, then finish what was taken. Raises OSError if it can't listen."""
+    held = config
     facade = Facade(config.settings, config.seed, config.zones, config.kinds)
     sockets = Sockets(config.sockets, settings.descriptors)
     figures = Figures()
@@ -69,17 +70,23 @@
     operators = Operators(lambda: consumers.ready() and not consumers.leaving, stats, ban)
 
     def reload() -> None:
-        """What may change under way: the directory's address and the limits. All else waits for a restart."""
+        """All of a sound file or nothing; addresses to listen on, names and the seed wait for the next start."""
+        nonlocal held
         try:
-            new = load(os.environ, again=True)
+            new = load(os.environ, again=held)
         except ConfigError as error:
             figures.reloaded(False)
             log.error("reload: the configuration held stays", error=str(error))
             return
         figures.reloaded(True)
-        log.info("reload", directory=host_port(new.directory), sockets=new.sockets)
+        held = new
+        names = [cls.name for cls in new.settings.classes]
+        log.info("reload", directory=host_port(new.directory), sockets=new.sockets, classes=names)
+        figures.know(names)
+        providers.tune(new.connect_ms, new.idle_ms)
         sockets.limit_to(new.sockets)
         calls.max_open = new.max_open
+        calls.carry_out(facade.retune(new.settings, new.zones, new.kinds))
         directory.move(new.directory)
 
     stop = asyncio.Event()
--- a/switchthread/settings.py
+++ b/switchthread/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import isfinite
 from typing import Any
 
 from . import interface as face
@@ -24,11 +25,19 @@
 
 def _number(source: dict[str, Any], key: str, default: float | None = None) -> float:
     value = _get(source, key, default)
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
+    # Python reads NaN and Infinity in JSON, and NaN passes every check that only says what is too small.
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not isfinite(value):
         raise ValueError(f"{key}: expected a number")
     return float(value)
 
 
+def _above(source: dict[str, Any], key: str, default: float | None = None) -> float:
+    value = _number(source, key, default)
+    if value <= 0:
+        raise ValueError(f"{key}: expected a number above 0, not {value:g}")
+    return value
+
+
 def _choice(kind: Callable[[Any], Any], source: dict[str, Any], key: str, default: str) -> Any:
     try:
         return kind(source.get(key, default))
@@ -36,25 +45,33 @@
         raise ValueError(f"{key}: not one of the known values") from None
 
 
+def _class(entry: Any, path: str) -> face.TrafficClass:
+    if not isinstance(entry, dict):
+        raise ValueError(f"{path}: expected an object")
+    try:
+        return face.TrafficClass(
+            name=str(entry.get("name", "")),
+            effect=_choice(face.Effect, entry, "effect", ""),
+            aim_ms=_above(entry, "target_ms"),
+            deadline_ms=_above(entry, "hard_limit_ms"),
+            worth=_number(entry, "worth", 1.0),
+            late_worth=_number(entry, "late_worth", 0.0),
+            scope=_choice(face.Scope, entry, "dedup_scope", "all"),
+            window_ms=_number(entry, "window_ms", 0.0),
+            streaming=bool(entry.get("streaming", False)),
+        )
+    except ValueError as error:
+        raise ValueError(f"{path}.{str(error).removeprefix('classes.')}") from None
+
+
 def read_settings(env: dict[str, Any]) -> face.Settings:
     """The settings as the wire names them; keys that are not known are skipped."""
-    classes = []
-    for entry in _get(env, "classes"):
-        if not isinstance(entry, dict):
-            raise ValueError("classes: expected objects")
-        classes.append(
-            face.TrafficClass(
-                name=str(entry.get("name", "")),
-                effect=_choice(face.Effect, entry, "effect", ""),
-                aim_ms=_number(entry, "target_ms"),
-                deadline_ms=_number(entry, "hard_limit_ms"),
-                worth=_number(entry, "worth", 1.0),
-                late_worth=_number(entry, "late_worth", 0.0),
-                scope=_choice(face.Scope, entry, "dedup_scope", "all"),
-                window_ms=_number(entry, "window_ms", 0.0),
-                streaming=bool(entry.get("streaming", False)),
-            )
-        )
+    listed = _get(env, "classes")
+    if not isinstance(listed, list):
+        raise ValueError("classes: expected a list")
+    classes = [_class(entry, f"classes[{number}]") for number, entry in enumerate(listed)]
+    if len({cls.name for cls in classes}) < len(classes):
+        raise ValueError("classes: two of one name")
     tenants = tuple(
         face.Tenant(str(entry.get("name", "")), _number(entry, "quota_per_s", 0.0))
         for entry in env.get("tenants") or ()
@@ -71,7 +88,7 @@
         over_share_worth=_number(env, "over_share_worth", 1.0),
         must_ask=env.get("registry_mode") == "ask",
         weights_listed=env.get("weights", "off") != "off",
-        max_attempts=int(_number(allowed, "max_attempts", 3)),
+        max_attempts=int(_above(allowed, "max_attempts", 3)),
         may_cancel=bool(allowed.get("cancel", True)),
         may_copy=bool(allowed.get("parallel_tries", True)),
         max_retry_after_ms=advice,
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -36,10 +36,14 @@
     ("known", [], "known"),
     ("settings", None, "settings"),
     ("settings.classes", None, "settings.classes"),
-    ("settings.classes", [{**CLASS, "effect": "odd"}], "settings.effect"),
+    ("settings.classes", [{**CLASS, "effect": "odd"}], r"settings.classes\[0\].effect"),
     ("settings.zones", "a", "settings.zones"),
     ("settings.permissions.conn_idle_ms", -1, "settings.permissions.conn_idle_ms"),
     ("settings.permissions.max_attempts", 0, "settings.max_attempts"),
+    ("limits.memory_mb", float("inf"), "limits.memory_mb"),
+    ("admin_addr", "127.0.0.1", "admin_addr"),
+    ("settings.classes", [CLASS, CLASS], "settings.classes"),
+    ("settings.classes", {"look": CLASS}, "settings.classes"),
 ])
 def test_a_fault_names_its_key(path: str, value: object, key: str) -> None:
     raw = copy.deepcopy(RAW)
@@ -52,6 +56,51 @@
         parse(raw, {})
 
 
+FAULTY_NUMBERS = [0, -1, float("nan"), float("inf"), True, "900", None, [900]]
+
+
+@pytest.mark.parametrize("value", FAULTY_NUMBERS, ids=str)
+def test_what_is_no_number_above_0(value: object) -> None:
+    raw = copy.deepcopy(RAW)
+    raw["settings"]["classes"][0]["hard_limit_ms"] = value
+    with pytest.raises(ConfigError, match=r"^settings.classes\[0\].hard_limit_ms: "):
+        parse(raw, {})
+    raw = copy.deepcopy(RAW)
+    raw["settings"]["permissions"]["max_attempts"] = value
+    if value is not None:  # none given: the default
+        with pytest.raises(ConfigError, match="^settings.max_attempts: "):
+            parse(raw, {})
+
+
+@pytest.mark.parametrize("path", [
+    "discovery", "limits", "settings", "settings.classes", "settings.zones", "settings.permissions",
+    "settings.permissions.conn_idle_ms", "settings.classes.0.effect", "settings.classes.0.hard_limit_ms",
+])
+def test_a_file_read_again_may_lack_no_key(tmp_path: Path, path: str) -> None:
+    # Guards against the half of a file that is still JSON: its defaults would be taken for the operators' wish.
+    held = parse(RAW, {})
+    raw = copy.deepcopy(RAW)
+    at: Any = raw
+    *outer, last = path.split(".")
+    for name in outer:
+        at = at[int(name) if name.isdigit() else name]
+    del at[last]
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(raw))
+    with pytest.raises(ConfigError, match=last):
+        load({"LB_CONFIG": str(file)}, held)
+
+
+def test_a_file_read_again_may_lack_what_is_of_the_start(tmp_path: Path) -> None:
+    held = parse(RAW, {})
+    file = tmp_path / "config.json"
+    more = {"name": "tidy", "effect": "at_most_once", "target_ms": 50, "hard_limit_ms": 90, "worth": 2}
+    settings = {**RAW["settings"], "classes": [more]}
+    raw = {**{k: v for k, v in RAW.items() if k not in ("known", "seed")}, "settings": settings}
+    file.write_text(json.dumps(raw))
+    assert [cls.name for cls in load({"LB_CONFIG": str(file)}, held).settings.classes] == ["tidy"]
+
+
 @pytest.mark.parametrize("text", ["{", "[]", None])
 def test_a_file_that_is_none(tmp_path: Path, text: str | None) -> None:
     path = tmp_path / "config.json"
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -6,6 +6,7 @@
 import fcntl
 import json
 import os
+import signal
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
@@ -22,7 +23,7 @@
 from switchthread import interface as face
 from switchthread.records import Server
 
-from .test_sidecar import DELIVER, LOOK, answering, ask, free_port, run, whole, with_sidecar
+from .test_sidecar import DELIVER, LOOK, SETTINGS, answering, ask, free_port, run, whole, with_sidecar
 
 GET_HEALTH = b"GET /healthcheck HTTP/1.1\r\nHost: o\r\n\r\n"
 GET_STATS = b"GET /stats HTTP/1.1\r\nHost: o\r\n\r\n"
@@ -300,6 +301,72 @@
     assert balancer.handle(50.0, face.Finished("1", "a", 0, 50.0, face.Outcome.OK, True)) == []
 
 
+# New settings
+
+DELIVER_KEYED = face.TrafficClass("deliver", face.Effect.DEDUPLICATED, 400, 900, scope=face.Scope.ZONE, window_ms=9000)
+
+
+def test_open_calls_keep_their_rules_and_new_ones_have_the_new() -> None:
+    names = ("a", "b", "c")
+    balancer = Balancer(face.Settings(classes=CLASSES, max_attempts=3, must_ask=True), seed=3)
+    balancer.handle(0.0, face.Membership(face.Listing.WHOLE, tuple(face.Upstream(n) for n in names)))
+    (first,) = sent(balancer, 0.0, "old")
+    once = face.TrafficClass("look", face.Effect.AT_MOST_ONCE, 300, 500)
+    balancer.handle(1.0, face.Retuned(face.Settings(classes=(DELIVER_KEYED, once), max_attempts=1, must_ask=True)))
+    # Held under three attempts and a harmless repeat: it is sent again though attempts are 1 by now.
+    acts = balancer.handle(2.0, face.Finished("old", first, 0, 2.0, face.Outcome.ERROR))
+    (again,) = [a for a in acts if isinstance(a, face.Send)]
+    assert again.timeout_ms == pytest.approx(398.0)  # and to its own end
+    # The new class of the old name: one attempt, and a failure rather than a refusal after it may have run.
+    (send,) = [a for a in balancer.handle(3.0, face.Arrival("new", 1, 500)) if isinstance(a, face.Send)]
+    acts = balancer.handle(4.0, face.Finished("new", send.upstream, 0, 1.0, face.Outcome.ERROR))
+    assert acts == [face.Fail("new")]
+
+
+def test_what_was_learnt_stays_with_its_name_and_goes_with_it() -> None:
+    balancer = balancer_of("a")
+    sent(balancer, 0.0, "1")
+    balancer.handle(50.0, face.Finished("1", "a", 0, 50.0, face.Outcome.OK, True))
+    kept = face.TrafficClass("look", face.Effect.IDEMPOTENT, 500, 900)
+    balancer.handle(51.0, face.Retuned(face.Settings(classes=(DELIVER_KEYED, kept), cold=COLD)))
+    assert balancer.usual["look"].mean == 50.0 and balancer.usual["deliver"].mean == 0.0
+    balancer.handle(52.0, face.Retuned(face.Settings(classes=(DELIVER_KEYED,), cold=COLD)))
+    balancer.handle(53.0, face.Retuned(face.Settings(classes=(DELIVER_KEYED, kept), cold=COLD)))
+    assert balancer.usual["look"].mean == 0.0  # dropped and back: another class
+    assert server_of(balancer, "a").count > 0
+
+
+def test_a_reload_is_taken_whole_or_turned_down_whole(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path = tmp_path / "config.json"
+    monkeypatch.setenv("LB_CONFIG", str(path))
+    added = {"name": "late", "effect": "at_most_once", "target_ms": 9000.0, "hard_limit_ms": 20000.0}
+    faulty = {**added, "name": "faulty", "hard_limit_ms": "9"}
+
+    async def use(port: int, admin: int) -> None:
+        raw = {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}", "known": {}}
+
+        async def reload(classes: list[dict[str, Any]], name: str, count: int) -> dict[str, tuple[float, str]]:
+            path.write_text(json.dumps({**raw, "settings": {**SETTINGS, "classes": classes}}))
+            os.kill(os.getpid(), signal.SIGHUP)
+            while (figures := await conserved(admin))[name][0] < count:
+                pass
+            return figures
+
+        async def status(class_name: bytes) -> int:
+            return (await ask(port, LOOK.replace(b"look", class_name))).status
+
+        classes: list[dict[str, Any]] = SETTINGS["classes"]  # type: ignore[assignment]
+        assert await status(b"late") == 400
+        await reload([*classes[1:], added, faulty], "lb.conf_invalid", 1)
+        assert (await status(b"late"), await status(b"look")) == (400, 200)  # nothing of it was taken
+        figures = await reload([*classes[1:], added], "lb.conf_loaded", 1)
+        assert figures["lb.transactions.late.answered"] == (0, "c")
+        assert figures["lb.transactions.look.answered"] == (1, "c")  # stays though the class went
+        assert (await status(b"late"), await status(b"look")) == (200, 400)
+
+    play([whole(200)], use)
+
+
 def test_operators_close_with_their_owner() -> None:
     async def case() -> None:
         async def nobody(name: str, out: bool) -> None:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -180,7 +180,7 @@
         ({"classes": [{"effect": "idempotent", "hard_limit_ms": 5.0}]}, "target_ms"),
         ({"classes": [{"effect": "odd", "target_ms": 5.0, "hard_limit_ms": 5.0}]}, "effect"),
         ({"classes": [{"effect": "idempotent", "target_ms": "x", "hard_limit_ms": 5.0}]}, "target_ms"),
-        ({"classes": [{"effect": "idempotent", "target_ms": -1.0, "hard_limit_ms": 5.0}]}, "aim_ms"),
+        ({"classes": [{"effect": "idempotent", "target_ms": -1.0, "hard_limit_ms": 5.0}]}, "target_ms"),
         ({"balancers": 0}, "balancers"),
         ({"rules": {"start_capacity": 0.0}}, "capacity"),
         ({"permissions": {"max_attempts": 0}}, "max_attempts"),
