Hand the listener, the list and what was learnt to the process that takes over

Change: net/successor.py (Unix socket named by the listening address, SCM_RIGHTS, one line of JSON, acknowledged 'serving'), switchthread/knowledge.py, SO_REUSEPORT where nobody answers; half the descriptors, cold budget and quotas for each of two; after a handover the old one serves kept connections for 1.5 s. Files in TMPDIR carry the listening address, as a folder may be that of several sidecars. Ruled out: a race between the new one's yes and the old one's SIGTERM (the old one acknowledges before the yes).

--- a/limenotch/bans.py
+++ b/limenotch/bans.py
@@ -19,7 +19,7 @@
 
 log = logs.get(__name__)
 
-FILE, LOCK = "limenotch-bans.json", "limenotch-bans.lock"
+FILE, LOCK = ".bans.json", ".bans.lock"  # behind what all paths of this sidecar begin with
 VERSION = 1
 LOOK_S = 0.1  # how often the file is looked at: another process's ban binds within the drain's grace
 LOCK_TRIES, LOCK_STEP_S = 40, 0.01  # a process that was stopped with the lock must not keep the answer
@@ -31,9 +31,10 @@
 class Bans:
     """Owns the set and its file. `changed` is told of each ban and each return, whoever made it."""
 
-    def __init__(self, folder: str | None, changed: Change) -> None:
-        """Without a folder, or where it can't be written, bans hold as long as the process does."""
-        self._folder = Path(folder) if folder else None
+    def __init__(self, kept: str | None, changed: Change) -> None:
+        """`kept`: how its paths begin. Without, or where they can't be written, bans hold as long as the process."""
+        self._file = Path(kept + FILE) if kept else None
+        self._lock = Path(kept + LOCK) if kept else None
         self._changed = changed
         self._seen: tuple[int, int] | None = None  # the file as read last
         self.out: set[str] = set()
@@ -41,10 +42,10 @@
 
     def load(self) -> None:
         """What the file holds now; told as changes. A missing file changes nothing."""
-        if self._folder is None:
+        if self._file is None:
             return
         try:
-            with open(self._folder / FILE, "rb") as file:
+            with open(self._file, "rb") as file:
                 stat = os.fstat(file.fileno())
                 self._seen = stat.st_ino, stat.st_mtime_ns
                 raw = file.read()
@@ -71,10 +72,10 @@
 
     def look(self) -> None:
         """Whether another process has replaced the file; to be called every LOOK_S."""
-        if self._folder is None:
+        if self._file is None:
             return
         try:
-            stat = os.stat(self._folder / FILE)
+            stat = os.stat(self._file)
         except OSError:
             return
         if (stat.st_ino, stat.st_mtime_ns) != self._seen:
@@ -100,9 +101,9 @@
             return self._write() and locked
 
     def _write(self) -> bool:
-        if self._folder is None:
+        if self._file is None:
             return False
-        path = self._folder / f"{FILE}.{os.getpid()}"
+        path = self._file.with_name(f"{self._file.name}.{os.getpid()}")
         while len(self.back) > MOST:
             self.back.pop(next(iter(self.back)))
         try:
@@ -111,7 +112,7 @@
                 file.flush()
                 os.fsync(file.fileno())
                 stat = os.fstat(file.fileno())
-            os.replace(path, self._folder / FILE)
+            os.replace(path, self._file)
         except OSError as error:
             log.warning("bans: not kept, in force until this process ends", error=str(error))
             with contextlib.suppress(OSError):
@@ -123,11 +124,11 @@
     @contextlib.asynccontextmanager
     async def _locked(self) -> AsyncIterator[bool]:
         """Yields whether the lock was had; the ban is made without it too."""
-        if self._folder is None:
+        if self._lock is None:
             yield False
             return
         try:
-            file = os.open(self._folder / LOCK, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            file = os.open(self._lock, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         except OSError as error:
             log.warning("bans: no lock", error=str(error))
             yield False
--- a/limenotch/config.py
+++ b/limenotch/config.py
@@ -7,6 +7,7 @@
 
 import json
 import math
+import os
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any
@@ -38,7 +39,7 @@
     kinds: tuple[str, ...] = ()
     known: dict[str, Any] = field(default_factory=dict)  # the list as held last, in the directory's form
     admin: Address | None = None  # where operators ask; None: nowhere
-    folder: str | None = None  # kept from one process to the next; None: nothing is
+    kept: str | None = None  # how paths begin that one process leaves to the next; None: nothing is left
     sockets: int = DEFAULT_SOCKETS
     memory_mb: float = DEFAULT_MEMORY_MB
     max_open: int = DEFAULT_MAX_OPEN
@@ -89,6 +90,12 @@
         raise ConfigError(f"seed: expected a hexadecimal number, not {value!r}") from None
 
 
+def _kept(folder: str | None, listen: Address) -> str | None:
+    """By the address, as a folder may be that of several sidecars. Without a port of its own one has no successor."""
+    name = f"limenotch-{listen[0].replace(':', '_')}-{listen[1]}"
+    return os.path.join(folder, name) if folder and listen[1] else None
+
+
 def parse(raw: Mapping[str, Any], environ: Mapping[str, str]) -> Config:
     """What the file holds; LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_ADMIN_ADDR override it where they are set."""
     env = _object(raw, "settings", "settings")
@@ -116,7 +123,7 @@
         shape=shape_of(raw),
         known=_object(raw, "known", "known"),
         admin=None if admin is None else address(admin, admin_key),
-        folder=environ.get("TMPDIR") or None,
+        kept=_kept(environ.get("TMPDIR"), address(listen, "listen")),
         memory_mb=_number(limits, "memory_mb", "limits.memory_mb", DEFAULT_MEMORY_MB, 8),
         sockets=int(_number(limits, "sockets", "limits.sockets", DEFAULT_SOCKETS, 64)),
         max_open=int(_number(allowed, "max_open", path + "max_open", DEFAULT_MAX_OPEN, 1)),
--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -12,10 +12,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from enum import Enum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from switchthread import Balancer
 from switchthread import interface as face
+from switchthread.knowledge import learn, told_by
 
 # The answer must be with the consumer when its budget ends: what the way there and a busy core may take.
 MARGIN_MS = 20.0
@@ -154,11 +155,13 @@
     ) -> None:
         self._balancer = Balancer(settings, seed)
         self._clock = clock or Clock()
+        self._processes = 1
         self._adopt(settings)
         self._zones = _Names({name: number for number, name in enumerate(zones)})
         self._kinds = _Names({name: number for number, name in enumerate(kinds)})
 
     def _adopt(self, settings: face.Settings) -> None:
+        self._settings = replace(settings, processes=self._processes)
         self.classes = settings.classes
         self._classes = {cls.name: number for number, cls in enumerate(settings.classes)}
         self._tenants = {tenant.name: number for number, tenant in enumerate(settings.tenants)}
@@ -201,7 +204,28 @@
         if settings.zone < len(names):
             settings = replace(settings, zone=self._zones[names[settings.zone]])
         self._adopt(settings)
-        return self._handle(face.Retuned(settings))
+        return self._handle(face.Retuned(self._settings))
+
+    def together(self, processes: int) -> Orders:
+        """How many processes of this sidecar live: each does its part of what one may do."""
+        self._processes = processes
+        self._adopt(self._settings)
+        return self._handle(face.Retuned(self._settings))
+
+    def knowledge(self) -> dict[str, Any]:
+        """What was learnt, for the process that takes this one's place."""
+        return {"module": told_by(self._balancer), "kinds": dict(self._kinds.index)}
+
+    def learn(self, told: Any) -> None:
+        """What another process knew; to be called after its list was heard. Raises ValueError if it is not sound."""
+        if not isinstance(told, dict) or not isinstance(told.get("kinds"), dict):
+            raise ValueError("knowledge: kinds")
+        names = {str(number): name for name, number in told["kinds"].items()}
+        module = told.get("module")
+        if isinstance(module, dict) and isinstance(module.get("kinds"), dict):
+            kinds = {str(self._kinds[names[k]]): mean for k, mean in module["kinds"].items() if k in names}
+            module = {**module, "kinds": kinds}
+        learn(self._balancer, module)
 
     def start(self) -> Orders:
         return self._handle(face.Started())
--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 import socket
 from collections.abc import Callable
@@ -28,6 +29,11 @@
 LINGER_S = 0.5  # a consumer that still writes gets this long to read why it is turned off ...
 LINGER_BYTES = 256 * 1024  # ... and is read this far: more would be work for nothing
 
+# What ends a process after SIGTERM comes no earlier than the longest deadline, counted as so much at most ...
+KILL_MOST_S = 3.0
+KILL_AFTER_S = 0.7  # ... and so much more.
+KILL_MARGIN_S = 0.2
+
 READY = b"/up"
 BUDGET = re.compile(rb"([0-9]{1,18}(?:\.[0-9]{0,9})?)([mu])")
 
@@ -75,6 +81,13 @@
     def idle(self) -> bool:
         return self._final is None and self._parser.idle
 
+    def waiting(self) -> bool:
+        """Whether bytes have come that are not read yet."""
+        try:
+            return bool(self.stream.socket.recv(1, socket.MSG_PEEK))
+        except (BlockingIOError, OSError):
+            return False
+
     async def serve(self) -> None:
         try:
             while True:
@@ -165,7 +178,8 @@
             raise http1.MalformedError(400, "X-Call-Class: unknown")
         if not facade.knows_tenant(tenant):
             raise http1.MalformedError(400, "X-Caller: unknown")
-        left = budget_ms(fields.get(b"x-budget", b""))
+        # One taken while leaving must not be found open by what ends the process.
+        left = min(budget_ms(fields.get(b"x-budget", b"")), max((self._all.last - monotonic()) * 1000.0, 1.0))
         final = self._final = asyncio.get_running_loop().create_future()
         resent = fields.get(b"x-again") == b"1"
         room = self._all.sockets.providers.room
@@ -208,6 +222,7 @@
     ) -> None:
         self.calls, self.facade, self.sockets, self.tuning = calls, facade, sockets, tuning
         self.leaving = False
+        self.last = math.inf  # when calls have to end, by time.monotonic
         self._has_list = has_list
         self._loop = IOLoop.current()
         self._listener: socket.socket | None = None
@@ -215,10 +230,16 @@
         self._waiting: dict[Consumer, None] = {}  # those between two requests, the longest first
         sockets.consumers.drop_idle = self._drop_idle
 
-    def listen(self, at: Address) -> None:
-        """On this address only. Raises OSError if it can't be had."""
-        self._listener = bind_sockets(at[1], at[0], backlog=BACKLOG)[0]
+    def listen(self, at: Address, inherited: socket.socket | None = None) -> socket.socket:
+        """On this address only, or on the listener of the process before. Raises OSError if it can't be had.
+
+        With SO_REUSEPORT: where no listener can be handed over, the next process still gets the address.
+        """
+        if inherited is None:
+            inherited = bind_sockets(at[1], at[0], backlog=BACKLOG, reuse_port=True)[0]
+        self._listener = inherited
         self._loop.add_handler(self._listener, lambda *_: self._accept(), IOLoop.READ)
+        return inherited
 
     def ready(self) -> bool:
         return self._listener is not None and self._has_list()
@@ -271,23 +292,38 @@
             consumer.stream.close()
         return consumer is not None
 
-    async def leave(self) -> None:
-        """Take no more, once those under way have arrived; return when every call is answered."""
+    async def leave(self, handed_on: bool = False) -> None:
+        """Take no more, once those under way have arrived; return when every call is answered.
+
+        With the listener `handed_on`, what waits in its queue is the next process's, and kept connections can be
+        served as long as there is time: each closes with its next answer, and those still silent after a while.
+        """
         self.leaving = True
-        # A new connection's first request is still on its way: only those that had one are idle.
-        for consumer in [c for c in self._open if c.idle and c.used]:
+        longest = max(cls.deadline_ms for cls in self.facade.classes) / 1000.0
+        self.last = monotonic() + min(longest, KILL_MOST_S) + KILL_AFTER_S - KILL_MARGIN_S
+        if handed_on:
+            self._stop_listening()
+            await sleep(self.tuning.keep_s)
+        else:
+            await self._leave_alone()
+        for consumer in [c for c in self._open if c.idle and not c.waiting()]:
             consumer.stream.close()
-        await sleep(self.tuning.accept_s)
+        # Every call is answered by its deadline; who has not read its answer by then is not waited for.
+        end = monotonic() + longest
+        while self._open and monotonic() < end:
+            await asyncio.wait(list(self._open.values()), timeout=end - monotonic())
+
+    def _stop_listening(self) -> None:
         if self._listener is not None:
-            self._accept(BACKLOG)  # what waits in the queue would be reset with the listener
             self._loop.remove_handler(self._listener)
             self._listener.close()
             self._listener = None
-        await sleep(self.tuning.leave_s - self.tuning.accept_s)
-        for consumer in [c for c in self._open if c.idle]:
+
+    async def _leave_alone(self) -> None:
+        # A new connection's first request is still on its way: only those that had one are idle.
+        for consumer in [c for c in self._open if c.idle and c.used]:
             consumer.stream.close()
-        # Every call is answered by its deadline; who has not read its answer by then is not waited for.
-        longest = max(cls.deadline_ms for cls in self.facade.classes) / 1000.0
-        end = monotonic() + longest
-        while self._open and monotonic() < end:
-            await asyncio.wait(list(self._open.values()), timeout=end - monotonic())
+        await sleep(self.tuning.accept_s)
+        self._accept(BACKLOG)  # what waits in the queue would be reset with the listener
+        self._stop_listening()
+        await sleep(self.tuning.leave_s - self.tuning.accept_s)
--- a/limenotch/net/directory.py
+++ b/limenotch/net/directory.py
@@ -6,7 +6,7 @@
 import json
 import math
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from tornado.gen import sleep
@@ -88,6 +88,21 @@
         """The list as it was held at an earlier time: served from until the directory answers."""
         self._tell(raw, whole=True)
 
+    def held(self, providers: Iterable[Provider]) -> dict[str, Any]:
+        """The list as it is held, for `known` of the next process, with where it is from."""
+        listed = [
+            {"name": p.name, "address": host_port(p.address), "zone": p.zone, "type": p.kind, "group": p.group,
+             "status": p.status.value, "weight": p.weight, "since_ms": p.since_ms}
+            for p in providers
+        ]
+        return {"from": host_port(self._at), "index": self._version, "snapshot": True, "endpoints": listed}
+
+    def take_over(self, raw: dict[str, Any]) -> None:
+        """What `held` told in another process. Its version counts only at the same directory."""
+        self._tell(raw, whole=True)
+        if raw.get("from") != host_port(self._at):
+            self._version = 0
+
     def watch(self) -> None:
         """Start a watch unless one is on."""
         if self._task is None:
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from time import monotonic
 
 from tornado.ioloop import IOLoop
@@ -142,6 +142,9 @@
         """Whether the directory lists it."""
         return name in self._listed
 
+    def __iter__(self) -> Iterator[Provider]:
+        return iter(list(self._listed.values()))
+
     def __len__(self) -> int:
         """How many are listed."""
         return len(self._listed)
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -52,3 +52,5 @@
         whole = max(limit - self._tuning.reserve - OPERATORS, 8)
         self.consumers.limit = int(whole * self._tuning.for_consumers)
         self.providers.limit = whole - self.consumers.limit
+        while self.providers.used > self.providers.limit and self.providers.drop_idle():
+            pass  # no consumer notices
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import signal
+from typing import Any
 
 from tornado.ioloop import PeriodicCallback
 
@@ -20,6 +21,7 @@
 from .net.operators import Operators
 from .net.providers import Providers
 from .net.sockets import Sockets
+from .net.successor import Inheritance, Successor
 from .settings import Settings
 
 log = logs.get(__name__)
@@ -27,7 +29,7 @@
 
 async def serve(config: Config, settings: Settings = Settings()) -> None:  # noqa: B008 (frozen)
     """Serve until SIGTERM or SIGINT, then finish what was taken. Raises OSError if it can't listen."""
-    held = config
+    held, serving = config, False
     facade = Facade(config.settings, config.seed, config.zones, config.kinds)
     sockets = Sockets(config.sockets, settings.descriptors)
     figures = Figures()
@@ -53,7 +55,7 @@
         providers.ban(name, out)
         calls.carry_out(facade.ban(name, out, at_ms))
 
-    bans = Bans(config.folder, banned)
+    bans = Bans(config.kept, banned)
 
     async def ban(name: str, out: bool) -> bool | None:
         if not providers.knows(name) and name not in bans.out:
@@ -67,7 +69,17 @@
             "cluster_unhealthy": facade.avoided(),
         })
 
-    operators = Operators(lambda: consumers.ready() and not consumers.leaving, stats, ban)
+    operators = Operators(lambda: serving and consumers.ready() and not consumers.leaving, stats, ban)
+
+    def together(processes: int) -> None:
+        """Of this sidecar, those alive: all of them are held to one sidecar's limits."""
+        sockets.limit_to(held.sockets // processes)
+        calls.carry_out(facade.together(processes))
+
+    def tell() -> dict[str, Any]:
+        return {"list": directory.held(providers), "knowledge": facade.knowledge()}
+
+    successor = Successor(config.kept, config.listen, tell, together)
 
     def reload() -> None:
         """All of a sound file or nothing; addresses to listen on, names and the seed wait for the next start."""
@@ -84,7 +96,7 @@
         log.info("reload", directory=host_port(new.directory), sockets=new.sockets, classes=names)
         figures.know(names)
         providers.tune(new.connect_ms, new.idle_ms)
-        sockets.limit_to(new.sockets)
+        sockets.limit_to(new.sockets // successor.processes)
         calls.max_open = new.max_open
         calls.carry_out(facade.retune(new.settings, new.zones, new.kinds))
         directory.move(new.directory)
@@ -94,19 +106,38 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     calls.carry_out(facade.start())
-    if config.known:
+    inherited = await successor.ask()
+    if inherited is not None:
+        together(successor.processes)
+        take_over(inherited, directory, facade)
+    if not listed.is_set() and config.known:
         directory.known(config.known)
     bans.load()
     looking = PeriodicCallback(bans.look, LOOK_S * 1000.0)
     directory.watch()  # also where the module expects the list unasked: nobody else brings it here
-    consumers.listen(config.listen)
+    listener = consumers.listen(config.listen, inherited.listener if inherited is not None else None)
     if config.admin is not None:
         operators.listen(config.admin)
         looking.start()
-    log.info("listening", listen=host_port(config.listen), layer=config.settings.layer)
+    successor.offer(listener)
+    log.info("listening", listen=host_port(config.listen), layer=config.settings.layer, over=inherited is not None)
     gc.freeze()  # what stays for good is not looked through again
+    await successor.serving()
+    serving = True
     await stop.wait()
-    log.info("leaving", open_calls=len(calls.open))
-    await consumers.leave()
+    log.info("leaving", open_calls=len(calls.open), handed_on=successor.serves)
+    await consumers.leave(successor.serves)
     looking.stop()
     operators.close()
+    successor.close()
+
+
+def take_over(inherited: Inheritance, directory: Directory, facade: Facade) -> None:
+    """What the process before knew, as far as it is sound: a fault costs its knowledge, not the start."""
+    told = inherited.told
+    if isinstance(told.get("list"), dict):
+        directory.take_over(told["list"])
+    try:
+        facade.learn(told.get("knowledge"))
+    except (ValueError, TypeError) as error:
+        log.warning("knowledge of the process before not taken", error=str(error))
--- a/limenotch/settings.py
+++ b/limenotch/settings.py
@@ -30,6 +30,7 @@
     write_s: Seconds = 5.0
     accept_s: Seconds = 0.5
     leave_s: Seconds = 0.9
+    keep_s: Seconds = 1.5
 
     def __post_init__(self) -> None:
         if self.leave_s < self.accept_s:
--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -192,7 +192,7 @@
             self._distances(drawn, ready, able)
         whole = max(sum(s.share for s in drawn), 1e-9)
         # Where no reports tell what a tier can do, demand does, and not what is sent: a cold tier gets less.
-        part = able / self.set.balancers
+        part = able / self.set.parts
         if not self.tier.done:
             part = self.demand * sum(s.able for s in drawn) / max(sum(s.weight for s in drawn), 1e-9)
         self.room = HEADROOM * self.set.cold.fall_multiple * part / 1000 / whole
@@ -380,7 +380,7 @@
         worth = call.cls.worth
         if event.tenant < len(self.set.tenants):
             tenant = self.set.tenants[event.tenant]
-            rate = tenant.quota_per_s / self.set.balancers / 1000
+            rate = tenant.quota_per_s / self.set.parts / 1000
             saved, since = self.quota[tenant.name]
             saved = min(saved + (now - since) * rate, max(BURST, rate * self.window))
             if saved < 1 and rate > 0:
--- a/switchthread/interface.py
+++ b/switchthread/interface.py
@@ -113,6 +113,7 @@
     classes: tuple[TrafficClass, ...]
     tenants: tuple[Tenant, ...] = ()
     balancers: int = 1  # how many share this tier's traffic, this one included
+    processes: int = 1  # of this balancer's place that live at once, while one takes over from another
     rank: int = 0  # this balancer's number among them, from 0
     layer: int = 0  # 0: calls come from clients; above: from servers of the tier before
     zone: int = 0  # where this balancer stands
@@ -129,6 +130,7 @@
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", "at least one")
         _need(self.balancers >= 1, "balancers", "1 or more")
+        _need(self.processes >= 1, "processes", "1 or more")
         _need(0 <= self.rank, "rank", "0 or more")
         _need(self.layer >= 0, "layer", "0 or more")
         _need(0 <= self.over_share_worth <= 1, "over_share_worth", "0 to 1")
@@ -136,6 +138,11 @@
         _need(self.max_retry_after_ms >= 0, "max_retry_after_ms", "0 or more")
         _need(self.crossing_cost >= 0, "crossing_cost", "0 or more")
 
+    @property
+    def parts(self) -> int:
+        """Into how many what all may do together is divided."""
+        return self.balancers * self.processes
+
 
 class Upstream(NamedTuple):
     """One line of the list."""
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -40,6 +40,10 @@
     return {name: (float(value), kind) for name, (value, _, kind) in pairs}
 
 
+def file_of(folder: Path, port: int) -> Path:
+    return folder / f"limenotch-127.0.0.1-{port}{FILE}"
+
+
 async def conserved(admin: int) -> dict[str, tuple[float, str]]:
     """The figures, which must add up at every step."""
     figures = figures_of(await ask(admin, GET_STATS))
@@ -51,15 +55,16 @@
 Use = Callable[[int, int], Coroutine[Any, Any, None]]
 
 
-def play(answers: list[bytes], use: Use, folder: Path | None = None) -> list[http1.Message]:
+def play(answers: list[bytes], use: Use, folder: Path | None = None, port: int = 0) -> list[http1.Message]:
     handler, seen = answering(*answers)
     admin = free_port()
     environ = {"TMPDIR": str(folder)} if folder is not None else {}
+    port = port or free_port()
 
     async def both(port: int) -> None:
         await use(port, admin)
 
-    run(with_sidecar(handler, both, more={"admin_addr": f"127.0.0.1:{admin}"}, environ=environ))
+    run(with_sidecar(handler, both, more={"admin_addr": f"127.0.0.1:{admin}"}, port=port, environ=environ))
     return seen
 
 
@@ -163,7 +168,7 @@
         assert (await conserved(admin))["lb.cluster_unhealthy"] == (2, "g")
         budget = LOOK.replace(b"20000m", b"100m")
         assert (await ask(port, budget)).status in (502, 503, 504)
-        assert read((tmp_path / FILE).read_bytes())[0] == {"a", "b"}
+        assert read(file_of(tmp_path, port).read_bytes())[0] == {"a", "b"}
         assert (await ask(admin, post("a", "ready"))).status == 200
         assert (await conserved(admin))["lb.cluster_unhealthy"] == (1, "g")
         assert (await ask(port, LOOK)).status == 200
@@ -172,18 +177,19 @@
 
 
 def test_bans_outlive_the_process_and_a_full_folder_refuses_none(tmp_path: Path) -> None:
-    (tmp_path / FILE).write_bytes(written({"a", "b", "gone"}, {"c": 5.0}))
+    own = free_port()
+    file_of(tmp_path, own).write_bytes(written({"a", "b", "gone"}, {"c": 5.0}))
 
     async def use(port: int, admin: int) -> None:
         assert (await conserved(admin))["lb.cluster_unhealthy"] == (2, "g")
-        (tmp_path / FILE).unlink()
+        file_of(tmp_path, port).unlink()
         tmp_path.rename(tmp_path.with_name("elsewhere"))  # nothing can be written from now on
         answer = await ask(admin, post("gone", "ready"))  # not listed, but out
         assert answer.status == 200 and b"not kept" in answer.body
         assert (await ask(admin, post("a", "ready"))).status == 200
         assert (await conserved(admin))["lb.cluster_unhealthy"] == (1, "g")
 
-    play([whole(200)], use, tmp_path)
+    play([whole(200)], use, tmp_path, own)
 
 
 Told = tuple[str, bool, float]
@@ -191,7 +197,7 @@
 
 def kept(folder: Path) -> tuple[Bans, list[Told]]:
     told: list[Told] = []
-    return Bans(str(folder), lambda *change: told.append(change)), told
+    return Bans(str(folder / "n"), lambda *change: told.append(change)), told
 
 
 def test_two_processes_see_each_others_bans(tmp_path: Path) -> None:
@@ -217,7 +223,7 @@
     monkeypatch.setattr(bans_module, "LOCK_STEP_S", 0.0)
 
     async def case() -> None:
-        held = os.open(tmp_path / LOCK, os.O_RDWR | os.O_CREAT)
+        held = os.open(tmp_path / ("n" + LOCK), os.O_RDWR | os.O_CREAT)
         fcntl.flock(held, fcntl.LOCK_EX)
         one, told = kept(tmp_path)
         assert not await one.set("a", True, 1.0)  # in force, and said not to be sure to last
@@ -233,7 +239,7 @@
     b"\xff\xfe", written({"a"}, {})[:-3],
 ])
 def test_a_foreign_or_torn_file_counts_as_none(tmp_path: Path, raw: bytes) -> None:
-    (tmp_path / FILE).write_bytes(raw)
+    (tmp_path / ("n" + FILE)).write_bytes(raw)
     bans, told = kept(tmp_path)
     bans.load()
     assert not told and not bans.out
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -96,7 +96,7 @@
 async def with_sidecar(
     handler: Handler, use: Callable[[int], Coroutine[Any, Any, None]], ends: bool = False,
     tuning: Settings = Settings(),  # noqa: B008 (frozen)
-    more: dict[str, Any] | None = None, environ: dict[str, str] | None = None,
+    more: dict[str, Any] | None = None, port: int = 0, environ: dict[str, str] | None = None,
 ) -> None:
     """Starts a provider and a sidecar that knows it by two names; ends them unless `use` has.
 
@@ -105,7 +105,7 @@
     provider = await asyncio.start_server(handler, "127.0.0.1", 0)
     address = "127.0.0.1:%d" % provider.sockets[0].getsockname()[1]  # noqa: UP031
     listed = [{"name": name, "address": address, "zone": "a", "status": "in_service"} for name in "ab"]
-    port = free_port()
+    port = port or free_port()
     raw = {"name": "n", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}", "seed": "1f",
            "known": {"index": 3, "snapshot": True, "endpoints": listed}, "settings": SETTINGS, **(more or {})}
     serving = asyncio.create_task(program.serve(config.parse(raw, environ or {}), tuning))
--- /dev/null
+++ b/tests/test_successor.py
@@ -0,0 +1,356 @@
+"""One process of a sidecar takes over from another: in one loop, and as processes that are ended at any step."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import signal
+import socket
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from limenotch.facade import Facade, Provider, Status
+from limenotch.net import http1, successor
+from limenotch.net.consumers import BACKLOG
+from limenotch.net.successor import Successor
+from switchthread import Balancer
+from switchthread import interface as face
+from switchthread.knowledge import learn, told_by
+from switchthread.settings import read_settings
+
+from .test_operators import GET_HEALTH, GET_STATS, figures_of, post
+from .test_sidecar import LOOK, SETTINGS, Reader, Writer, ask, free_port, run, whole
+
+AT = ("127.0.0.1", 1)
+
+
+def listener() -> socket.socket:
+    sock = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
+    sock.setblocking(False)
+    return sock
+
+
+def member(kept: Path, at: tuple[str, int], counts: list[int], told: dict[str, Any] | None = None) -> Successor:
+    return Successor(str(kept), at, lambda: told or {}, counts.append)
+
+
+async def until(true: Callable[[], bool]) -> None:
+    while not true():
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("long", [False, True], ids=["short path", "longer than an address holds"])
+def test_listener_and_knowledge_go_over_and_each_knows_of_the_other(tmp_path: Path, long: bool) -> None:
+    folder = tmp_path / ("d" * 120 if long else "d")
+    folder.mkdir()
+
+    async def case() -> None:
+        sock = listener()
+        at = sock.getsockname()
+        ours: list[int] = []
+        theirs: list[int] = []
+        before = member(folder / "n", at, ours, {"list": [1]})
+        before.offer(sock)
+        after = member(folder / "n", at, theirs)
+        got = await after.ask()
+        assert got is not None and got.told == {"version": 1, "list": [1]}
+        assert got.listener.getsockname() == at and got.listener.fileno() != sock.fileno()
+        assert ours == [2] and after.processes == 2 and not before.serves
+        await after.serving()
+        assert before.serves  # known before `serving` returns: the old one may be ended from then on
+        after.offer(got.listener)
+        third = member(folder / "n", at, [])
+        assert (await third.ask()) is not None and after.processes == 3
+        after.close()
+        third.close()
+        await until(lambda: before.processes == 1)
+        assert ours[-1] == 1 and not before.serves
+        # The one that died had put its door in place of ours: the next still finds us.
+        assert (await member(folder / "n", at, []).ask()) is not None
+        before.close()
+
+    run(case())
+
+
+async def silent(reader: Reader, writer: Writer) -> None:
+    await reader.read()
+
+
+def says(*words: bytes) -> Callable[[Reader, Writer], Awaitable[None]]:
+    async def handle(reader: Reader, writer: Writer) -> None:
+        await reader.readline()
+        writer.writelines(words)
+        writer.close()
+
+    return handle
+
+
+@pytest.mark.parametrize("door", [silent, says(b""), says(b"L", b"{}\n"), says(b"\xff" * 99)],
+                         ids=["silent", "hangs up", "no listener", "noise"])
+def test_a_door_that_is_no_sidecars_is_given_up(
+    tmp_path: Path, door: Callable[[Reader, Writer], Awaitable[None]], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(successor, "ASK_S", 0.2)
+
+    async def case() -> None:
+        await asyncio.start_unix_server(door, tmp_path / "n.sock")
+        after = member(tmp_path / "n", AT, [])
+        assert await after.ask() is None and after.processes == 1
+        await after.serving()
+
+    run(case())
+
+
+def test_stale_missing_and_unwritable_paths_stop_no_start(tmp_path: Path) -> None:
+    async def case() -> None:
+        assert await member(tmp_path / "n", AT, []).ask() is None
+        with socket.socket(socket.AF_UNIX) as stale:
+            stale.bind(str(tmp_path / "n.sock"))
+        assert await member(tmp_path / "n", AT, []).ask() is None
+        nowhere = member(tmp_path / "not there" / "n", AT, [])
+        assert await nowhere.ask() is None
+        nowhere.offer(listener())
+        assert await Successor(None, AT, dict, lambda _: None).ask() is None
+
+    run(case())
+
+
+def test_a_listener_of_another_address_is_not_taken(tmp_path: Path) -> None:
+    async def case() -> None:
+        before = member(tmp_path / "n", AT, [])
+        before.offer(listener())
+        assert await member(tmp_path / "n", AT, []).ask() is None
+        before.close()
+
+    run(case())
+
+
+# Processes
+
+class Sidecars:
+    """Processes of one sidecar, a provider, and what consumers got."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder, self.port = folder, free_port()
+        self.statuses: list[int] = []
+        self.closing = 0
+        self._ids = itertools.count()
+        self._all: list[asyncio.subprocess.Process] = []
+
+    async def provide(self) -> None:
+        async def handler(reader: Reader, writer: Writer) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+                while await reader.readuntil(b"\r\n\r\n"):
+                    writer.write(whole(200))
+
+        self.server = await asyncio.start_server(handler, "127.0.0.1", 0)
+        self.provider = self.server.sockets[0].getsockname()[1]
+
+    async def start(self, known: bool = False, kept: bool = True) -> tuple[asyncio.subprocess.Process, int]:
+        """A process and its second address; returns when it is ready."""
+        admin = free_port()
+        listed = [{"name": n, "address": f"127.0.0.1:{self.provider}", "status": "in_service"} for n in "ab"]
+        raw = {"name": "n", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{free_port()}",
+               "settings": SETTINGS, "admin_addr": f"127.0.0.1:{admin}"}
+        if known:
+            raw["known"] = {"index": 3, "snapshot": True, "endpoints": listed}
+        path = self.folder / f"{admin}.json"
+        path.write_text(json.dumps(raw))
+        environ = {**os.environ, "LB_CONFIG": str(path), "TMPDIR": str(self.folder)}
+        if not kept:
+            del environ["TMPDIR"]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "limenotch", "serve", env=environ, stderr=asyncio.subprocess.DEVNULL
+        )
+        self._all.append(process)
+        while True:
+            assert process.returncode is None
+            with contextlib.suppress(OSError, AssertionError):
+                if (await ask(admin, GET_HEALTH)).status == 200:
+                    return process, admin
+            await asyncio.sleep(0.01)
+
+    def call(self) -> bytes:
+        return LOOK.replace(b"Id: 1", b"Id: %d" % next(self._ids))
+
+    async def new_connections(self, stop: asyncio.Event) -> None:
+        """One call to a connection, one after another."""
+        while not stop.is_set():
+            self.statuses.append((await ask(self.port, self.call())).status)
+
+    async def kept_connection(self, stop: asyncio.Event) -> None:
+        """Calls on one connection; another one is opened only when the sidecar says that it closes."""
+        writer: Writer | None = None
+        while not stop.is_set():
+            if writer is None:
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+                parser = http1.ResponseParser()
+            writer.write(self.call())
+            while (answer := parser.take()) is None:
+                data = await reader.read(65536)
+                assert data, "closed under a request"
+                parser.feed(data)
+            self.statuses.append(answer.status)
+            if not answer.keep_alive:
+                self.closing += 1
+                writer = None
+
+    def end(self) -> None:
+        for process in self._all:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+
+
+def play(folder: Path, case: Callable[[Sidecars], Awaitable[None]]) -> None:
+    async def whole_case() -> None:
+        sidecars = Sidecars(folder)
+        await sidecars.provide()
+        try:
+            await case(sidecars)
+        finally:
+            sidecars.end()
+
+    run(whole_case())
+
+
+@pytest.mark.parametrize("twice", [False, True], ids=["once", "a second one before the first has ended"])
+def test_no_call_is_lost_while_one_process_takes_over_from_another(tmp_path: Path, twice: bool) -> None:
+    async def case(sidecars: Sidecars) -> None:
+        old, admin = await sidecars.start(known=True)
+        assert (await ask(admin, post("b", "maint"))).status == 200
+        stop = asyncio.Event()
+        load = [asyncio.create_task(sidecars.new_connections(stop)) for _ in range(4)]
+        load += [asyncio.create_task(sidecars.kept_connection(stop))]
+        new, new_admin = await sidecars.start()  # its list and its ban come from the old one: no directory answers
+        figures = figures_of(await ask(new_admin, GET_STATS))
+        assert figures["lb.cluster_size"][0] == 2 and figures["lb.cluster_unhealthy"][0] == 1
+        # While both live either sees the other's bans.
+        assert (await ask(new_admin, post("b", "ready"))).status == 200
+        while figures_of(await ask(admin, GET_STATS))["lb.cluster_unhealthy"][0]:
+            await asyncio.sleep(0.01)
+        last = new
+        if twice:
+            last, _ = await sidecars.start()
+            new.send_signal(signal.SIGTERM)
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        assert not twice or await new.wait() == 0
+        served = len(sidecars.statuses)
+        await until_more(sidecars, served + 20, load)
+        stop.set()
+        await asyncio.gather(*load)
+        assert set(sidecars.statuses) == {200} and sidecars.closing >= 1
+        assert last.returncode is None
+
+    play(tmp_path, case)
+
+
+async def until_more(sidecars: Sidecars, count: int, load: list[asyncio.Task[None]]) -> None:
+    while len(sidecars.statuses) < count:
+        for task in load:
+            assert not task.done() or task.exception() is None, task.exception()
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("kept", [True, False], ids=["handed over", "nothing in common but the address"])
+@pytest.mark.parametrize("killed", ["old", "new"])
+def test_the_death_of_either_leaves_the_other_serving(tmp_path: Path, kept: bool, killed: str) -> None:
+    async def case(sidecars: Sidecars) -> None:
+        old, _ = await sidecars.start(known=True, kept=kept)
+        new, _ = await sidecars.start(known=True, kept=kept)
+        dead, alive = (old, new) if killed == "old" else (new, old)
+        dead.kill()
+        await dead.wait()
+        for _ in range(10):
+            assert (await ask(sidecars.port, LOOK)).status == 200
+        assert alive.returncode is None
+        # The next one is at home at either.
+        await sidecars.start(known=True, kept=kept)
+        alive.send_signal(signal.SIGTERM)
+        assert await alive.wait() == 0
+        assert (await ask(sidecars.port, LOOK)).status == 200
+
+    play(tmp_path, case)
+
+
+# What goes over
+
+CLASSES = (face.TrafficClass("look", face.Effect.IDEMPOTENT, 400, 900),)
+COLD = face.ColdStart(0.1, 20_000.0, 4.0, 3000.0)
+
+
+def balancer_that_knows() -> Balancer:
+    balancer = Balancer(face.Settings(classes=CLASSES, cold=COLD), seed=3)
+    rows = (face.Upstream("a", kind=1), face.Upstream("b", started_ms=5.0), face.Upstream("c", started_ms=7.0))
+    balancer.handle(10.0, face.Membership(face.Listing.WHOLE, rows))
+    now = 10.0
+    for number in range(60):
+        now += 40.0
+        for act in balancer.handle(now, face.Arrival(str(number), 0, 900)):
+            if isinstance(act, face.Send):
+                ended = face.Finished(str(number), act.upstream, 0, 30.0, face.Outcome.OK, True, 0.5, 20.0 + number)
+                balancer.handle(now + 30.0, ended)
+    return balancer
+
+
+def test_knowledge_goes_over_but_not_to_a_provider_that_restarted() -> None:
+    old = balancer_that_knows()
+    told = json.loads(json.dumps(told_by(old)))
+    new = Balancer(face.Settings(classes=CLASSES, cold=COLD), seed=4)
+    rows = (face.Upstream("a", kind=1), face.Upstream("b", started_ms=5.0), face.Upstream("c", started_ms=2500.0))
+    new.handle(2500.0, face.Membership(face.Listing.WHOLE, rows))
+    learn(new, told)
+    again = told_by(new)
+    assert again["usual"] == told["usual"] and again["kinds"] == told["kinds"] and again["scalars"] == told["scalars"]
+    assert again["servers"]["a"] == told["servers"]["a"] and again["servers"]["b"] == told["servers"]["b"]
+    assert again["servers"]["c"] != told["servers"]["c"]
+    # What the old one may still spend on cold ones is not there a second time.
+    assert all(server.credit == 0.0 for server in new.roster.servers.values())
+
+
+@pytest.mark.parametrize("path", ["version", "scalars", "usual.look", "means", "means.0", "kinds.1", "servers.a"])
+@pytest.mark.parametrize("value", [None, "x", [], [1, "x"], [float("nan")] * 9, [[]], {"a": 1}, -1, True], ids=str)
+def test_unsound_knowledge_is_refused_whole(path: str, value: object) -> None:
+    told = json.loads(json.dumps(told_by(balancer_that_knows())))
+    at: Any = told
+    *outer, last = path.split(".")
+    for name in outer:
+        at = at[int(name) if name.isdigit() and isinstance(at, list) else name]
+    at[int(last) if isinstance(at, list) else last] = value
+    new = balancer_that_knows()
+    before = told_by(new)
+    with pytest.raises(ValueError, match="knowledge"):
+        learn(new, told)
+    assert told_by(new) == before
+
+
+def test_kinds_go_over_by_name() -> None:
+    def facade(kinds: list[str]) -> Facade:
+        made = Facade(read_settings(SETTINGS), 1, ["z"], kinds, clock=lambda: 1000.0)
+        made.heard([Provider("a", AT, Status.IN_SERVICE, "z", "fast")], True)
+        return made
+
+    old, new = facade(["fast", "slow"]), facade(["slow", "fast"])
+    old._balancer.roster.kinds[0].now = 3.0
+    new.learn(json.loads(json.dumps(old.knowledge())))
+    assert new._balancer.roster.kinds[1].now == 3.0
+    unsound: list[Any] = [None, [], {}, {"kinds": 3}, {"kinds": {}, "module": None}]
+    for told in unsound:
+        with pytest.raises(ValueError, match="knowledge"):
+            new.learn(told)
+
+
+def test_two_processes_share_what_one_may_do() -> None:
+    balancer = balancer_that_knows()
+    whole_room = balancer.room
+    balancer.handle(5000.0, face.Retuned(face.Settings(classes=CLASSES, cold=COLD, processes=2)))
+    two = balancer.room
+    balancer.handle(5000.0, face.Retuned(face.Settings(classes=CLASSES, cold=COLD)))
+    assert two == pytest.approx(balancer.room / 2) and whole_room > 0
