--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -230,10 +230,15 @@
     def start(self) -> Orders:
         return self._handle(face.Started())
 
-    def pick(self, call: int, class_name: str, tenant: str, left_ms: float, resent: bool = False) -> Orders:
-        """A call was taken: exactly one final answer is owed within `left_ms`."""
+    def pick(self, call: int, class_name: str, tenant: str, left_ms: float, resent: bool = False,
+             once: bool = False) -> Orders:
+        """A call was taken: exactly one final answer is owed within `left_ms`. `once`: its message is still coming."""
         party = self._tenants.get(tenant, 0)
-        return self._handle(face.Arrival(str(call), self._classes[class_name], left_ms, party, resent))
+        return self._handle(face.Arrival(str(call), self._classes[class_name], left_ms, party, resent, once))
+
+    def begun(self, call: int, number: int, provider: str, spent_ms: float) -> Orders:
+        """An invoker call's answer is passed on from now: its call has its final answer, whatever becomes of it."""
+        return self._handle(face.AnswerBegun(str(call), provider, number, spent_ms))
 
     def depart(self, call: int) -> Orders:
         """The consumer is gone."""
@@ -249,13 +254,15 @@
         closed: bool,
         utilisation: float | None = None,
         per_s: float | None = None,
+        spent: bool = False,
     ) -> Orders:
         """An invoker call ended; `closed` says that its call has its final answer. The last two are the provider's
         report: the busy part of its cores, and the requests that it served a second for all sidecars.
+        `spent`: of a call that goes out once, some of the message is gone.
         """
         outcome = OUTCOMES[ending]
         return self._handle(
-            face.Finished(str(call), provider, number, spent_ms, outcome, closed, utilisation, per_s)
+            face.Finished(str(call), provider, number, spent_ms, outcome, closed, utilisation, per_s, spent)
         )
 
     def tick(self, ticket: int) -> Orders:
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -20,6 +21,7 @@
 from .. import logs
 from ..facade import Ending, Facade, Orders, time_left_ms
 from ..figures import Figures
+from .pipe import Pipe
 
 log = logs.get(__name__)
 
@@ -50,6 +52,7 @@
     provider: str
     began: float  # by time.monotonic: the loop's own clock is the wall's, which may be set
     end: float
+    first: float = 0.0  # when its answer began to be passed on
     over: bool = False
 
     @property
@@ -64,8 +67,10 @@
     name: bytes  # as the consumer calls it
     kind: str  # its class
     payload: Any
-    end: float  # by time.monotonic
+    end: float  # by time.monotonic; without one while its message is coming
+    left_s: float  # of its budget, from the last byte of its message
     answer: Callable[[Final], None]
+    rest: Pipe | None = None  # of a long message: what goes out once
     made: list[InvokerCall] = field(default_factory=list)
     final: Final | None = None
     gone: bool = False
@@ -86,6 +91,7 @@
         self.facade, self.max_open = facade, max_open
         self.figures = figures or Figures()
         self.open: dict[int, Call] = {}
+        self.passing: dict[int, Call] = {}  # their answers are being passed on
         self._names: set[bytes] = set()  # of those open
         self.invoker: Invoker
         self.watch: Callable[[], None]
@@ -110,12 +116,17 @@
         answer: Callable[[Final], None],
         resent: bool = False,
         room: bool = True,
+        rest: Pipe | None = None,
     ) -> Call:
-        """A call was taken; `answer` is called once unless it departs. Without `room`: rejected at once."""
+        """A call was taken; `answer` is called once unless it departs. Without `room`: rejected at once.
+
+        With `rest` its message is still coming, and its time begins when the message is whole.
+        """
         budget_ms = min(budget_ms, self.facade.longest_ms(class_name))  # else a call could stay open for days
         left = time_left_ms(budget_ms)
         self._count += 1
-        call = Call(self._count, name, class_name, payload, monotonic() + left / 1000.0, answer)
+        end = math.inf if rest is not None else monotonic() + left / 1000.0
+        call = Call(self._count, name, class_name, payload, end, left / 1000.0, answer, rest)
         self.figures.took()
         if not room or len(self.open) >= self.max_open:
             self._close(call, Final(Verdict.REJECTED, retry_after_ms=1000.0))
@@ -124,11 +135,18 @@
         self._names.add(name)
         if self._trace:
             log.debug("taken", call=call.number, kind=class_name, account=tenant, left_ms=round(left), resent=resent)
-        self.carry_out(self.facade.pick(call.number, class_name, tenant, left, resent))
+        self.carry_out(self.facade.pick(call.number, class_name, tenant, left, resent, rest is not None))
         return call
 
     def depart(self, call: Call) -> None:
         """The consumer is gone: nothing is owed, its invoker calls end."""
+        if call.number in self.passing:
+            call.gone = True
+            self.passed_on(call, "departed")
+            for invoker_call in call.made:
+                if not invoker_call.over:
+                    self.invoker.abandon(invoker_call)
+            return
         if call.final is None and not call.gone:
             call.gone = True
             self.figures.ended(call.kind, "departed")
@@ -138,6 +156,32 @@
                 if not invoker_call.over:
                     self.invoker.abandon(invoker_call)
 
+    def uploaded(self, invoker_call: InvokerCall) -> None:
+        """The last byte of a long message was written: its time begins."""
+        invoker_call.began = monotonic()
+        invoker_call.end = invoker_call.call.end = invoker_call.began + invoker_call.call.left_s
+
+    def begun(self, invoker_call: InvokerCall, payload: Any) -> bool:
+        """A long answer has begun; whether it is its call's final answer, to be passed on as it comes.
+
+        Whoever passes it on tells `passed_on` when that is over.
+        """
+        call = invoker_call.call
+        if not invoker_call.wanted:
+            return False
+        invoker_call.first = monotonic()
+        self.passing[call.number] = call
+        self._close(call, Final(Verdict.SERVED, payload))
+        spent = (invoker_call.first - invoker_call.began) * 1000.0
+        self.carry_out(self.facade.begun(call.number, invoker_call.number, invoker_call.provider, spent))
+        return True
+
+    def passed_on(self, call: Call, end: str) -> None:
+        """A long answer is over, as one of the figures' ends."""
+        if self.passing.pop(call.number, None) is not None:
+            self._names.discard(call.name)
+            self.figures.ended(call.kind, end)
+
     def ended(
         self,
         invoker_call: InvokerCall,
@@ -154,14 +198,16 @@
         del self._out[call.number, invoker_call.number]
         if ending is Ending.SERVED and call.final is None and not call.gone:
             self._close(call, Final(Verdict.SERVED, payload))
-        spent = (monotonic() - invoker_call.began) * 1000.0
+        spent = ((invoker_call.first or monotonic()) - invoker_call.began) * 1000.0
+        gone = call.rest is not None and call.rest.begun
         if self._trace:
             log.debug("invoked", call=call.number, number=invoker_call.number, provider=invoker_call.provider,
                       ending=ending.value, spent_ms=round(spent, 1), util=utilisation, per_s=per_s)
         closed = call.final is not None or call.gone
         self.carry_out(
             self.facade.report(
-                call.number, invoker_call.number, invoker_call.provider, spent, ending, closed, utilisation, per_s
+                call.number, invoker_call.number, invoker_call.provider, spent, ending, closed, utilisation, per_s,
+                gone,
             )
         )
 
@@ -203,7 +249,7 @@
         if call is None:
             return
         now = monotonic()
-        end = min(now + order.wait_ms / 1000.0, call.end)
+        end = math.inf if call.end == math.inf else min(now + order.wait_ms / 1000.0, call.end)
         invoker_call = InvokerCall(call, len(call.made), order.provider, now, end)
         call.made.append(invoker_call)
         self._out[call.number, invoker_call.number] = invoker_call
@@ -217,7 +263,8 @@
 
     def _close(self, call: Call, final: Final) -> None:
         call.final = final
-        self.figures.ended(call.kind, ENDS[final.verdict])
+        if call.number not in self.passing:
+            self.figures.ended(call.kind, ENDS[final.verdict])
         if self._trace:
             log.debug("final", call=call.number, verdict=final.verdict.value, invoked=len(call.made),
                       **self.facade.figures())
@@ -225,5 +272,5 @@
         call.answer(final)
 
     def _forget(self, call: Call) -> None:
-        if self.open.pop(call.number, None) is not None:
+        if self.open.pop(call.number, None) is not None and call.number not in self.passing:
             self._names.discard(call.name)
--- a/limenotch/net/http1.py
+++ b/limenotch/net/http1.py
@@ -5,10 +5,12 @@
 import re
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import Any
 
 MAX_HEAD = 16 * 1024
-MAX_BODY = 64 * 1024  # of a request
-MAX_ANSWER = 1024 * 1024  # providers send answers of several hundred KB, beyond what the protocol says
+MAX_BODY = 64 * 1024  # of a message that is taken whole, unless its parser is given another
+MAX_ANSWER = 1024 * 1024  # the same of a response
+MAX_LONG = 40 * 1024 * 1024  # of a body that is passed on in pieces
 MAX_LINE = 1024  # of a chunk's size line
 
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
@@ -60,7 +62,9 @@
     target: bytes = b""
     status: int = 0
     minor: int = 1
-    body: bytes = b""
+    body: bytes = b""  # the whole, or of a long one what was held
+    length: int | None = 0  # of the body; None: known by its end only
+    rest: Any = None  # of a long body: where the pieces after `body` come from
 
     @property
     def keep_alive(self) -> bool:
@@ -137,7 +141,9 @@
 
     MOST = MAX_BODY
 
-    def __init__(self) -> None:
+    def __init__(self, most: int | None = None) -> None:
+        """`most`: of a body, in bytes."""
+        self.most = self.MOST if most is None else most
         self.buffer = bytearray()
         self._message: Message | None = None
         self._body = _Body(False, 0)
@@ -158,18 +164,42 @@
 
     def take(self) -> Message | None:
         """The next whole message, if it is there."""
-        if self._message is None:
-            self._message = self._head()
-            if self._message is None:
-                return None
-            self._body = self._framing(self._message)
+        if self._message is None and self.head() is None:
+            return None
         self._body.take(self.buffer)
         return self._whole() if self._body.done else None
 
+    def head(self) -> Message | None:
+        """The next message, as soon as its head is there; its body comes by `pieces`."""
+        if self._message is None:
+            message = self._head()
+            if message is not None:
+                self._body = self._framing(message)
+                message.length = self._body.length
+                self._message = message
+        return self._message
+
+    def pieces(self) -> bytes:
+        """What has come of the body since it was asked for last."""
+        self._body.take(self.buffer)
+        piece = b"".join(self._body.parts)
+        self._body.parts.clear()
+        return piece
+
+    @property
+    def complete(self) -> bool:
+        """The body of the message under way has come whole."""
+        return self._message is not None and self._body.done
+
+    def next(self) -> None:
+        """Done with a complete message."""
+        self._message = None
+
     def _whole(self) -> Message | None:
         message, self._message = self._message, None
         if message is not None:
             message.body = b"".join(self._body.parts)
+            message.length = len(message.body)
         return message
 
     def _head(self) -> Message | None:
@@ -226,14 +256,14 @@
         if coding is not None:
             if length is not None or coding.lower() != b"chunked":
                 raise MalformedError(400, "framing not understood")
-            return _Body(True, None, self.MOST)
+            return _Body(True, None, self.most)
         if length is None:
-            return _Body(False, default, self.MOST)
+            return _Body(False, default, self.most)
         if not length.isdigit() or len(length) > 15:
             raise MalformedError(400, "bad Content-Length")
-        if int(length) > self.MOST:
+        if int(length) > self.most:
             raise MalformedError(413, "body too large")
-        return _Body(False, int(length), self.MOST)
+        return _Body(False, int(length), self.most)
 
 
 class RequestParser(_Parser):
@@ -274,12 +304,19 @@
             message = super().take()
         return message
 
+    def head(self) -> Message | None:
+        message = super().head()
+        while message is not None and 100 <= message.status < 200:
+            self.next()
+            message = super().head()
+        return message
+
     def end(self) -> Message | None:
         """The connection ended: the response that only this end completes, if one was under way."""
-        return self._whole() if self._message is not None and self._endless else None
+        return self._whole() if self._message is not None and self.endless else None
 
     @property
-    def _endless(self) -> bool:
+    def endless(self) -> bool:
         return not self._body.chunked and self._body.length is None
 
     def _first(self, line: bytes, message: Message) -> None:
@@ -340,6 +377,29 @@
     return b"%b %b HTTP/1.1\r\n%b%b\r\n%b" % (method, target, _lines(headers), length, body)
 
 
+def request_head(method: bytes, target: bytes, headers: Headers, length: int | None) -> bytes:
+    """Of a request whose body follows in pieces; without a length they go as chunks."""
+    return b"%b %b HTTP/1.1\r\n%b%b\r\n" % (method, target, _lines(headers), _frame(length))
+
+
+def response_head(status: int, headers: Headers, length: int | None, close: bool, minor: int = 1) -> bytes:
+    """The same of a response; to a reader of HTTP/1.0 the end of the connection is the end of the body."""
+    frame = b"" if length is None and minor == 0 else _frame(length)
+    last = b"Connection: close\r\n" if close else b""
+    return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n" % (status, REASONS.get(status, b""), _lines(headers), frame, last)
+
+
+def _frame(length: int | None) -> bytes:
+    return b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length
+
+
+def chunk(piece: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(piece), piece)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
 def write_response(status: int, headers: Headers, body: bytes = b"", close: bool = False) -> bytes:
     reason = REASONS.get(status, b"")
     last = b"Connection: close\r\n" if close else b""
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -19,6 +19,7 @@
 from .net.consumers import Consumers
 from .net.directory import Directory
 from .net.operators import Operators
+from .net.pipe import Budget
 from .net.providers import Providers
 from .net.sockets import Sockets
 from .net.successor import Inheritance, Successor
@@ -35,7 +36,8 @@
     figures = Figures()
     figures.know(cls.name for cls in config.settings.classes)
     calls = Calls(facade, config.max_open, figures)
-    providers = Providers(calls, sockets.providers, config.connect_ms, config.idle_ms, settings.providers)
+    budget = Budget(buffered(config.memory_mb, 1))
+    providers = Providers(calls, sockets.providers, config.connect_ms, config.idle_ms, settings.providers, budget)
     listed = asyncio.Event()
 
     def heard(entries: list[Provider], whole: bool) -> None:
@@ -48,7 +50,7 @@
         config.directory, heard, lambda: calls.carry_out(facade.broken()), settings.directory
     )
     calls.invoker, calls.watch = providers, directory.watch
-    consumers = Consumers(calls, facade, sockets, listed.is_set, settings.consumers)
+    consumers = Consumers(calls, facade, sockets, listed.is_set, settings.consumers, budget)
 
     def banned(name: str, out: bool, at_ms: float) -> None:
         log.info("taken out" if out else "may serve again", provider=name)
@@ -64,7 +66,7 @@
 
     def stats() -> bytes:
         return figures.lines({
-            "current": len(calls.open),
+            "current": len(calls.open) + len(calls.passing),
             "cluster_size": len(providers),
             "cluster_unhealthy": facade.avoided(),
         })
@@ -74,6 +76,7 @@
     def together(processes: int) -> None:
         """Of this sidecar, those alive: all of them are held to one sidecar's limits."""
         sockets.limit_to(held.sockets // processes)
+        budget.limit = buffered(held.memory_mb, processes)
         calls.carry_out(facade.together(processes))
 
     def tell() -> dict[str, Any]:
@@ -97,6 +100,7 @@
         figures.know(names)
         providers.tune(new.connect_ms, new.idle_ms)
         sockets.limit_to(new.sockets // successor.processes)
+        budget.limit = buffered(new.memory_mb, successor.processes)
         calls.max_open = new.max_open
         calls.carry_out(facade.retune(new.settings, new.zones, new.kinds))
         directory.move(new.directory)
@@ -132,6 +136,11 @@
     successor.close()
 
 
+def buffered(memory_mb: float, processes: int) -> int:
+    """Bytes of long bodies that one process may hold: an eighth, as much again is in connections' own buffers."""
+    return int(memory_mb * 1e6 / 8 / processes)
+
+
 def take_over(inherited: Inheritance, directory: Directory, facade: Facade) -> None:
     """What the process before knew, as far as it is sound: a fault costs its knowledge, not the start."""
     told = inherited.told
--- a/limenotch/settings.py
+++ b/limenotch/settings.py
@@ -25,7 +25,9 @@
 
 
 class Consumers(Struct, frozen=True, forbid_unknown_fields=True):
-    request_s: Seconds = 2.0
+    request_s: Seconds = 2.6
+    body_s: Seconds = 2.4
+    body_rate: Annotated[float, Meta(gt=0)] = 32768.0
     idle_s: Seconds = 2.5
     write_s: Seconds = 5.0
     accept_s: Seconds = 0.5
@@ -40,6 +42,7 @@
 class Providers(Struct, frozen=True, forbid_unknown_fields=True):
     idle_part: Part = 0.4
     answer_s: Seconds = 0.5
+    stall_s: Seconds = 10.0
 
 
 class Directory(Struct, frozen=True, forbid_unknown_fields=True):
--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -365,8 +365,8 @@
             raise ValueError(f"traffic_class: {event.traffic_class} is no class of the settings")
         cls = self.set.classes[event.traffic_class]
         useful = min(event.budget_ms, cls.aim_ms) if cls.late_worth <= 0 else event.budget_ms
-        most, usual = self.set.max_attempts, self.usual[cls.name]
-        call = Call(event.call, cls, usual, most, now + useful, now + cls.aim_ms)
+        most, usual = 1 if event.once else self.set.max_attempts, self.usual[cls.name]
+        call = Call(event.call, cls, usual, most, now + useful, now + cls.aim_ms, once=event.once)
         self.calls[call.name] = call
         self.came, self.arrived = self.came + 1, self.arrived + 1
         if useful <= 0 or (not self.set.layer and self._refused(now, call, event)):
@@ -459,6 +459,7 @@
             if call.done and not any(t.open for t in call.tries):
                 self.calls.pop(call.name, None)
         else:
+            call.most += call.once and not event.spent  # as if that attempt had not been
             self._further(now, call, acts)
 
     def _further(self, now: float, call: Call, acts: list[Action]) -> None:
@@ -517,7 +518,7 @@
             if event.per_s is not None and (event.utilisation, event.per_s) != server.told:
                 self._told(now, server, event.utilisation, event.per_s)
         ok = event.outcome is Outcome.OK
-        if ok and now <= call.aim:
+        if ok and (event.spent_ms <= call.cls.aim_ms if call.once else now <= call.aim):
             # Only answers in time count: a jam that ends in time-outs would else pass for a fair pace.
             self.served += 1
             server.good, self.good = server.good + 1, self.good + 1
--- a/switchthread/interface.py
+++ b/switchthread/interface.py
@@ -190,6 +190,7 @@
     budget_ms: float
     tenant: int = 0
     resent: bool = False
+    once: bool = False  # its message is long and still coming: it can't be sent twice, nor to two at once
 
 
 class Departure(NamedTuple):
@@ -209,6 +210,7 @@
     closed: bool = False
     utilisation: float | None = None  # as the upstream reports it
     per_s: float | None = None  # requests a second that it served, of all balancers, as it reports it
+    spent: bool = False  # of a call that goes out once: some of its message is gone, so it can't go out again
 
 
 class AnswerBegun(NamedTuple):
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -114,3 +114,4 @@
     tries: list[Attempt] = field(default_factory=list)
     done: bool = False
     streaming: bool = False
+    once: bool = False
