Count neither slow readers nor slow uploads as load; a late loser cuts no winner off

A line a call showed 'out' 20 against a limit of 13.5 at the entry, with calls out for seconds at the pace of their clients; and one call with both attempts 'abandoned' 0.7 ms apart: the loser's end came as closed, on which the module cancels all that is open. Ruled out: the write and stall waits (first cut at 3.2 s, before either can end), the time-out (lifted by then). Change: a long answer that begins is its attempt's end to the module; a long request counts as out, and its aim and deadline run, from its last byte (event Uploaded).

--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -236,9 +236,9 @@
         party = self._tenants.get(tenant, 0)
         return self._handle(face.Arrival(str(call), self._classes[class_name], left_ms, party, resent, once))
 
-    def begun(self, call: int, number: int, provider: str, spent_ms: float) -> Orders:
-        """An invoker call's answer is passed on from now: its call has its final answer, whatever becomes of it."""
-        return self._handle(face.AnswerBegun(str(call), provider, number, spent_ms))
+    def uploaded(self, call: int, left_ms: float) -> Orders:
+        """The last byte of a message that goes out once was sent: its call has so much time from now."""
+        return self._handle(face.Uploaded(str(call), left_ms))
 
     def depart(self, call: int) -> Orders:
         """The consumer is gone."""
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -159,12 +159,17 @@
     def uploaded(self, invoker_call: InvokerCall) -> None:
         """The last byte of a long message was written: its time begins."""
         invoker_call.began = monotonic()
-        invoker_call.end = invoker_call.call.end = invoker_call.began + invoker_call.call.left_s
+        call = invoker_call.call
+        invoker_call.end = call.end = invoker_call.began + call.left_s
+        self.carry_out(self.facade.uploaded(call.number, call.left_s * 1000.0))
 
-    def begun(self, invoker_call: InvokerCall, payload: Any) -> bool:
+    def begun(
+        self, invoker_call: InvokerCall, payload: Any, utilisation: float | None = None, per_s: float | None = None
+    ) -> bool:
         """A long answer has begun; whether it is its call's final answer, to be passed on as it comes.
 
-        Whoever passes it on tells `passed_on` when that is over.
+        To the module that is the invoker call's end: its provider has done the work, and how long the consumer reads
+        is no sign of load. Whoever passes the answer on tells `passed_on` when that is over.
         """
         call = invoker_call.call
         if not invoker_call.wanted:
@@ -172,8 +177,7 @@
         invoker_call.first = monotonic()
         self.passing[call.number] = call
         self._close(call, Final(Verdict.SERVED, payload))
-        spent = (invoker_call.first - invoker_call.began) * 1000.0
-        self.carry_out(self.facade.begun(call.number, invoker_call.number, invoker_call.provider, spent))
+        self._report(invoker_call, Ending.SERVED, utilisation, per_s)
         return True
 
     def passed_on(self, call: Call, end: str) -> None:
@@ -198,7 +202,13 @@
         del self._out[call.number, invoker_call.number]
         if ending is Ending.SERVED and call.final is None and not call.gone:
             self._close(call, Final(Verdict.SERVED, payload))
-        spent = ((invoker_call.first or monotonic()) - invoker_call.began) * 1000.0
+        if not invoker_call.first:  # else it was reported when its answer began
+            self._report(invoker_call, ending, utilisation, per_s)
+
+    def _report(
+        self, invoker_call: InvokerCall, ending: Ending, utilisation: float | None, per_s: float | None
+    ) -> None:
+        call, spent = invoker_call.call, (monotonic() - invoker_call.began) * 1000.0
         gone = call.rest is not None and call.rest.begun
         if self._trace:
             log.debug("invoked", call=call.number, number=invoker_call.number, provider=invoker_call.provider,
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -320,7 +320,9 @@
                 passed = connection.passed
                 if response.status != 200:
                     return ending_of(response), response
-                if passed is None or not self._calls.begun(invoker_call, response):
+                if passed is None or not self._calls.begun(
+                    invoker_call, response, *report_of(response.fields.get(b"x-load-report", b""))
+                ):
                     return Ending.ABANDONED, None
                 whole = await passed
                 cut = self._cut.get(invoker_call, Ending.RESET)
--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -100,6 +100,8 @@
             if event.call in self.calls and not self.calls[event.call].done:
                 self.calls[event.call].streaming = True
                 self._cancel(self.calls[event.call], event.attempt, acts)
+        elif isinstance(event, face.Uploaded):
+            self._uploaded(now_ms, event)
         elif isinstance(event, face.Ban):
             self.roster.ban(now_ms, event)
             self._ready(now_ms)
@@ -253,8 +255,7 @@
 
     def _admission(self) -> None:
         """How many calls may be held at once so that they are on time: by Little's law, pace times wait."""
-        useful = sum(c.aim_ms for c in self.set.classes) / len(self.set.classes)
-        idle = self.tier.low * self.typical
+        useful, idle = self.window / WINDOW, self.tier.low * self.typical
         # Before two means are known a just started balancer takes its first calls for a jam.
         known, wait = len(self.tier.lows) > 1, idle + FILL * max(useful - idle, idle / 2)
         self.limit = max(self.pace * wait, FEW) if known else inf
@@ -350,16 +351,28 @@
 
     def _send(self, now: float, call: Call, server: Server, acts: list[Action], copy: int = 0) -> None:
         call.tries.append(Attempt(server, now))
-        if not server.out:
-            server.heard = now
-        server.out += 1
-        self.out += 1
+        if not call.once:
+            self._count(call.tries[-1], now)
         self.copied, self.budget = self.copied + copy, self.budget - copy
         server.credit -= 1
         acts.append(face.Send(call.name, server.at.name, max(call.end - now, 0.001)))
 
+    def _count(self, attempt: Attempt, now: float) -> None:
+        """Its server has work by it from now on."""
+        if not attempt.server.out:
+            attempt.server.heard = now
+        attempt.sent, attempt.counted = now, True
+        attempt.server.out, self.out = attempt.server.out + 1, self.out + 1
+
     # Calls
 
+    def _uploaded(self, now: float, event: face.Uploaded) -> None:
+        """How long its client took to send it is neither load nor lateness."""
+        call = self.calls.get(event.call)
+        if call is not None and not call.done and call.tries and call.tries[-1].open:
+            call.end, call.aim = now + event.budget_ms, now + call.cls.aim_ms
+            self._count(call.tries[-1], now)
+
     def _arrival(self, now: float, event: face.Arrival, acts: list[Action]) -> None:
         if not 0 <= event.traffic_class < len(self.set.classes):
             raise ValueError(f"traffic_class: {event.traffic_class} is no class of the settings")
@@ -447,8 +460,7 @@
             return
         attempt = call.tries[event.attempt]
         attempt.open, attempt.ran = False, event.outcome not in face.NEVER_RAN
-        attempt.server.out -= 1
-        self.out -= 1
+        attempt.server.out, self.out = attempt.server.out - attempt.counted, self.out - attempt.counted
         if event.outcome in HEARD:
             attempt.server.heard, attempt.server.quiet = now, False
             self.silent.discard(attempt.server)
@@ -518,7 +530,7 @@
             if event.per_s is not None and (event.utilisation, event.per_s) != server.told:
                 self._told(now, server, event.utilisation, event.per_s)
         ok = event.outcome is Outcome.OK
-        if ok and (event.spent_ms <= call.cls.aim_ms if call.once else now <= call.aim):
+        if ok and now <= call.aim:
             # Only answers in time count: a jam that ends in time-outs would else pass for a fair pace.
             self.served += 1
             server.good, self.good = server.good + 1, self.good + 1
--- a/switchthread/interface.py
+++ b/switchthread/interface.py
@@ -193,6 +193,13 @@
     once: bool = False  # its message is long and still coming: it can't be sent twice, nor to two at once
 
 
+class Uploaded(NamedTuple):
+    """The last byte of a call that goes out once was sent. Its time begins: `budget_ms` from now."""
+
+    call: str
+    budget_ms: float
+
+
 class Departure(NamedTuple):
     """The client is gone; nothing is owed any more."""
 
@@ -227,7 +234,7 @@
 
 
 Event = Union[
-    Started, Membership, Ban, Retuned, Arrival, Departure, Finished, AnswerBegun, TimerFired
+    Started, Membership, Ban, Retuned, Arrival, Uploaded, Departure, Finished, AnswerBegun, TimerFired
 ]
 
 
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -101,6 +101,7 @@
     sent: float
     open: bool = True
     ran: bool = True  # may have run, for all that is known
+    counted: bool = False  # as out: its server has it whole
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -10,14 +10,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from limenotch.facade import Ending, Facade, Invoke, Provider, Status
 from limenotch.net import http1
+from limenotch.net.calls import Calls, Final, InvokerCall
 from limenotch.net.pipe import HOLD, MOST, PIECE, SMALL, BrokenError, Budget, Pipe
 from limenotch.settings import Consumers as ConsumerTuning
 from limenotch.settings import Providers as ProviderTuning
 from limenotch.settings import Settings
+from switchthread import Balancer
+from switchthread import interface as face
+from switchthread.settings import read_settings
 
-from .test_operators import conserved
-from .test_sidecar import LOOK, Handler, Reader, Writer, answering, ask, free_port, run, whole, with_sidecar
+from .test_operators import CLASSES, conserved
+from .test_sidecar import LOOK, SETTINGS, Handler, Reader, Writer, answering, ask, free_port, run, whole, with_sidecar
 
 BODY = bytes(range(256)) * 2048  # 512 KiB
 POST = LOOK.replace(b"GET", b"POST").replace(b"look", b"deliver").replace(b"\r\n\r\n", b"\r\nIdempotency-Key: k\r\n")
@@ -447,3 +452,65 @@
     assert got == [BODY] * 8
 
 
+
+
+# The module
+
+def test_a_call_that_goes_out_once_is_load_from_its_last_byte_on() -> None:
+    # Guards the entry: calls under way for seconds at the pace of their clients once passed for a jam, and a quarter
+    # of all calls was refused.
+    balancer = Balancer(face.Settings(classes=CLASSES), seed=3)
+    balancer.handle(0.0, face.Membership(face.Listing.WHOLE, (face.Upstream("a"), face.Upstream("b"))))
+    acts = balancer.handle(1.0, face.Arrival("1", 0, 900, once=True))
+    (send,) = [act for act in acts if isinstance(act, face.Send)]  # and no copy
+    server = balancer.roster.servers[send.upstream]
+    assert (balancer.out, server.out) == (0, 0)
+    balancer.handle(5000.0, face.Uploaded("1", 900))
+    assert (balancer.out, server.out) == (1, 1)
+    # Its class's 400 ms to be on time begin then.
+    balancer.handle(5300.0, face.Finished("1", send.upstream, 0, 300.0, face.Outcome.OK, True))
+    assert (balancer.out, server.out, server.bad) == (0, 0, 0.0) and server.good == 1.0
+    balancer.handle(5301.0, face.Uploaded("1", 900))  # late word of a call that is over
+    assert balancer.out == 0
+
+
+@pytest.mark.parametrize(("spent", "again"), [(False, True), (True, False)])
+def test_a_call_that_goes_out_once_may_go_elsewhere_while_nothing_of_it_is_spent(spent: bool, again: bool) -> None:
+    balancer = Balancer(face.Settings(classes=CLASSES), seed=3)
+    balancer.handle(0.0, face.Membership(face.Listing.WHOLE, (face.Upstream("a"), face.Upstream("b"))))
+    acts = balancer.handle(1.0, face.Arrival("1", 0, 900, once=True))
+    (send,) = [act for act in acts if isinstance(act, face.Send)]  # and no copy
+    failed = face.Finished("1", send.upstream, 0, 1.0, face.Outcome.CONNECT_FAILED, spent=spent)
+    acts = balancer.handle(2.0, failed)
+    assert any(isinstance(act, face.Send) for act in acts) is again
+    assert any(isinstance(act, face.Refuse) for act in acts) is not again
+    assert balancer.out == 0
+
+
+def test_a_loser_that_ends_after_the_winner_began_cuts_nothing_off() -> None:
+    # Guards long answers: the end of the second copy once cancelled the first, which was being passed on.
+    async def case() -> None:
+        calls = Calls(Facade(read_settings(SETTINGS), 1), 10)
+        finals: list[Final] = []
+        abandoned: list[int] = []
+
+        class Fake:
+            def make(self, invoker_call: InvokerCall) -> None: ...
+
+            def abandon(self, invoker_call: InvokerCall) -> None:
+                abandoned.append(invoker_call.number)
+
+        calls.invoker = Fake()
+        calls.carry_out(calls.facade.heard([Provider(n, ("127.0.0.1", 1), Status.IN_SERVICE) for n in "ab"], True))
+        call = calls.take(b"1", None, "look", "acme", 20000.0, finals.append)
+        (one,) = call.made
+        calls._invoke(Invoke(call.number, "b", 20000.0))
+        two = call.made[1]
+        assert calls.begun(one, "the answer") and not calls.begun(two, "another")
+        calls.ended(two, Ending.ABANDONED)
+        assert 0 not in abandoned and [final.payload for final in finals] == ["the answer"]
+        calls.ended(one, Ending.RESET)
+        calls.passed_on(call, "errored")
+        assert calls.figures.count("errored") == 1 and not calls.passing and not calls.has(b"1")
+
+    run(case())
