--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -270,6 +270,8 @@
         fields, facade = request.fields, self._all.facade
         if request.method in (b"HEAD", b"CONNECT"):  # framed by other rules, and no call has them
             raise http1.MalformedError(405, "GET or POST expected")
+        if request.minor == 1 and b"host" not in fields:
+            raise http1.MalformedError(400, "Host: missing")
         class_name = fields.get(b"x-call-class", b"").decode("latin-1")
         tenant = fields.get(b"x-caller", b"").decode("latin-1")
         name = fields.get(b"x-call-id")
--- a/limenotch/net/http1.py
+++ b/limenotch/net/http1.py
@@ -17,7 +17,7 @@
 TARGET = re.compile(rb"[!-~\x80-\xff]+")
 CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 STATUS = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: [^\x00-\x08\x0a-\x1f\x7f]*)?")
-SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;.*)?", re.DOTALL)
+SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?")
 
 REASONS = {
     200: b"OK",
@@ -39,7 +39,8 @@
     .split()
 )
 
-FRAMING = frozenset((b"content-length", b"transfer-encoding"))
+# Not twice, even where both say the same: what reads the message next may take the other.
+ONCE = frozenset((b"content-length", b"transfer-encoding", b"host"))
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -228,8 +229,8 @@
                 raise MalformedError(400, "bad header line")
             value = value.strip(b" \t")
             key = name.lower()
-            if key in fields and key in FRAMING:  # also where both say the same: the next reader may differ
-                raise MalformedError(400, "repeated framing")
+            if key in fields and key in ONCE:
+                raise MalformedError(400, f"repeated {key.decode('latin-1')}")
             headers.append((name, value))
             fields[key] = value
         message = Message(headers, fields)
@@ -285,6 +286,8 @@
         message.method, message.target, message.minor = parts[0], parts[1], parts[2][-1] - 48
 
     def _framing(self, message: Message) -> _Body:
+        if message.minor == 0 and b"transfer-encoding" in message.fields:  # what it means there is anybody's guess
+            raise MalformedError(400, "chunks in HTTP/1.0")
         return self._length(message, 0)
 
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -116,6 +116,16 @@
     (b"GET / HTTP/2.0\r\n\r\n", 400),
     (b"GET / HTTP/1.1\r\nX : 1\r\n\r\n", 400),
     (b"GET /a b HTTP/1.1\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nHost: a\r\nhost: a\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nX: a\rb\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nX: a\nY: b\r\n\r\n", 400),
+    (b"GET / HTTP/1.1\r\nX: a\r\n Y: folded\r\n\r\n", 400),
+    (b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 400),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0x1\r\na\r\n", 400),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\na\r\n", 400),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;\nx\r\na\r\n", 400),
+    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", 400),
 ])
 def test_limits_and_framing(wire: bytes, status: int) -> None:
     with pytest.raises(MalformedError) as caught:
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -30,7 +30,7 @@
 Reader = asyncio.StreamReader
 Writer = asyncio.StreamWriter
 Handler = Callable[[Reader, Writer], Awaitable[None]]
-HEADERS = b"X-Call-Id: 1\r\nX-Caller: acme\r\nX-Budget: 20000m\r\n"
+HEADERS = b"Host: s\r\nX-Call-Id: 1\r\nX-Caller: acme\r\nX-Budget: 20000m\r\n"
 LOOK = b"GET /api HTTP/1.1\r\nX-Call-Class: look\r\n" + HEADERS + b"\r\n"
 DELIVER = b"POST /api HTTP/1.1\r\nX-Call-Class: deliver\r\nIdempotency-Key: k\r\n" + HEADERS
 DELIVER += b"Content-Length: 3\r\n\r\ndoc"
@@ -158,6 +158,8 @@
 
 @pytest.mark.parametrize(("wire", "status"), [
     (LOOK.replace(b"X-Call-Id", b"X-Other"), 400),
+    (LOOK.replace(b"Host: s\r\n", b""), 400),
+    (LOOK.replace(b"Host: s", b"Host: s\r\nHost: t"), 400),
     (LOOK.replace(b"look", b"odd"), 400),
     (LOOK.replace(b"acme", b"odd"), 400),
     (LOOK.replace(b"20000m", b"nanm"), 400),
@@ -165,7 +167,7 @@
     (b"\x16\x03\x01 hello\r\n\r\n", 400),
     (b"GET /" + b"a" * 70_000, 431),
     (DELIVER.replace(b"Length: 3", b"Length: 70000000"), 413),
-], ids=["no id", "class", "tenant", "budget", "method", "garbage", "large head", "large body"])
+], ids=["no id", "no host", "two hosts", "class", "tenant", "budget", "method", "garbage", "large head", "large body"])
 def test_bad_input_is_answered_and_reaches_no_provider(wire: bytes, status: int) -> None:
     handler, seen = answering(whole(200))
 
