Serve kept connections on for 1.8 s after SIGTERM, where consumers may have nowhere else to go

Change: without a successor answers keep their connections for keep_s; what is idle then closes; calls taken while leaving end before SIGKILL may come. leave_s goes, keep_s is 1.8 s (was 1.5, after a handover only).

--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -132,7 +132,7 @@
         early = self._upload is not None and not self._upload.done()
         if request.rest is not None:
             request.rest.cut()
-        keep = request.keep_alive and not self._all.leaving and not early
+        keep = request.keep_alive and not self._all.closing and not early
         if final.verdict is Verdict.SERVED and final.payload.rest is not None:
             keep = await self._pass_on(call, final.payload, keep, request.minor)
         else:
@@ -331,7 +331,8 @@
     ) -> None:
         self.budget = budget or Budget(MAX_BUFFER)
         self.calls, self.facade, self.sockets, self.tuning = calls, facade, sockets, tuning
-        self.leaving = False
+        self.leaving = False  # no more connections ...
+        self.closing = False  # ... and each ends with its next answer
         self.last = math.inf  # when calls have to end, by time.monotonic
         self._has_list = has_list
         self._loop = IOLoop.current()
@@ -405,17 +406,20 @@
     async def leave(self, handed_on: bool = False) -> None:
         """Take no more, once those under way have arrived; return when every call is answered.
 
-        With the listener `handed_on`, what waits in its queue is the next process's, and kept connections can be
-        served as long as there is time: each closes with its next answer, and those still silent after a while.
+        Kept connections are served on as long as there is time, since their consumers may have nowhere else to go.
+        With the listener `handed_on` they have: each closes with its next answer, and what waits in the queue is the
+        next process's.
         """
-        self.leaving = True
+        self.leaving, self.closing = True, handed_on
         longest = max(cls.deadline_ms for cls in self.facade.classes) / 1000.0
         self.last = monotonic() + min(longest, KILL_MOST_S) + KILL_AFTER_S - KILL_MARGIN_S
-        if handed_on:
-            self._stop_listening()
-            await sleep(self.tuning.keep_s)
-        else:
-            await self._leave_alone()
+        accept_s = 0.0 if handed_on else self.tuning.accept_s
+        await sleep(accept_s)
+        if not handed_on:
+            self._accept(BACKLOG)  # what waits in the queue would be reset with the listener
+        self._stop_listening()
+        await sleep(self.tuning.keep_s - accept_s)
+        self.closing = True
         for consumer in [c for c in self._open if c.idle and not c.waiting()]:
             consumer.stream.close()
         # Every call is answered by its deadline; who has not read its answer by then is not waited for.
@@ -428,12 +432,3 @@
             self._loop.remove_handler(self._listener)
             self._listener.close()
             self._listener = None
-
-    async def _leave_alone(self) -> None:
-        # A new connection's first request is still on its way: only those that had one are idle.
-        for consumer in [c for c in self._open if c.idle and c.used]:
-            consumer.stream.close()
-        await sleep(self.tuning.accept_s)
-        self._accept(BACKLOG)  # what waits in the queue would be reset with the listener
-        self._stop_listening()
-        await sleep(self.tuning.leave_s - self.tuning.accept_s)
--- a/limenotch/settings.py
+++ b/limenotch/settings.py
@@ -31,12 +31,11 @@
     idle_s: Seconds = 2.5
     write_s: Seconds = 5.0
     accept_s: Seconds = 0.5
-    leave_s: Seconds = 0.9
-    keep_s: Seconds = 1.5
+    keep_s: Seconds = 1.8
 
     def __post_init__(self) -> None:
-        if self.leave_s < self.accept_s:
-            raise ValueError("leave_s: expected accept_s or more")
+        if self.keep_s < self.accept_s:
+            raise ValueError("keep_s: expected accept_s or more")
 
 
 class Providers(Struct, frozen=True, forbid_unknown_fields=True):
