--- a/limenotch/lab/emulate/host.py
+++ b/limenotch/lab/emulate/host.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from ...net import http1
+from ...toml import FaultError
 from ..model.chance import Seeds
 from ..model.clients import Clients, Request
 from ..model.directory import Entry, Tell
@@ -21,7 +22,7 @@
 from ..model.provider import Job, Provider
 from ..model.rules import Limits, Rules
 from ..record import Record, histogram, quantiles
-from ..scenario import Plan, settings_of
+from ..scenario import BY_HAND, Plan, settings_of
 from .directory import DirectoryHost, line_of
 from .load import SLACK_MS, Load, call_wire, verdict_of
 from .providers import ProviderHost
@@ -64,6 +65,9 @@
     """Owns everything of a run; `close` is the one place where it is all given back."""
 
     def __init__(self, plan: Plan, folder: Path, load: bool = True) -> None:
+        hand = next((fault.kind for fault in plan.scenario.fault if fault.kind in BY_HAND), None)
+        if hand is not None:
+            raise FaultError(f"{plan.scenario.name}: {hand} is played in simulated time only: lab run")
         self.plan, self.folder, self._with_load = plan, folder, load
         seeds = Seeds(plan.seed)
         network = Network(plan.network, seeds)
--- a/limenotch/lab/model/faults.py
+++ b/limenotch/lab/model/faults.py
@@ -24,6 +24,7 @@
     neighbour (part taken), stall (1 or 0), errors (chance), spoil (chance), forget (ms): of machine `target` of `tier`.
     directory (1: down), surge (factor; account `target`), hot (part of all traffic; entry sidecar `target`),
     cut (1 or 0; zones `target` and `other`): of the whole.
+    ban (1: out by hand, 0: back) of a machine; retune (attempts) of all sidecars; upgrade of entry sidecar `target`.
     """
 
     at_ms: float
@@ -80,7 +81,7 @@
 
     def _victims(self, fault: Fault, tier: int, chance: Chance) -> list[int]:
         machines = len(self._plan.tiers[tier].machines)
-        if fault.kind in ("surge", "hot_sidecar", "directory_down", "cut_link"):
+        if fault.kind in ("surge", "hot_sidecar", "directory_down", "cut_link", "retune", "upgrade"):
             return []
         if fault.victims is not None:
             return list(fault.victims)
@@ -151,6 +152,27 @@
             if length > 0:
                 yield Deed(begin + length, "start", tier, machine)
 
+    def _ban(self, fault: Fault, chance: Chance, begin: float, length: float, size: float, tier: int,
+             victims: list[int]) -> Iterator[Deed]:
+        """One after another. A restart would give the machine's process a new name here, so there is none."""
+        for number, machine in enumerate(victims):
+            at = begin + number * length
+            yield Deed(at, "ban", tier, machine, 1.0)
+            yield Deed(at + length, "ban", tier, machine, 0.0)
+
+    def _retune(self, fault: Fault, chance: Chance, begin: float, length: float, size: float, tier: int,
+                victims: list[int]) -> Iterator[Deed]:
+        yield Deed(begin, "retune", value=size)
+        if length > 0:
+            yield Deed(begin + length, "retune", value=float(self._plan.scenario.sidecars.max_attempts))
+
+    def _upgrade(self, fault: Fault, chance: Chance, begin: float, length: float, size: float, tier: int,
+                 victims: list[int]) -> Iterator[Deed]:
+        """All entries in turn."""
+        count = self._plan.scenario.sidecars.count
+        for sidecar in range(count):
+            yield Deed(begin + length * sidecar / count, "upgrade", target=sidecar)
+
     def _forget(self, fault: Fault, chance: Chance, begin: float, length: float, size: float, tier: int,
                 victims: list[int]) -> Iterator[Deed]:
         for machine in victims:
--- a/limenotch/lab/scenario.py
+++ b/limenotch/lab/scenario.py
@@ -32,8 +32,9 @@
 MOST_CALLS = 50_000_000  # first tries of a run
 FAULT_KINDS = Literal[
     "deploy", "slow", "neighbour", "surge", "hot_sidecar", "directory_down", "forget", "silent", "kill", "cut_link",
-    "stall", "error_burst", "spoil",
+    "stall", "error_burst", "spoil", "ban", "retune", "upgrade",
 ]
+BY_HAND = ("ban", "retune", "upgrade")  # what operators do to sidecars; played in simulated time only
 
 
 class Kind(Struct, frozen=True, forbid_unknown_fields=True):
@@ -286,6 +287,8 @@
             if fault.zones is None or any(zone not in scenario.network.zones for zone in fault.zones):
                 yield f"{path}.zones", "expected two zones of this scenario"
         sizes = fault.size if isinstance(fault.size, tuple) else (fault.size,)
+        if fault.kind == "retune" and (min(sizes) < 1 or any(size != int(size) for size in sizes)):
+            yield f"{path}.size", "expected a number of attempts, 1 or more"
         if fault.kind == "slow" and min(sizes) < 1:
             yield f"{path}.size", "expected how many times slower, 1 or more"
         if fault.kind in ("neighbour", "hot_sidecar", "error_burst", "spoil") and not 0 < min(sizes) <= max(sizes) <= 1:
--- a/limenotch/lab/simulate/sidecar.py
+++ b/limenotch/lab/simulate/sidecar.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING, Any, cast
+
+from switchthread.knowledge import learn, told_by
 
 from ... import settings
 from ...facade import time_left_ms
@@ -57,12 +59,14 @@
                  seed: int) -> None:
         """`told` are its settings; `tier` is the one it sends to; `key` is unique in the world."""
         self.world, self.key, self.zone, self.tier = world, key, zone, tier
+        self.told = told
         self.alive = True
         self.calls: dict[int, Call] = {}
         self.decide = world.policy.instance(told, seed)
         self._face = world.policy.face
         self._idle: dict[Provider, list[float]] = {}  # when each idle connection was last used
         self._stage: dict[str, str] = {}  # as told
+        self._banned: set[str] = set()
         plan = world.plan.tiers[tier]
         self._idle_ms, self._rtts, self._connect_ms = plan.idle_ms, plan.handshake_rtts, plan.connect_timeout_ms
         face = self._face
@@ -106,7 +110,7 @@
                 self._stage[entry.name] = entry.stage
             if entry.stage != "ready":
                 self._close_idle(entry.name)
-            rules.told(now, self.key, entry.name, entry.stage)
+            self._tell_rules(entry.name)
             upstreams.append(
                 face.Upstream(entry.name, face.Stage(entry.stage), entry.weight, entry.kind, entry.zone, entry.group,
                               entry.started_ms)
@@ -114,6 +118,43 @@
         listing = face.Listing.WHOLE if told.whole else face.Listing.CHANGES
         self._handle(face.Membership(listing, tuple(upstreams)))
 
+    def ban(self, name: str, out: bool) -> None:
+        """As the operators' address does; to the rules it is a drain until the call back."""
+        now = self.world.kernel.now
+        if out:
+            self._banned.add(name)
+            self._close_idle(name)
+        else:
+            self._banned.discard(name)
+        self._tell_rules(name)
+        self._handle(self._face.Ban(name, out, now))
+
+    def _tell_rules(self, name: str) -> None:
+        stage = self._stage.get(name, "gone")
+        told = "draining" if name in self._banned and stage == "ready" else stage
+        self.world.rules.told(self.world.kernel.now, self.key, name, told)
+
+    def retune(self, attempts: int) -> None:
+        """As SIGHUP does with a file that gives another number of attempts."""
+        self.told = {**self.told, "permissions": {**self.told["permissions"], "max_attempts": attempts}}
+        self._handle(self._face.Retuned(self.world.policy.read_settings(self.told)))
+
+    def together(self, processes: int) -> None:
+        """As while one process takes over from another."""
+        settings = replace(self.world.policy.read_settings(self.told), processes=processes)
+        self._handle(self._face.Retuned(settings))
+
+    def take_over(self, old: Sidecar) -> None:
+        """What the old process hands to this one: list, bans and knowledge."""
+        self._banned = set(old._banned)
+        entries = tuple(entry for entry in self.world.fleet.directories[self.tier].entries.values()
+                        if entry.name in old._stage)
+        self._handle(self._face.Started())
+        self.heard(Tell(self.key, True, tuple(replace(entry, stage=old._stage[entry.name]) for entry in entries)))
+        for name in sorted(self._banned):
+            self._handle(self._face.Ban(name, True, 0.0))
+        learn(cast(Any, self.decide), told_by(cast(Any, old.decide)))
+
     def _close_idle(self, name: str) -> None:
         process = self.world.find(self.tier, name)[1]
         for _ in self._idle.pop(process, ()) if process is not None else ():
@@ -221,7 +262,7 @@
         attempt = Attempt(call, len(call.attempts), site, process, action.upstream, now, now + action.timeout_ms)
         call.attempts.append(attempt)
         world.kernel.late(attempt.end, self._timed_out, attempt)
-        if self._stage.get(action.upstream) != "ready":
+        if self._stage.get(action.upstream) != "ready" or action.upstream in self._banned:
             world.kernel.at(now, self._ended, attempt, self._face.Outcome.NOT_SENT, None)
             return
         idle = self._idle.get(process) if process is not None else None
@@ -258,7 +299,8 @@
         if attempt.over or not self.alive:
             return
         now = world.kernel.now
-        if self._stage.get(attempt.name) != "ready" or attempt.call.closed or now >= attempt.end:
+        usable = self._stage.get(attempt.name) == "ready" and attempt.name not in self._banned
+        if not usable or attempt.call.closed or now >= attempt.end:
             self._ended(attempt, self._face.Outcome.NOT_SENT, None)
             return
         assert attempt.site is not None
