--- a/limenotch/figures.py
+++ b/limenotch/figures.py
@@ -24,7 +24,10 @@
             self._of(name)
 
     def _of(self, class_name: str) -> Counter[str]:
-        return self._classes.setdefault(class_name, Counter(dict.fromkeys((*ENDS, "sends"), 0)))
+        counter = self._classes.get(class_name)
+        if counter is None:
+            counter = self._classes[class_name] = Counter(dict.fromkeys((*ENDS, "sends"), 0))
+        return counter
 
     def took(self) -> None:
         """A call was taken."""
