--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -21,7 +21,7 @@
 from switchthread import interface as face
 from switchthread.settings import read_settings
 
-from .test_operators import CLASSES, conserved
+from .test_operators import CLASSES, GET_HEALTH, conserved
 from .test_sidecar import LOOK, SETTINGS, Handler, Reader, Writer, answering, ask, free_port, run, whole, with_sidecar
 
 BODY = bytes(range(256)) * 2048  # 512 KiB
@@ -297,6 +297,33 @@
     run(case())
 
 
+def test_operators_are_answered_while_long_answers_are_under_way() -> None:
+    # Eight answers of 20 MB; an operator who had to wait for them would be answered once or twice.
+    admin, long = free_port(), 20_000_000
+    answered = 0
+
+    async def handler(reader: Reader, writer: Writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(OK + b"Content-Length: %d\r\n\r\n" % long)
+        for _ in range(long // 100_000):
+            writer.write(bytes(100_000))
+            await writer.drain()
+        writer.close()
+
+    async def use(port: int) -> None:
+        nonlocal answered
+        wires = [LOOK.replace(b"Id: 1", b"Id: %d" % number) for number in range(8)]
+        reading = [asyncio.create_task(read_all(port, wire)) for wire in wires]
+        while not all(task.done() for task in reading):
+            await conserved(admin)
+            assert (await ask(admin, GET_HEALTH)).status == 200
+            answered += 1
+        assert all(task.result()[2] and len(task.result()[1]) == long for task in reading)
+
+    run(with_sidecar(handler, use, more={"admin_addr": f"127.0.0.1:{admin}"}))
+    assert answered > 3
+
+
 # Requests
 
 def long_request(framing: str) -> bytes:
--- a/tests/test_successor.py
+++ b/tests/test_successor.py
@@ -354,3 +354,44 @@
     two = balancer.room
     balancer.handle(5000.0, face.Retuned(face.Settings(classes=CLASSES, cold=COLD)))
     assert two == pytest.approx(balancer.room / 2) and whole_room > 0
+
+
+def test_reloads_twice_in_a_row_while_one_takes_over_from_another(tmp_path: Path) -> None:
+    async def case(sidecars: Sidecars) -> None:
+        old, old_admin = await sidecars.start(known=True)
+        stop = asyncio.Event()
+        load = [asyncio.create_task(sidecars.new_connections(stop)) for _ in range(2)]
+        new, new_admin = await sidecars.start()
+        for process, admin in ((old, old_admin), (new, new_admin)):
+            path = sidecars.folder / f"{admin}.json"
+            raw = json.loads(path.read_text())
+            raw["settings"]["permissions"]["max_attempts"] = 1
+            path.write_text(json.dumps(raw))
+            for count in (1, 2):
+                process.send_signal(signal.SIGHUP)
+                while figures_of(await ask(admin, GET_STATS))["lb.conf_loaded"][0] < count:
+                    await asyncio.sleep(0.01)
+        old.send_signal(signal.SIGTERM)
+        assert await old.wait() == 0
+        await until_more(sidecars, len(sidecars.statuses) + 10, load)
+        stop.set()
+        await asyncio.gather(*load)
+        assert set(sidecars.statuses) == {200}
+
+    play(tmp_path, case)
+
+
+def test_sigterm_before_the_first_list_ends_in_order(tmp_path: Path) -> None:
+    async def case(sidecars: Sidecars) -> None:
+        starting = asyncio.create_task(sidecars.start())  # no list comes, so it is never ready
+        while True:
+            await asyncio.sleep(0.01)
+            with contextlib.suppress(OSError):
+                if (await ask(sidecars.port, b"GET /up HTTP/1.1\r\nHost: s\r\n\r\n")).status == 503:
+                    break
+        (process,) = sidecars._all
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        starting.cancel()
+
+    play(tmp_path, case)
