--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -90,6 +90,7 @@
     def __init__(self, facade: Facade, max_open: int, figures: Figures | None = None) -> None:
         self.facade, self.max_open = facade, max_open
         self.figures = figures or Figures()
+        self.last = math.inf  # while the program leaves: when calls still to come have to end, by time.monotonic
         self.open: dict[int, Call] = {}
         self.passing: dict[int, Call] = {}  # their answers are being passed on
         self._names: set[bytes] = set()  # of those open
@@ -160,8 +161,9 @@
         """The last byte of a long message was written: its time begins."""
         invoker_call.began = monotonic()
         call = invoker_call.call
-        invoker_call.end = call.end = invoker_call.began + call.left_s
-        self.carry_out(self.facade.uploaded(call.number, call.left_s * 1000.0))
+        invoker_call.end = call.end = min(invoker_call.began + call.left_s, self.last)
+        left = max(call.end - invoker_call.began, 0.0)
+        self.carry_out(self.facade.uploaded(call.number, left * 1000.0))
 
     def begun(
         self, invoker_call: InvokerCall, payload: Any, utilisation: float | None = None, per_s: float | None = None
--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import math
 import re
 import socket
 import struct
@@ -284,7 +283,7 @@
         if not facade.knows_tenant(tenant):
             raise http1.MalformedError(400, "X-Caller: unknown")
         # One taken while leaving must not be found open by what ends the process.
-        left = min(budget_ms(fields.get(b"x-budget", b"")), max((self._all.last - monotonic()) * 1000.0, 1.0))
+        left = min(budget_ms(fields.get(b"x-budget", b"")), max((self._all.calls.last - monotonic()) * 1000.0, 1.0))
         final = self._final = asyncio.get_running_loop().create_future()
         resent = fields.get(b"x-again") == b"1"
         room = self._all.sockets.providers.room
@@ -333,7 +332,6 @@
         self.calls, self.facade, self.sockets, self.tuning = calls, facade, sockets, tuning
         self.leaving = False  # no more connections ...
         self.closing = False  # ... and each ends with its next answer
-        self.last = math.inf  # when calls have to end, by time.monotonic
         self._has_list = has_list
         self._loop = IOLoop.current()
         self._listener: socket.socket | None = None
@@ -412,7 +410,7 @@
         """
         self.leaving, self.closing = True, handed_on
         longest = max(cls.deadline_ms for cls in self.facade.classes) / 1000.0
-        self.last = monotonic() + min(longest, KILL_MOST_S) + KILL_AFTER_S - KILL_MARGIN_S
+        self.calls.last = monotonic() + min(longest, KILL_MOST_S) + KILL_AFTER_S - KILL_MARGIN_S
         accept_s = 0.0 if handed_on else self.tuning.accept_s
         await sleep(accept_s)
         if not handed_on:
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -5,6 +5,7 @@
 import asyncio
 import hashlib
 from collections.abc import Callable
+from time import monotonic
 
 import pytest
 from hypothesis import given
@@ -541,3 +542,23 @@
         assert calls.figures.count("errored") == 1 and not calls.passing and not calls.has(b"1")
 
     run(case())
+
+
+def test_a_request_whole_while_the_program_leaves_is_over_before_it_may_be_killed() -> None:
+    # Guards long uploads at an upgrade: their time begins with the last byte, which may be late in the leaving.
+    async def case() -> None:
+        calls, finals = Calls(Facade(read_settings(SETTINGS), 1), 10), list[Final]()
+
+        class Fake:
+            def make(self, invoker_call: InvokerCall) -> None: ...
+
+            def abandon(self, invoker_call: InvokerCall) -> None: ...
+
+        calls.invoker = Fake()
+        calls.carry_out(calls.facade.heard([Provider(n, ("127.0.0.1", 1), Status.IN_SERVICE) for n in "ab"], True))
+        call = calls.take(b"1", None, "look", "acme", 20000.0, finals.append, rest=Pipe(Budget(1)))
+        calls.last = monotonic() + 1.0  # SIGTERM came meanwhile
+        calls.uploaded(call.made[0])
+        assert call.end == call.made[0].end == calls.last
+
+    run(case())
