Let one Listener, one hold rule and one limit serve where two or three stood

Change: sockets.Listener, Budget.beyond, limit() in the program, one loop in Calls.depart, answer_from in the tests. Behaviour and assertions are as before. Left: the three accept loops, which differ in what they do when the socket fails.

--- a/limenotch/bans.py
+++ b/limenotch/bans.py
@@ -63,7 +63,6 @@
 
     def _take(self, out: set[str], back: dict[str, float]) -> None:
         left, new = self.out - out, out - self.out
-        # Also one that was out and is out again meanwhile: its return counts, for it was restarted.
         self.out, self.back = out, back
         for name in sorted(new):
             self._changed(name, True, 0.0)
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -144,18 +144,16 @@
         if call.number in self.passing:
             call.gone = True
             self.passed_on(call, "departed")
-            for invoker_call in call.made:
-                if not invoker_call.over:
-                    self.invoker.abandon(invoker_call)
-            return
-        if call.final is None and not call.gone:
+        elif call.final is None and not call.gone:
             call.gone = True
             self.figures.ended(call.kind, "departed")
             self._forget(call)
             self.carry_out(self.facade.depart(call.number))
-            for invoker_call in call.made:  # those the module may not cancel
-                if not invoker_call.over:
-                    self.invoker.abandon(invoker_call)
+        else:
+            return
+        for invoker_call in call.made:  # those the module may not cancel, and the one whose answer is passed on
+            if not invoker_call.over:
+                self.invoker.abandon(invoker_call)
 
     def uploaded(self, invoker_call: InvokerCall) -> None:
         """The last byte of a long message was written: its time begins."""
--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -20,8 +20,8 @@
 from ..facade import Facade
 from . import http1
 from .calls import Call, Calls, Final, Verdict
-from .pipe import HOLD, PIECE, SMALL, BrokenError, Budget, Pipe
-from .sockets import Sockets
+from .pipe import PIECE, BrokenError, Budget, Pipe
+from .sockets import Listener, Sockets
 
 log = logs.get(__name__)
 
@@ -207,7 +207,7 @@
             if parser.complete:
                 parser.next()
                 break
-            if size > HOLD or size > SMALL and budget.spent:
+            if budget.beyond(size):
                 request.rest = Pipe(budget)
                 break
             await self._read(size)
@@ -333,8 +333,7 @@
         self.leaving = False  # no more connections ...
         self.closing = False  # ... and each ends with its next answer
         self._has_list = has_list
-        self._loop = IOLoop.current()
-        self._listener: socket.socket | None = None
+        self._listener: Listener | None = None
         self._open: dict[Consumer, asyncio.Task[None]] = {}
         self._waiting: dict[Consumer, None] = {}  # those between two requests, the longest first
         sockets.consumers.drop_idle = self._drop_idle
@@ -346,8 +345,7 @@
         """
         if inherited is None:
             inherited = bind_sockets(at[1], at[0], backlog=BACKLOG, reuse_port=True)[0]
-        self._listener = inherited
-        self._loop.add_handler(self._listener, lambda *_: self._accept(), IOLoop.READ)
+        self._listener = Listener(inherited, self._accept)
         return inherited
 
     def ready(self) -> bool:
@@ -359,7 +357,7 @@
             if self._listener is None:
                 return
             try:
-                sock, _ = self._listener.accept()
+                sock, _ = self._listener.socket.accept()
             except BlockingIOError:
                 return
             except OSError as error:  # aborted by the consumer, or no descriptor left
@@ -427,6 +425,5 @@
 
     def _stop_listening(self) -> None:
         if self._listener is not None:
-            self._loop.remove_handler(self._listener)
             self._listener.close()
             self._listener = None
--- a/limenotch/net/http1.py
+++ b/limenotch/net/http1.py
@@ -155,11 +155,6 @@
         """Between messages, with nothing left over."""
         return not self.buffer and self._message is None
 
-    @property
-    def in_body(self) -> bool:
-        """A message's head is there and its body under way."""
-        return self._message is not None
-
     def feed(self, data: bytes) -> None:
         self.buffer += data
 
--- a/limenotch/net/operators.py
+++ b/limenotch/net/operators.py
@@ -18,7 +18,7 @@
 from .. import logs
 from ..config import Address
 from . import http1
-from .sockets import OPERATORS
+from .sockets import OPERATORS, Listener
 
 log = logs.get(__name__)
 
@@ -45,17 +45,15 @@
     def __init__(self, ready: Callable[[], bool], stats: Callable[[], bytes], ban: Ban) -> None:
         self._ready, self._stats, self._ban = ready, stats, ban
         self._loop = IOLoop.current()
-        self._listener: socket.socket | None = None
+        self._listener: Listener | None = None
         self._open: dict[_Caller, asyncio.Task[None]] = {}  # the oldest first
 
     def listen(self, at: Address) -> None:
         """Raises OSError if the address can't be had."""
-        self._listener = bind_sockets(at[1], at[0], backlog=BACKLOG)[0]
-        self._loop.add_handler(self._listener, lambda *_: self._accept(), IOLoop.READ)
+        self._listener = Listener(bind_sockets(at[1], at[0], backlog=BACKLOG)[0], self._accept)
 
     def close(self) -> None:
         if self._listener is not None:
-            self._loop.remove_handler(self._listener)
             self._listener.close()
             self._listener = None
         for caller in list(self._open):
@@ -66,7 +64,7 @@
             if self._listener is None:
                 return
             try:
-                sock, _ = self._listener.accept()
+                sock, _ = self._listener.socket.accept()
             except BlockingIOError:
                 return
             except OSError as error:
--- a/limenotch/net/pipe.py
+++ b/limenotch/net/pipe.py
@@ -30,6 +30,10 @@
         """How much to read at once now."""
         return SMALL if self.spent else PIECE
 
+    def beyond(self, size: int) -> bool:
+        """Whether a body of which `size` bytes are there is not held any longer."""
+        return size > HOLD or size > SMALL and self.spent
+
 
 class Pipe:
     """One body: `put` by the connection it comes from, `get` by the one it goes to."""
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -16,7 +16,7 @@
 from ..facade import Ending, Provider, Status
 from . import http1
 from .calls import Calls, InvokerCall
-from .pipe import HOLD, SMALL, BrokenError, Budget, Pipe
+from .pipe import HOLD, BrokenError, Budget, Pipe
 from .sockets import Share
 
 log = logs.get(__name__)
@@ -105,9 +105,7 @@
 
     def _long(self) -> bool:
         """Whether what is held is not held any longer."""
-        if self._size > HOLD or self._size > SMALL and self._budget.spent:
-            return True
-        return self.may_be_long and monotonic() > self._began + SLOW_S
+        return self._budget.beyond(self._size) or self.may_be_long and monotonic() > self._began + SLOW_S
 
     @property
     def may_be_long(self) -> bool:
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -1,9 +1,12 @@
-"""The count of descriptors: who may open one more, and who gives one back first."""
+"""Listening sockets, and the count of descriptors: who may open one more, and who gives one back first."""
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 
+from tornado.ioloop import IOLoop
+
 from ..settings import Descriptors
 
 
@@ -32,6 +35,19 @@
         return self.idle > 0 or self.used < self.limit
 
 
+class Listener:
+    """A listening socket on the loop, owned from then on; `accept` is called when somebody waits."""
+
+    def __init__(self, sock: socket.socket, accept: Callable[[], None]) -> None:
+        self.socket = sock
+        self._loop = IOLoop.current()
+        self._loop.add_handler(sock, lambda *_: accept(), IOLoop.READ)
+
+    def close(self) -> None:
+        self._loop.remove_handler(self.socket)
+        self.socket.close()
+
+
 OPERATORS = 16  # connections of operators at once, beside everybody else's
 
 
--- a/limenotch/net/successor.py
+++ b/limenotch/net/successor.py
@@ -22,6 +22,7 @@
 
 from .. import logs
 from ..config import Address
+from .sockets import Listener
 
 log = logs.get(__name__)
 
@@ -69,7 +70,7 @@
         self._path = Path(kept + NAME) if kept else None
         self._at, self._tell, self._together = at, tell, together
         self._loop = IOLoop.current()
-        self._door: socket.socket | None = None
+        self._door: Listener | None = None
         self._handed: socket.socket | None = None  # the listener that is handed over
         self._before: IOStream | None = None
         self._next: dict[IOStream, bool] = {}  # and whether it serves
@@ -181,14 +182,13 @@
                 door.close()
             return
         self._shut()
-        self._door = door
-        self._loop.add_handler(door, lambda *_: self._accept(), IOLoop.READ)
+        self._door = Listener(door, self._accept)
 
     def _accept(self) -> None:
         if self._door is None:
             return
         try:
-            sock, _ = self._door.accept()
+            sock, _ = self._door.socket.accept()
         except OSError:
             return
         task = asyncio.get_running_loop().create_task(self._hand_over(IOStream(sock, max_buffer_size=4096)))
@@ -237,7 +237,6 @@
 
     def _shut(self) -> None:
         if self._door is not None:
-            self._loop.remove_handler(self._door)
             self._door.close()
             self._door = None
 
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -73,10 +73,13 @@
 
     operators = Operators(lambda: serving and consumers.ready() and not consumers.leaving, stats, ban)
 
-    def together(processes: int) -> None:
+    def limit(processes: int) -> None:
         """Of this sidecar, those alive: all of them are held to one sidecar's limits."""
         sockets.limit_to(held.sockets // processes)
         budget.limit = buffered(held.memory_mb, processes)
+
+    def together(processes: int) -> None:
+        limit(processes)
         calls.carry_out(facade.together(processes))
 
     def tell() -> dict[str, Any]:
@@ -99,8 +102,7 @@
         log.info("reload", directory=host_port(new.directory), sockets=new.sockets, classes=names)
         figures.know(names)
         providers.tune(new.connect_ms, new.idle_ms)
-        sockets.limit_to(new.sockets // successor.processes)
-        budget.limit = buffered(new.memory_mb, successor.processes)
+        limit(successor.processes)
         calls.max_open = new.max_open
         calls.carry_out(facade.retune(new.settings, new.zones, new.kinds))
         directory.move(new.directory)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -23,7 +23,20 @@
 from switchthread.settings import read_settings
 
 from .test_operators import CLASSES, GET_HEALTH, conserved
-from .test_sidecar import LOOK, SETTINGS, Handler, Reader, Writer, answering, ask, free_port, run, whole, with_sidecar
+from .test_sidecar import (
+    LOOK,
+    SETTINGS,
+    Handler,
+    Reader,
+    Writer,
+    answer_from,
+    answering,
+    ask,
+    free_port,
+    run,
+    whole,
+    with_sidecar,
+)
 
 BODY = bytes(range(256)) * 2048  # 512 KiB
 POST = LOOK.replace(b"GET", b"POST").replace(b"look", b"deliver").replace(b"\r\n\r\n", b"\r\nIdempotency-Key: k\r\n")
@@ -362,8 +375,7 @@
         parser = http1.ResponseParser()
         for _ in range(2):
             writer.write(long_request(framing))
-            while (answer := parser.take()) is None:
-                parser.feed(await reader.read(65536))
+            answer = await answer_from(reader, parser)
             assert (answer.status, answer.keep_alive) == (200, True)
         writer.close()
 
@@ -398,11 +410,7 @@
     wire = long_request("chunked")
     writer.write(wire[:len(wire) // 2])
     then(writer)
-    parser = http1.ResponseParser()
-    while (answer := parser.take()) is None:
-        data = await reader.read(65536)
-        assert data, "closed without an answer"
-        parser.feed(data)
+    answer = await answer_from(reader, http1.ResponseParser())
     writer.close()
     return answer
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -80,15 +80,20 @@
     return http1.write_response(status, list(headers), b"body!")
 
 
-async def ask(port: int, wire: bytes) -> http1.Message:
-    """One request on a connection of its own, up to the connection's end or a whole answer."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(wire)
-    parser = http1.ResponseParser()
+async def answer_from(reader: Reader, parser: http1.ResponseParser) -> http1.Message:
+    """The next answer of a connection, which has to come whole before its end."""
     while (message := parser.take()) is None:
         data = await reader.read(65536)
         assert data, "closed without an answer"
         parser.feed(data)
+    return message
+
+
+async def ask(port: int, wire: bytes) -> http1.Message:
+    """One request on a connection of its own, up to the connection's end or a whole answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(wire)
+    message = await answer_from(reader, http1.ResponseParser())
     writer.close()
     return message
 
@@ -214,8 +219,7 @@
         parser = http1.ResponseParser()
         for number in range(3):
             writer.write(LOOK.replace(b"Id: 1", b"Id: %d" % number))
-            while (answer := parser.take()) is None:
-                parser.feed(await reader.read(65536))
+            answer = await answer_from(reader, parser)
             assert (answer.status, answer.keep_alive) == (200, True)
             if not number:
                 os.kill(os.getpid(), signal.SIGTERM)
--- a/tests/test_successor.py
+++ b/tests/test_successor.py
@@ -26,7 +26,7 @@
 from switchthread.settings import read_settings
 
 from .test_operators import GET_HEALTH, GET_STATS, figures_of, post
-from .test_sidecar import LOOK, SETTINGS, Reader, Writer, ask, free_port, run, whole
+from .test_sidecar import LOOK, SETTINGS, Reader, Writer, answer_from, ask, free_port, run, whole
 
 AT = ("127.0.0.1", 1)
 
@@ -193,10 +193,7 @@
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
                 parser = http1.ResponseParser()
             writer.write(self.call())
-            while (answer := parser.take()) is None:
-                data = await reader.read(65536)
-                assert data, "closed under a request"
-                parser.feed(data)
+            answer = await answer_from(reader, parser)
             self.statuses.append(answer.status)
             if not answer.keep_alive:
                 self.closing += 1
