--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -110,8 +110,7 @@
             self._adopt(event.settings)
             self._ready(now_ms)
         elif isinstance(event, face.Started):
-            if self.set.must_ask:
-                acts.append(face.Subscribe())
+            acts += [face.Subscribe()] if self.set.must_ask else []
         else:
             raise TypeError(f"not an event of interface.py: {event!r}")
         return acts
