--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -27,6 +27,7 @@
 FLOOR = 0.02  # of its weight, always left to an upstream so that recovery is seen
 CLIP = 4.0  # one answer counts at most this many times the usual: a costly call is not a slow upstream
 RETRIES = 0.2  # copies and retries allowed for each recent call: they can't multiply down the tiers
+TRUST = 5.0  # in time for each miss, under which the pace shown before falls fast: a lull holds it, a jam not
 FEW = 12.0  # calls that may always be held: below that, chance alone passes what the pace asks for
 BURST = 10.0  # of them saved up at most
 DRAWS = 4  # tries at one that may be sent to: more would bend the shares of those left
@@ -169,7 +170,7 @@
             span = now - self.began
             self.demand += (self.arrived / span * 1000 - self.demand) * (0.2 if self.demand else 1.0)
             self.flow += (self.served / span - self.flow) * (0.4 if self.flow else 1.0)
-            self.pace = max(self.flow, self.pace * 0.9)  # lately shown: a lull in demand is no loss of pace
+            self.pace = max(self.flow, self.pace * (0.9 if self.good >= TRUST * self.bad else 0.5))
             self.good, self.bad, self.arrived, self.served = self.good * 0.9, self.bad * 0.9, 0, 0
             self.copyable, self.copied, self.came = self.copyable * 0.9, self.copied * 0.9, self.came * 0.9
             for mean in (self.tier, self.near, self.far, *self.roster.kinds.values()):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -457,3 +457,36 @@
         (send,) = sends(actions)  # and no copy: it is lax
         assert send.upstream != ill.at.name  # ... and the other one taken
         referee.finish(name, 0, Outcome.OK)
+
+
+def steady(referee: Referee, spans: int, outcome: Outcome) -> None:
+    """A call every 50 ms, each attempt ended 50 ms later with `outcome`, for `spans` such steps."""
+    for _ in range(spans):
+        name, _ = referee.arrive(0)
+        referee.wait(50.0)
+        held = referee.calls[name]
+        for attempt in range(len(held.sent)):
+            if attempt not in held.ended and not held.over:
+                referee.finish(name, attempt, outcome)
+
+
+def test_pace_falls_while_answers_miss() -> None:
+    """Overload day of the second deployment: after a burst a choked fleet missed nearly every call for 25 s,
+    while the pace it had shown before kept the entry open, falling by a tenth a window only."""
+    referee = Referee(settings(classes=(READ,)), rows=fleet(5))
+    steady(referee, 200, Outcome.OK)
+    before = referee.balancer.pace
+    assert before > 0
+    steady(referee, 60, Outcome.ERROR)  # six windows of misses
+    assert referee.balancer.pace < 0.3 * before
+
+
+def test_pace_holds_through_a_lull() -> None:
+    """Fewer calls, all in time, are no loss of pace: the entry must not close on a quiet spell."""
+    referee = Referee(settings(classes=(READ,)), rows=fleet(5))
+    steady(referee, 200, Outcome.OK)
+    before = referee.balancer.pace
+    for _ in range(6):  # six windows with one call each
+        steady(referee, 1, Outcome.OK)
+        referee.wait(450.0)
+    assert referee.balancer.pace > 0.5 * before
