Let one accept loop on the listener serve consumers, operators and the successor's door

Listener.take now accepts up to so many, stops when none waits or once the listener is closed, and gives a failed accept to the owner's callback (consumers: log and drop an idle one; operators: log; door: nothing).

--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -353,18 +353,13 @@
 
     def _accept(self, most: int = ACCEPTS) -> None:
         """Some of those that wait: of many at once, each is read before the next ones push it out."""
-        for _ in range(most):
-            if self._listener is None:
-                return
-            try:
-                sock, _ = self._listener.socket.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:  # aborted by the consumer, or no descriptor left
-                log.warning("listener", error=str(error))
-                self._drop_idle()
-                return
-            self._admit(sock)
+        if self._listener is not None:
+            self._listener.take(most, self._admit, self._refused)
+
+    def _refused(self, error: OSError) -> None:
+        """Aborted by the consumer, or no descriptor left: an idle one makes room."""
+        log.warning("listener", error=str(error))
+        self._drop_idle()
 
     def _admit(self, sock: socket.socket) -> None:
         if not self.sockets.consumers.take():
--- a/limenotch/net/operators.py
+++ b/limenotch/net/operators.py
@@ -60,20 +60,17 @@
             caller.stream.close()
 
     def _accept(self) -> None:
-        for _ in range(OPERATORS):
-            if self._listener is None:
-                return
-            try:
-                sock, _ = self._listener.socket.accept()
-            except BlockingIOError:
-                return
-            except OSError as error:
-                log.warning("operators' listener", error=str(error))
-                return
-            while len(self._open) >= OPERATORS:
-                self._give_way()
-            caller = _Caller(IOStream(sock, max_buffer_size=MAX_BUFFER))
-            self._open[caller] = asyncio.get_running_loop().create_task(self._serve(caller))
+        if self._listener is not None:
+            self._listener.take(OPERATORS, self._admit, self._refused)
+
+    def _refused(self, error: OSError) -> None:
+        log.warning("operators' listener", error=str(error))
+
+    def _admit(self, sock: socket.socket) -> None:
+        while len(self._open) >= OPERATORS:
+            self._give_way()
+        caller = _Caller(IOStream(sock, max_buffer_size=MAX_BUFFER))
+        self._open[caller] = asyncio.get_running_loop().create_task(self._serve(caller))
 
     def _give_way(self) -> None:
         """The oldest that has not said what it wants, else the oldest: one has to."""
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -42,8 +42,27 @@
         self.socket = sock
         self._loop = IOLoop.current()
         self._loop.add_handler(sock, lambda *_: accept(), IOLoop.READ)
+        self._closed = False
+
+    def take(self, most: int, admit: Callable[[socket.socket], None], failed: Callable[[OSError], None]) -> None:
+        """Accepts up to `most` of those that wait, each given to `admit` in turn, until none is left.
+
+        An accept that fails otherwise (aborted by its peer, no descriptor left) goes to `failed` and ends the turn.
+        """
+        for _ in range(most):
+            if self._closed:
+                return
+            try:
+                sock, _ = self.socket.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                failed(error)
+                return
+            admit(sock)
 
     def close(self) -> None:
+        self._closed = True
         self._loop.remove_handler(self.socket)
         self.socket.close()
 
--- a/limenotch/net/successor.py
+++ b/limenotch/net/successor.py
@@ -185,12 +185,10 @@
         self._door = Listener(door, self._accept)
 
     def _accept(self) -> None:
-        if self._door is None:
-            return
-        try:
-            sock, _ = self._door.socket.accept()
-        except OSError:
-            return
+        if self._door is not None:
+            self._door.take(1, self._admit, lambda _: None)  # a next process that gave up asks again
+
+    def _admit(self, sock: socket.socket) -> None:
         task = asyncio.get_running_loop().create_task(self._hand_over(IOStream(sock, max_buffer_size=4096)))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
