Forbid copies of overdue calls where the settings do; hold long calls to max_attempts

Cause: _overdue asks the gate again for a lone attempt, and _copy_allowed looked at attempts, budget and reach but not at the settings; only the first placement and the silent branch did. Change: _copy_allowed asks may_copy; both ways to a copy ask whether the call goes out once. Found on the way by the same property test with copies forbidden: a long call (once) began with one attempt and got one more for each that reached nobody, without end. It now has max_attempts like any other, and none once a part of its message is gone.

--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -365,8 +365,8 @@
             raise ValueError(f"traffic_class: {event.traffic_class} is no class of the settings")
         cls = self.set.classes[event.traffic_class]
         useful = min(event.budget_ms, cls.aim_ms) if cls.late_worth <= 0 else event.budget_ms
-        most, usual = 1 if event.once else self.set.max_attempts, self.usual[cls.name]
-        call = Call(event.call, cls, usual, most, now + useful, now + cls.aim_ms, once=event.once)
+        usual, most, aim = self.usual[cls.name], self.set.max_attempts, now + cls.aim_ms
+        call = Call(event.call, cls, usual, most, now + useful, aim, once=event.once)
         self.calls[call.name] = call
         self.came, self.arrived = self.came + 1, self.arrived + 1
         if useful <= 0 or (not self.set.layer and self._refused(now, call, event)):
@@ -424,7 +424,7 @@
             self._wake(now + wait, call, acts)
 
     def _copy_allowed(self, now: float, call: Call, server: Server) -> bool:
-        if len(call.tries) >= call.most or self.budget < BURST / 2:
+        if call.once or not self.set.may_copy or len(call.tries) >= call.most or self.budget < BURST / 2:
             return False
         # A drawn second may lie outside the group that drops the call's repeats, also in a large group.
         return server in self._reach(now, call)[0]
@@ -433,7 +433,7 @@
         """A lone attempt is out for longer than expected: it is worth asking the gate again."""
         lone = next(t for t in call.tries if t.open)
         two = self._draw(now, call, lone.server)
-        if self._quiet(now, lone.server) and two is not None and self.set.may_copy:
+        if self._quiet(now, lone.server) and two is not None and self.set.may_copy and not call.once:
             if len(call.tries) < call.most and two in self._reach(now, call)[0]:
                 self._send(now, call, two, acts)
             return
@@ -464,7 +464,7 @@
             if call.done and not any(t.open for t in call.tries):
                 self.calls.pop(call.name, None)
         else:
-            call.most += call.once and not event.spent  # as if that attempt had not been
+            call.most *= not (call.once and event.spent)  # what is gone of it can't go out again
             self._further(now, call, acts)
 
     def _further(self, now: float, call: Call, acts: list[Action]) -> None:
--- a/tests/referee.py
+++ b/tests/referee.py
@@ -192,6 +192,7 @@
         assert len(held.sent) < held.most, "more attempts than allowed"
         copies = [i for i in range(len(held.sent)) if i not in held.ended]
         assert not (held.arrival.once and copies), "sends to two what can go out once"
+        assert self.given.may_copy or not copies, "sends a copy where the settings forbid any"
         assert action.timeout_ms > 0
         held.sent.append((self.now, action.upstream))
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -82,13 +82,34 @@
                 referee.leave(name)
 
 
-@given(STEPS, st.integers(0, 3), st.integers(0, 9))
-def test_rules_hold_for_any_events(steps: list[tuple[str, int, Outcome]], layer: int, seed: int) -> None:
-    referee = Referee(settings(layer=layer), seed, fleet(7))
+@given(STEPS, st.integers(0, 3), st.integers(0, 9), st.booleans())
+def test_rules_hold_for_any_events(
+    steps: list[tuple[str, int, Outcome]], layer: int, seed: int, copies: bool
+) -> None:
+    referee = Referee(settings(layer=layer, may_copy=copies), seed, fleet(7))
     play(referee, steps)
     referee.settle()
 
 
+@pytest.mark.parametrize("index", range(3))
+def test_no_copy_of_an_overdue_call_where_copies_are_forbidden(index: int) -> None:
+    """An overdue lone attempt asked the gate again, which never asked the settings: 1 call in 100 got a copy."""
+
+    def copied(allowed: bool) -> int:
+        referee = Referee(settings(may_copy=allowed), rows=fleet(9))
+        twice = 0
+        for turn in range(300):
+            name, _ = referee.arrive(index)
+            # One in eight takes five times as long: its attempt is overdue while its upstream's others are not.
+            referee.wait(100.0 if turn % 8 else 500.0)
+            twice += len(referee.calls[name].sent) > 1
+            for attempt in range(len(referee.calls[name].sent)):
+                referee.finish(name, attempt, Outcome.CANCELLED if referee.calls[name].over else Outcome.OK)
+        return twice
+
+    assert copied(True) and not copied(False)
+
+
 @given(STEPS, st.integers(0, 9))
 def test_same_events_same_actions(steps: list[tuple[str, int, Outcome]], seed: int) -> None:
     one, two = (Referee(settings(), seed, fleet(7)) for _ in range(2))
@@ -490,3 +511,14 @@
         steady(referee, 1, Outcome.OK)
         referee.wait(450.0)
     assert referee.balancer.entry.pace > 0.5 * before
+
+
+@pytest.mark.parametrize("most", [1, 2, 4])
+def test_a_long_call_is_tried_no_more_often_than_allowed(most: int) -> None:
+    """What goes out once may go elsewhere while none of it is gone, and each time raised its own bound by one."""
+    referee = Referee(settings(max_attempts=most), rows=fleet(7))
+    name, _ = referee.arrive(0, once=True)
+    for attempt in range(most):
+        assert len(referee.calls[name].sent) == attempt + 1
+        referee.finish(name, attempt, Outcome.ERROR)
+    assert len(referee.calls[name].sent) == most and referee.calls[name].over
