--- a/limenotch/store/records.py
+++ b/limenotch/store/records.py
@@ -12,7 +12,7 @@
 
 
 class Entry(Struct, frozen=True, array_like=True):
-    """One line of the log. `kind` is agreement's own (a command, a change of voters, the empty line of a new leader)."""
+    """One line of the log. `kind` is agreement's: a command, a change of voters, the empty line of a new leader."""
 
     index: int  # from 1, without a gap
     epoch: int  # in which its leader made it
@@ -34,7 +34,7 @@
 
 
 class Snapshot(Struct, frozen=True, array_like=True, tag="snapshot"):
-    """The state after `index`: entries up to it are dropped; if the log held does not reach or match it, all of it is."""
+    """The state after `index`: entries up to it are dropped; all are, if the log held does not reach or match it."""
 
     index: int
     epoch: int
