Matrix of what settings may forbid or vary, played in the laboratory with all rules checked

Need: copies that the settings forbid went out for months since both known sites allow them; no permission may be trusted because one deployment has it.

--- a/benchmarks/load_tool.py
+++ b/benchmarks/load_tool.py
@@ -9,7 +9,7 @@
 from rich.console import Console
 
 from limenotch.cli.lab.load import send
-from limenotch.lab import scenario
+from limenotch.lab import planning, scenario
 from limenotch.lab.emulate.wire import Served, listener
 from limenotch.net import http1
 
@@ -43,7 +43,7 @@
         for rate in RATES:
             over = [f"length_s = {SECONDS}", "fault = []", f"clients.rate_per_s = {rate}"]
             chosen = scenario.load_for_load("demo", over)
-            figures = asyncio.run(send(scenario.plan(chosen, 1), [("127.0.0.1", port)], 500, Console(quiet=True)))
+            figures = asyncio.run(send(planning.plan(chosen, 1), [("127.0.0.1", port)], 500, Console(quiet=True)))
             machine, late, tries = figures["machine"], figures["machine"]["sent_late_ms"], figures["requests"]["tries"]
             print(f"asked {rate:5} a second: {tries / machine['seconds']:6.0f} made, "
                   f"{machine['cpu_s'] / tries * 1e6:4.0f} us of CPU a call; "
--- a/limenotch/cli/lab/emulate.py
+++ b/limenotch/cli/lab/emulate.py
@@ -21,9 +21,9 @@
 
 from docopt import docopt
 
-from ...lab import scenario
+from ...lab import planning, scenario
 from ...lab.emulate.host import Rehearsal, SidecarError, TooLargeError
-from ...lab.scenario import Plan
+from ...lab.planning import Plan
 from ...toml import FaultError
 from ..arguments import number, whole_number
 
@@ -50,7 +50,7 @@
         over = list(given["--set"])
         if given["--seconds"] is not None:
             over.append(f"length_s = {number(given, '--seconds', 1, 3600):g}")
-        plan = scenario.plan(scenario.load(given["<scenario>"], "\n".join(over)), whole_number(given, "--seed", 0))
+        plan = planning.plan(scenario.load(given["<scenario>"], "\n".join(over)), whole_number(given, "--seed", 0))
         counts = asyncio.run(keep(plan))
     except (FaultError, SidecarError, TooLargeError) as error:
         print(f"limenotch: {error}", file=sys.stderr)
--- a/limenotch/cli/lab/load.py
+++ b/limenotch/cli/lab/load.py
@@ -26,14 +26,14 @@
 from rich.console import Console
 
 from ...config import ConfigError, address
-from ...lab import scenario
+from ...lab import planning, scenario
 from ...lab.emulate.load import SLACK_MS, Load
 from ...lab.emulate.wire import Pool
 from ...lab.model.chance import Seeds
 from ...lab.model.clients import Clients, Request
 from ...lab.model.rules import Limits, Rules
+from ...lab.planning import Plan
 from ...lab.record import Record, histogram, quantiles
-from ...lab.scenario import Plan
 from ...toml import FaultError
 from ..arguments import number, whole_number
 from .run import write_json
@@ -108,7 +108,7 @@
         if given["--rate"] is not None:
             over.append(f"clients.rate_per_s = {number(given, '--rate', 0.1, 20_000)!r}")
         chosen = scenario.load_for_load(given["--scenario"], over)
-        plan = scenario.plan(chosen, whole_number(given, "--seed", 0))
+        plan = planning.plan(chosen, whole_number(given, "--seed", 0))
         figures = asyncio.run(send(plan, addresses, whole_number(given, "--connections", 1), Console(stderr=True)))
         if given["--json"] is not None:
             write_json(given["--json"], figures)
--- a/limenotch/cli/lab/rehearse.py
+++ b/limenotch/cli/lab/rehearse.py
@@ -25,7 +25,7 @@
 from docopt import docopt
 from rich.console import Console
 
-from ...lab import scenario
+from ...lab import planning, scenario
 from ...lab.emulate.host import Rehearsal, SidecarError, TooLargeError, rehearse
 from ...lab.experiment import Job, Result
 from ...lab.tables import print_runs
@@ -38,7 +38,7 @@
 
 def play(name: str, seed: int, over: str, quiet: bool) -> dict[str, Any]:
     """The figures of one rehearsal, with a progress line on standard error. Raises FaultError."""
-    plan = scenario.plan(scenario.load(name, over), seed)
+    plan = planning.plan(scenario.load(name, over), seed)
     console = Console(stderr=True, highlight=False)
 
     def said(text: str) -> None:
--- a/limenotch/cli/lab/scenarios.py
+++ b/limenotch/cli/lab/scenarios.py
@@ -16,7 +16,7 @@
 
 from docopt import docopt
 
-from ...lab import scenario
+from ...lab import planning, scenario
 from ...toml import FaultError
 
 
@@ -24,7 +24,7 @@
     given = docopt(__doc__ or "", arguments)
     try:
         if given["--check"] is not None:
-            drawn = scenario.plan(scenario.load(given["--check"]), seed=1)
+            drawn = planning.plan(scenario.load(given["--check"]), seed=1)
             print(f"{drawn.scenario.name}: {sum(len(t.machines) for t in drawn.tiers)} providers, "
                   f"{drawn.first_rate:.1f} calls a second of {drawn.rate_per_s:.1f} (seed 1)")
             return 0
--- a/limenotch/lab/emulate/host.py
+++ b/limenotch/lab/emulate/host.py
@@ -21,8 +21,9 @@
 from ..model.network import Network
 from ..model.provider import Job, Provider
 from ..model.rules import Limits, Rules
+from ..planning import Plan, settings_of
 from ..record import Record, histogram, quantiles
-from ..scenario import BY_HAND, Plan, settings_of
+from ..scenario import BY_HAND
 from .directory import DirectoryHost, line_of
 from .load import SLACK_MS, Load, call_wire, verdict_of
 from .providers import ProviderHost
--- a/limenotch/lab/emulate/load.py
+++ b/limenotch/lab/emulate/load.py
@@ -13,8 +13,8 @@
 from ...net import http1
 from ..model.clients import Clients, Request
 from ..model.rules import Rules
+from ..planning import Plan
 from ..record import Record
-from ..scenario import Plan
 from .wire import Asking, Pool
 
 SLACK_MS = 50.0  # every time limit on sockets is this much longer
--- a/limenotch/lab/experiment.py
+++ b/limenotch/lab/experiment.py
@@ -11,7 +11,7 @@
 from time import perf_counter, process_time
 from typing import Any
 
-from . import policy, scenario
+from . import planning, policy, scenario
 from .simulate.world import World
 
 
@@ -35,7 +35,7 @@
 
 def play(job: Job) -> Result:
     """One run, in this process. Raises toml.FaultError for a scenario or policy that can't be used."""
-    plan = scenario.plan(scenario.load(job.scenario, job.over), job.seed)
+    plan = planning.plan(scenario.load(job.scenario, job.over), job.seed)
     world = World(plan, policy.load(job.policy), perf_counter if job.timed else None)
     began = process_time()
     # A run allocates a lot and drops nearly all of it by reference: the collector's usual pace costs a fifth.
--- /dev/null
+++ b/limenotch/lab/matrix.py
@@ -0,0 +1,173 @@
+"""The matrix of what settings may forbid or vary, as short days in simulated time with faults and all rules checked.
+
+No permission is to be trusted because one deployment has it. Each axis below is something that the settings of
+some installation may say; a *cell* is one value of each. There are 368,640 cells: a run takes a sample in which every
+pair of values of different axes occurs together (a covering array, greedily made), and drawn cells beside it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import combinations, product
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+
+from . import policy
+from .model.rules import Violation
+from .planning import plan
+from .scenario import Scenario
+from .simulate.world import World
+
+AXES: dict[str, tuple[Any, ...]] = {
+    "copies": (True, False),
+    "cancel": (True, False),
+    "advice": (True, False),
+    "attempts": (1, 2, 3, 4, 5, 6),
+    "effect": ("idempotent", "all", "zone", "cell", "at_most_once"),  # of the class with most calls; the middle: keyed
+    "beside": ("idempotent", "keyed", "at_most_once"),  # of the other class; keyed: in the same groups as the first
+    "report": (("util", "qps"), ("util",), ("qps",), ()),
+    "zones": (1, 2, 3, 4),
+    "list": ("ask", "push"),
+    "tiers": (1, 3),
+    "accounts": (0, 2),
+    "trouble": ("silent", "deploy", "errors", "hand"),
+}
+NAMES = tuple(AXES)
+TRIES = 40  # cells drawn for each that a covering array takes
+LENGTH_S = 4.0
+TROUBLES: dict[str, tuple[dict[str, Any], ...]] = {
+    "silent": ({"kind": "silent", "at_s": 1.0, "length_s": 2.0, "count": 2},
+               {"kind": "slow", "at_s": 2.5, "length_s": 1.5, "count": 1, "size": 8.0}),
+    "deploy": ({"kind": "deploy", "at_s": 1.0, "length_s": 3.0, "part": 0.7, "batch": 0.3, "drain_s": 0.6},
+               {"kind": "directory_down", "at_s": 2.0, "length_s": 1.0}),
+    "errors": ({"kind": "error_burst", "at_s": 1.0, "length_s": 3.0, "part": 0.4, "size": 0.5},
+               {"kind": "spoil", "at_s": 2.0, "length_s": 2.0, "part": 0.3, "size": 0.4},
+               {"kind": "kill", "at_s": 3.0, "length_s": 0.7, "count": 1}),
+    "hand": ({"kind": "ban", "at_s": 1.0, "length_s": 1.0, "count": 2},
+             {"kind": "retune", "at_s": 2.0, "length_s": 1.5, "size": 2.0},
+             {"kind": "upgrade", "at_s": 2.5, "length_s": 1.0},
+             {"kind": "stall", "at_s": 3.2, "length_s": 0.8, "count": 1}),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """One value of each axis, in the order of NAMES."""
+
+    values: tuple[Any, ...]
+
+    def __getitem__(self, axis: str) -> Any:
+        return self.values[NAMES.index(axis)]
+
+    def __str__(self) -> str:
+        return " ".join(f"{name}={value!r}" for name, value in zip(NAMES, self.values, strict=True))
+
+
+class Broken(NamedTuple):
+    cell: Cell
+    seed: int
+    counts: dict[str, int]
+    first: Violation
+
+
+def pairs() -> set[tuple[str, int, str, int]]:
+    """All pairs of values of two axes, by their places."""
+    return {
+        (one, i, two, j)
+        for one, two in combinations(NAMES, 2)
+        for i, j in product(range(len(AXES[one])), range(len(AXES[two])))
+    }
+
+
+def covering(seed: int) -> list[Cell]:
+    """Cells in which all pairs occur: of some drawn, always the one that brings most pairs still missing."""
+    random, missing, cells = Random(seed), pairs(), []
+    while missing:
+        tries = [_through(random, sorted(missing)[random.randrange(len(missing))]) for _ in range(TRIES)]
+        best = max(tries, key=lambda places: len(_pairs_of(places) & missing))
+        missing -= _pairs_of(best)
+        cells.append(_cell(best))
+    return cells
+
+
+def drawn(seed: int, count: int) -> Iterator[Cell]:
+    random = Random(seed)
+    for _ in range(count):
+        yield _cell(tuple(random.randrange(len(values)) for values in AXES.values()))
+
+
+def _through(random: Random, pair: tuple[str, int, str, int]) -> tuple[int, ...]:
+    fixed = {pair[0]: pair[1], pair[2]: pair[3]}
+    return tuple(fixed.get(name, random.randrange(len(AXES[name]))) for name in NAMES)
+
+
+def _pairs_of(places: tuple[int, ...]) -> set[tuple[str, int, str, int]]:
+    return {(NAMES[a], places[a], NAMES[b], places[b]) for a, b in combinations(range(len(NAMES)), 2)}
+
+
+def _cell(places: tuple[int, ...]) -> Cell:
+    return Cell(tuple(AXES[name][place] for name, place in zip(NAMES, places, strict=True)))
+
+
+SCOPES = ("all", "zone", "cell")
+
+
+def _effect(effect: str, scope: str) -> dict[str, Any]:
+    if effect in (*SCOPES, "keyed"):
+        return {"effect": "deduplicated", "scope": scope, "window_s": 1.0}
+    return {"effect": effect}
+
+
+def scenario_of(cell: Cell, length_s: float = LENGTH_S) -> Scenario:
+    """A short day: a few providers near the edge of what they can do, so that queues and time-outs occur."""
+    names = [f"z{number}" for number in range(cell["zones"])]
+    scope = cell["effect"] if cell["effect"] in SCOPES else "zone"
+    kind = {"name": "box", "cores": 1, "speed": [0.8, 1.4], "speed_cv": 0.2, "slots": 6, "queue": 6, "cold_from": 0.3,
+            "cold_s": 2.0, "error_rate": 0.01}
+    tier = {"providers": 6, "work": 1.0 / cell["tiers"], "cell_size": 2, "kind": [kind],
+            "report": {"sent": bool(cell["report"]), "fields": list(cell["report"]) or ["util"], "period_ms": 200},
+            "choke": {"at": 5, "over_s": 1.0, "slower": 3.0, "rest_s": 1.0, "below": 0.4, "most_s": 4.0},
+            "connections": {"handshake_us": 2000, "connect_timeout_ms": 60, "idle_s": 2}}
+    made = {
+        "name": "cell", "length_s": length_s,
+        "tier": [{**tier, "name": f"t{number}"} for number in range(cell["tiers"])],
+        "class": [
+            {"name": "most", "work_ms": 120, "share": 3, "aim_ms": 500, "deadline_ms": 1200, "dist": "exp", "worth": 2,
+             **_effect(cell["effect"], scope)},
+            {"name": "some", "work_ms": 240, "share": 1, "aim_ms": 800, "deadline_ms": 1500, "late_worth": 0.5,
+             **_effect(cell["beside"], scope)},
+        ],
+        "account": [{"name": f"a{number}", "share": 1 + number} for number in range(cell["accounts"])],
+        "clients": {"load": 0.65, "retries": 1, "backoff_ms": [20, 200], "patience": [0.6, 1.0], "wave": 0.4,
+                    "wave_s": 3.0},
+        "network": {"zones": names, "cross_ms": [1.0, 3.0]},
+        "directory": {"add_ms": [50, 300], "drain_ms": [20, 100], "notice_ms": [300, 900], "silent_ms": [900, 1900],
+                      "period_ms": 200},
+        "sidecars": {"count": 2, "max_attempts": cell["attempts"], "copies": cell["copies"], "cancel": cell["cancel"],
+                     "max_retry_after_ms": 500 if cell["advice"] else 0, "list_by": cell["list"]},
+        "rules": {"drain_grace_ms": 250, "fall_multiple": 4, "fall_s": 1.5, "start_capacity": 0.3, "cold_s": 2.0},
+        "fault": list(TROUBLES[cell["trouble"]]),
+    }
+    return msgspec.convert(made, Scenario)
+
+
+def check(cell: Cell, seed: int, length_s: float = LENGTH_S, spec: str = "installed") -> tuple[Broken | None, int]:
+    """Play one cell; what broke, if anything, and how many calls there were."""
+    world = World(plan(scenario_of(cell, length_s), seed), policy.load(spec))
+    record = world.run()
+    calls = sum(tier["attempts"] for tier in record.result()["tiers"])
+    if world.rules.kept:
+        return None, calls
+    counts = {rule: count for rule, count in world.rules.counts.items() if count}
+    return Broken(cell, seed, counts, world.rules.violations[0]), calls
+
+
+def told(broken: Broken) -> str:
+    """For a person: the cell, what broke, and the history of the first call that broke it."""
+    first = broken.first
+    head = [f"seed {broken.seed}: {broken.cell}", f"  {broken.counts}",
+            f"  {first.at_ms:.0f} ms: {first.rule}: {first.text}"]
+    return "\n".join([*head, *(f"    {line}" for line in first.history)])
--- a/limenotch/lab/model/faults.py
+++ b/limenotch/lab/model/faults.py
@@ -12,7 +12,8 @@
 from .chance import Chance, Seeds
 
 if TYPE_CHECKING:
-    from ..scenario import Fault, Plan, Range
+    from ..planning import Plan
+    from ..scenario import Fault, Range
 
 RISE_STEP_MS = 250.0
 
--- a/limenotch/lab/model/fleet.py
+++ b/limenotch/lab/model/fleet.py
@@ -16,7 +16,7 @@
 from .provider import Group, Job, Provider
 
 if TYPE_CHECKING:
-    from ..scenario import Machine, Plan
+    from ..planning import Machine, Plan
 
 
 class Site:
--- a/limenotch/lab/model/rules.py
+++ b/limenotch/lab/model/rules.py
@@ -6,6 +6,7 @@
    to repeat.
 3. Nothing new goes to a provider later than the grace after the sidecar was told that it drains or is gone.
 4. No cold provider is pushed over.
+5. Nothing that the settings forbid: further attempts, second copies, cancelling, advice on when to return.
 
 The checker is told what the sidecar does and what reached it, not what it believes. It keeps a call's history
 while the call is open and drops it with the last of its attempts, so its memory follows the calls open.
@@ -25,7 +26,8 @@
 REPEATS = "repeats within the class"
 DRAINS = "nothing new to a draining or gone provider"
 COLD = "no cold provider pushed over"
-RULES = (ONE_ANSWER, REPEATS, DRAINS, COLD)
+ALLOWED = "nothing that the settings forbid"
+RULES = (ONE_ANSWER, REPEATS, DRAINS, COLD, ALLOWED)
 
 MOST_KEPT = 20  # violations kept whole; all are counted
 MOST_LINES = 60  # of one call's history
@@ -37,6 +39,16 @@
     slack_ms: float = 0.0  # on sockets every time limit is a little longer
 
 
+@dataclass(frozen=True, slots=True)
+class Allowed:
+    """What the settings allowed when a call came."""
+
+    attempts: int
+    copies: bool  # two attempts out together
+    cancel: bool
+    advice: bool  # on when to return
+
+
 @dataclass(frozen=True, slots=True)
 class Violation:
     rule: str
@@ -60,6 +72,7 @@
     scope: str
     window_ms: float
     end: float
+    allowed: Allowed | None = None  # None: not checked
     history: list[tuple[float, str, tuple[object, ...]]] = field(default_factory=list)  # worded when needed
     attempts: list[_Attempt] = field(default_factory=list)
     answered: bool = False
@@ -92,11 +105,12 @@
     def open(self) -> int:
         return len(self._calls)
 
-    def taken(self, now: float, call: Hashable, effect: str, scope: str, window_ms: float, end: float) -> None:
+    def taken(self, now: float, call: Hashable, effect: str, scope: str, window_ms: float, end: float,
+              allowed: Allowed | None = None) -> None:
         """A sidecar has taken a call whose consumer waits until `end`."""
         if call in self._calls:
             self._break(ONE_ANSWER, now, f"call {call!r} was taken twice", self._calls[call])
-        held = self._calls[call] = _Call(effect, scope, window_ms, end)
+        held = self._calls[call] = _Call(effect, scope, window_ms, end, allowed)
         held.note(now, "taken, {}, to be answered by {:.1f}", effect, end)
 
     def told(self, now: float, sidecar: Hashable, provider: str, stage: str) -> None:
@@ -124,6 +138,7 @@
             text = f"call {call!r} sent to {provider} {now - since:.0f} ms after it was known to drain or be gone"
             self._break(DRAINS, now, text, held)
         self._repeat(now, call, held, group)
+        self._permitted(now, call, held)
         held.attempts.append(_Attempt(provider, group, now))
         return len(held.attempts) - 1
 
@@ -138,6 +153,26 @@
         elif now > earlier[0].sent + held.window_ms + self.limits.slack_ms:
             self._break(REPEATS, now, f"call {call!r} went out again after its window", held)
 
+    def _permitted(self, now: float, call: Hashable, held: _Call) -> None:
+        if held.allowed is None:
+            return
+        if len(held.attempts) >= held.allowed.attempts:
+            self._break(ALLOWED, now, f"call {call!r} went out more than {held.allowed.attempts} times", held)
+        if not held.allowed.copies and any(not a.over for a in held.attempts):
+            self._break(ALLOWED, now, f"call {call!r} went out again while an attempt was out", held)
+
+    def cancelled(self, now: float, call: Hashable) -> None:
+        """The decisions order that an attempt be given up."""
+        held = self._calls.get(call)
+        if held is not None and held.allowed is not None and not held.allowed.cancel:
+            self._break(ALLOWED, now, f"an attempt at call {call!r} was cancelled", held)
+
+    def advised(self, now: float, call: Hashable, retry_after_ms: float) -> None:
+        """A rejection says when to return; to be told before `answered`."""
+        held = self._calls.get(call)
+        if retry_after_ms > 0 and held is not None and held.allowed is not None and not held.allowed.advice:
+            self._break(ALLOWED, now, f"call {call!r} was told to return after {retry_after_ms:.0f} ms", held)
+
     def ended(self, now: float, call: Hashable, attempt: int, outcome: str, ran: bool) -> None:
         """An attempt ended for the sidecar; `ran`: it may have run."""
         held = self._calls.get(call)
--- a/limenotch/lab/record.py
+++ b/limenotch/lab/record.py
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from .model.clients import Request
     from .model.fleet import Fleet
-    from .scenario import Plan
+    from .planning import Plan
 
 WINDOW_MS = 1000.0
 WORST_WINDOWS = 10  # seconds in a row: the worst stretch is one figure of the score
--- a/limenotch/lab/simulate/sidecar.py
+++ b/limenotch/lab/simulate/sidecar.py
@@ -17,6 +17,7 @@
 from ..model.directory import Broken, Tell
 from ..model.fleet import Site
 from ..model.provider import Provider
+from ..model.rules import Allowed
 
 if TYPE_CHECKING:
     from .world import World
@@ -54,6 +55,13 @@
     closed: bool = False
 
 
+def allowed_by(told: dict[str, Any]) -> Allowed:
+    """What a sidecar's settings allow, for the rules."""
+    permissions = told["permissions"]
+    return Allowed(permissions["max_attempts"], permissions["parallel_tries"], permissions["cancel"],
+                   permissions["retry_after"])
+
+
 class Sidecar:
     def __init__(self, world: World, key: tuple[int, int], zone: int, tier: int, told: dict[str, Any],
                  seed: int) -> None:
@@ -66,12 +74,16 @@
         self._face = world.policy.face
         self._idle: dict[Provider, list[float]] = {}  # when each idle connection was last used
         self._stage: dict[str, str] = {}  # as told
+        self._allowed = allowed_by(told)
         self._banned: set[str] = set()
         plan = world.plan.tiers[tier]
         self._idle_ms, self._rtts, self._connect_ms = plan.idle_ms, plan.handshake_rtts, plan.connect_timeout_ms
         face = self._face
         outcome = face.Outcome
-        self._reported = 2 if "per_s" in face.Finished._fields else 1  # a variant of an older interface
+        fields = world.plan.scenario.tier[tier].report.fields
+        self._shown: tuple[bool, ...] = ("util" in fields, "qps" in fields)  # of a report
+        if "per_s" not in face.Finished._fields:
+            self._shown = self._shown[:1]  # a variant of an older interface
         self._outcomes = {
             "served": outcome.OK, "error": outcome.ERROR, "refused": outcome.REFUSED, "reset": outcome.RESET,
         }
@@ -137,6 +149,7 @@
     def retune(self, attempts: int) -> None:
         """As SIGHUP does with a file that gives another number of attempts."""
         self.told = {**self.told, "permissions": {**self.told["permissions"], "max_attempts": attempts}}
+        self._allowed = allowed_by(self.told)
         self._handle(self._face.Retuned(self.world.policy.read_settings(self.told)))
 
     def together(self, processes: int) -> None:
@@ -168,7 +181,7 @@
         call = Call(number, cls, size, key, end, answer)
         self.calls[number] = call
         spec = world.plan.classes[cls]
-        world.rules.taken(world.kernel.now, number, spec.effect, spec.scope, spec.window_ms, end)
+        world.rules.taken(world.kernel.now, number, spec.effect, spec.scope, spec.window_ms, end, self._allowed)
         left = time_left_ms(min(budget_ms, spec.deadline_ms))
         self._handle(self._face.Arrival(str(number), cls, left, account, again))
         return call
@@ -241,6 +254,7 @@
             # On sockets the network code would not give a second answer; here it is the module's fault seen.
             world.rules.answered(world.kernel.now, number, verdict)
             return
+        world.rules.advised(world.kernel.now, number, retry_after_ms)
         world.rules.answered(world.kernel.now, number, verdict)
         self._close(call)
         call.answer(verdict, retry_after_ms)
@@ -253,6 +267,7 @@
     def _abandon(self, action: Any) -> None:
         call = self.calls.get(int(action.call))
         if call is not None and 0 <= action.attempt < len(call.attempts):
+            self.world.rules.cancelled(self.world.kernel.now, call.number)
             self._cut(call.attempts[action.attempt], self._face.Outcome.CANCELLED)
 
     def _send(self, action: Any) -> None:
@@ -347,6 +362,7 @@
             call.answer("served", 0.0)
         elif call.closed:
             self._close(call)
+        told = [value if shown else None for value, shown in zip(report or (), self._shown, strict=False)]
         event = face.Finished(str(call.number), attempt.name, attempt.number, now - attempt.began, outcome,
-                              call.closed, *(report or ())[: self._reported])
+                              call.closed, *told)
         self._handle(event)
--- a/limenotch/lab/simulate/world.py
+++ b/limenotch/lab/simulate/world.py
@@ -17,9 +17,10 @@
 from ..model.network import Network
 from ..model.provider import Below, Done, Effect, End, Job, Provider
 from ..model.rules import Limits, Rules
+from ..planning import Plan, settings_of
 from ..policy import Policy
 from ..record import Record
-from ..scenario import BY_HAND, Plan, settings_of
+from ..scenario import BY_HAND
 from .kernel import Kernel
 from .sidecar import Attempt, Call, Sidecar
 
--- a/tests/lab/test_by_hand.py
+++ b/tests/lab/test_by_hand.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from limenotch.lab import scenario
+from limenotch.lab import planning, scenario
 from limenotch.lab.emulate.host import Rehearsal
 from limenotch.lab.experiment import Job, play
 from limenotch.lab.simulate.sidecar import Sidecar
@@ -41,4 +41,4 @@
 @pytest.mark.parametrize("name", ["bans", "retune", "upgrade"])
 def test_a_rehearsal_on_sockets_says_that_it_cannot_play_them(name: str, tmp_path: Path) -> None:
     with pytest.raises(FaultError, match="simulated time only"):
-        Rehearsal(scenario.plan(scenario.load(name), 1), tmp_path)
+        Rehearsal(planning.plan(scenario.load(name), 1), tmp_path)
--- a/tests/lab/test_emulate.py
+++ b/tests/lab/test_emulate.py
@@ -17,7 +17,7 @@
 import pytest
 
 from limenotch.cli import main
-from limenotch.lab import scenario
+from limenotch.lab import planning, scenario
 from limenotch.lab.emulate import host, sidecars
 from limenotch.lab.emulate.directory import DirectoryHost
 from limenotch.lab.emulate.host import Rehearsal, TooLargeError, rehearse
@@ -71,11 +71,11 @@
     asyncio.run(asyncio.wait_for(case, 60))
 
 
-def plan(text: str = ONE, seed: int = 1) -> scenario.Plan:
-    return scenario.plan(scenario.parse(text, "t"), seed)
+def plan(text: str = ONE, seed: int = 1) -> planning.Plan:
+    return planning.plan(scenario.parse(text, "t"), seed)
 
 
-def parts(made: scenario.Plan) -> tuple[Fleet, Clients, Record, Rules]:
+def parts(made: planning.Plan) -> tuple[Fleet, Clients, Record, Rules]:
     seeds = Seeds(made.seed)
     network = Network(made.network, seeds)
     clients = Clients(made.clients, made.classes, made.accounts, 1, made.quota_per_s, seeds)
@@ -333,7 +333,7 @@
         taken.listen()
         ports = [taken.getsockname()[1], sidecars.free_port()]
         monkeypatch.setattr(sidecars, "free_port", lambda: ports.pop(0))
-        settings = scenario.settings_of(plan(), 0, 0, 1, 0)
+        settings = planning.settings_of(plan(), 0, 0, 1, 0)
         sidecar = SidecarProcess("s", tmp_path, settings, 9, 1, {"index": 0, "snapshot": True, "endpoints": []})
         sidecar.spawn()
         try:
@@ -350,7 +350,7 @@
 
 
 def test_what_is_too_large_for_sockets_is_said_before_anything_starts(tmp_path: Path) -> None:
-    rehearsal = Rehearsal(scenario.plan(scenario.load("thousand"), 1), tmp_path)
+    rehearsal = Rehearsal(planning.plan(scenario.load("thousand"), 1), tmp_path)
     with pytest.raises(TooLargeError, match="650 sidecars"):
         asyncio.run(rehearsal.start())
     assert not rehearsal.sidecars and host.MOST_SIDECARS < 650
--- a/tests/lab/test_fleet_scenarios.py
+++ b/tests/lab/test_fleet_scenarios.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from limenotch.lab import scenario
+from limenotch.lab import planning, scenario
 from limenotch.lab.experiment import Job, play
 
 
@@ -13,7 +13,7 @@
     ("fleet-join", 0.93), ("fleet-zone", 0.95), ("fleet-directory", 0.95),
 ])
 def test_a_fleet_holds_and_pushes_no_cold_provider_over(name: str, in_time: float) -> None:
-    plan = scenario.plan(scenario.load(name), 1)
+    plan = planning.plan(scenario.load(name), 1)
     assert 50 <= sum(len(tier.machines) for tier in plan.tiers) <= 60
     result = play(Job(name, 1)).figures
     assert result["rules"]["kept"], result["rules"]["violations"]
--- a/tests/lab/test_scenarios.py
+++ b/tests/lab/test_scenarios.py
@@ -9,7 +9,7 @@
 
 from limenotch import toml
 from limenotch.cli import main
-from limenotch.lab import scenario
+from limenotch.lab import planning, scenario
 from limenotch.lab.model.chance import Seeds
 from limenotch.lab.model.faults import Script
 from switchthread.settings import read_settings
@@ -68,10 +68,10 @@
 def test_the_shipped_ones_can_be_played(name: str) -> None:
     loaded = scenario.load(name)
     assert loaded.name == name and len(loaded.look_for) > 40
-    plan = scenario.plan(loaded, 1)
+    plan = planning.plan(loaded, 1)
     assert plan.first_rate > 0
     for tier in range(len(plan.tiers)):
-        settings = read_settings(scenario.settings_of(plan, tier, 0, 4, 0))
+        settings = read_settings(planning.settings_of(plan, tier, 0, 4, 0))
         assert settings.layer == tier and len(settings.classes) == len(plan.classes)
     script = Script(plan, Seeds(1))
     assert len(script.bands) == len(loaded.fault)
@@ -79,26 +79,26 @@
 
 
 def test_what_a_seed_draws() -> None:
-    one, same, other = (scenario.plan(scenario.parse(SMALL, "s"), seed) for seed in (1, 1, 2))
+    one, same, other = (planning.plan(scenario.parse(SMALL, "s"), seed) for seed in (1, 1, 2))
     assert one == same and one.tiers != other.tiers
     assert all(1.0 <= machine.spec.speed <= 2.0 for machine in one.tiers[0].machines)
 
 
 def test_the_load_is_a_part_of_what_the_tightest_tier_can_do() -> None:
     text = SMALL.replace("rate_per_s = 20", "load = 0.5").replace("[1.0, 2.0]", "2.0")
-    assert scenario.plan(scenario.parse(text, "s"), 1).first_rate == pytest.approx(0.5 * 3 * 2.0 * 1000 / 10)
+    assert planning.plan(scenario.parse(text, "s"), 1).first_rate == pytest.approx(0.5 * 3 * 2.0 * 1000 / 10)
 
 
 def test_a_trace(tmp_path: Path) -> None:
     path = tmp_path / "t.csv"
     text = SMALL.replace("rate_per_s = 20", f'trace = "{path}"')
     path.write_text("at_ms,class,account,size\n5,c,,1\n5,c,,2\n5.0,c,,\n")
-    rows = scenario.plan(scenario.parse(text, "s"), 1).trace
+    rows = planning.plan(scenario.parse(text, "s"), 1).trace
     assert rows is not None and [(row.at_ms, row.size) for row in rows] == [(5.0, 1.0), (5.0, 2.0), (5.0, 1.0)]
     for line, says in (("4,c,,1", "times in order"), ("9,d,,1", "'d'"), ("x,c,,1", "could not convert")):
         path.write_text(f"at_ms,class,account,size\n5,c,,1\n{line}\n")
         with pytest.raises(toml.FaultError, match=f"t.csv:3: .*{says}"):
-            scenario.plan(scenario.parse(text, "s"), 1)
+            planning.plan(scenario.parse(text, "s"), 1)
 
 
 def test_commands(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
--- a/tests/lab/test_two_zones.py
+++ b/tests/lab/test_two_zones.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from limenotch.lab import scenario
+from limenotch.lab import planning, scenario
 from limenotch.lab.experiment import Job, play
 
 
 def test_no_answer_carries_a_report_there() -> None:
     for name, reports in (("two-zones", False), ("calm", True)):
-        plan = scenario.plan(scenario.load(name), 1)
+        plan = planning.plan(scenario.load(name), 1)
         assert all(machine.spec.reports is reports for tier in plan.tiers for machine in tier.machines)
 
 
--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -11,7 +11,7 @@
 import switchthread
 from limenotch import toml
 from limenotch.cli import main
-from limenotch.lab import policy, scenario
+from limenotch.lab import planning, policy, scenario
 from limenotch.lab.experiment import Job, play, play_all
 from limenotch.lab.model.rules import COLD, ONE_ANSWER, REPEATS
 from limenotch.lab.simulate.kernel import Kernel
@@ -75,7 +75,7 @@
 
 
 def world(text: str, seed: int = 1, spec: str = "installed") -> World:
-    made = World(scenario.plan(scenario.parse(text, "t"), seed), policy.load(spec))
+    made = World(planning.plan(scenario.parse(text, "t"), seed), policy.load(spec))
     made.run()
     return made
 
