Books beside the decisions: what decide.py counts, adds up and stores moves to books.py

State, windows' sums, evidence, the list's order, quota buckets, credit and timers' tokens move to `Books`, which `Balancer` extends.

--- /dev/null
+++ b/switchthread/books.py
@@ -0,0 +1,189 @@
+"""What one balancer keeps: its settings, the list, its calls and timers, and sums of what was sent and answered.
+
+Nothing is weighed or chosen here. The files that deploy/balancer.toml names under `policy` read these books and
+decide; here things are counted, added up, faded and stored. Times in ms, rates of calls a second.
+"""
+
+from __future__ import annotations
+
+from itertools import accumulate
+from math import inf
+from random import Random
+
+from . import interface as face
+from .entry import Entry
+from .interface import Action, Outcome, Scope
+from .records import Attempt, Call, Mean, Server, Usual
+from .roster import Roster
+
+MEMORY = 4.0  # evidence on an upstream fades over this many of the longest aims: troubles last a few aims
+WINDOW = 0.5  # shares and means are renewed after this part of the mean aim: answers still matter by then
+SPAN = 30  # windows over which the lowest mean stands for an idle tier
+ENOUGH = 8  # samples before a window's mean counts: fewer make the lowest mean sit too low
+REPORTS = 1.2  # reports fade over this many of the longest aims: a jam shows within two or three of them
+CLIP = 4.0  # one answer counts at most this many times the usual: a costly call is not a slow upstream
+BURST = 10.0  # copies and retries that may be saved up, and calls of a tenant
+
+HEARD = (Outcome.OK, Outcome.ERROR, Outcome.REFUSED, Outcome.RESET)  # its machine is there
+Table = tuple[list[Server], list[float]]  # upstreams, and sums of their shares up to each
+
+
+def drawable(servers: list[Server]) -> Table:
+    return servers, list(accumulate(s.share for s in servers))
+
+
+class Books:
+    """Written by events as they come; every decision reads them."""
+
+    def __init__(self, settings: face.Settings, seed: int) -> None:
+        self.random = Random(seed)
+        self.roster = Roster(self.random)
+        self.order: list[list[Server]] = [[], []]  # those ready: own zone, others
+        self.table, self.home = drawable([]), drawable([])  # those drawn from, and of them the own zone's
+        self.groups: dict[tuple[Scope, int], Table] = {}
+        self.tier = Mean()
+        self.calls: dict[str, Call] = {}
+        self.timers: dict[int, Call | None] = {}
+        self.token, self.failures, self.now, self.began, self.due = 0, 0, -inf, -1.0, -inf  # window's ends
+        self.budget, self.out, self.held, self.arrived = BURST, 0, 0.0, 0
+        self.good = self.bad = self.room = self.demand = 0.0
+        self.copyable = self.copied = self.came = 0.0
+        self.fair = self.best = self.live = 1.0
+        self.typical = 0.0  # mean latency over all classes
+        self.silent: set[Server] = set()
+        self.entry = Entry()
+        self.usual: dict[str, Usual] = {}  # of each class
+        self.quota: dict[str, tuple[float, float]] = {}  # of each tenant: calls saved up, and when
+        self.adopt(settings)
+
+    def adopt(self, settings: face.Settings) -> None:
+        """Rules for the calls to come. What was learnt stays with the names that stay."""
+        self.set, aims = settings, [c.aim_ms for c in settings.classes]
+        self.memory, self.window = MEMORY * max(aims), WINDOW * sum(aims) / len(aims)
+        self.reports = REPORTS * max(aims)
+        self.usual = {c.name: self.usual.get(c.name) or Usual() for c in settings.classes}
+        self.quota = {t.name: self.quota.get(t.name, (BURST, 0.0)) for t in settings.tenants}
+
+    # The list, and the time
+
+    def relist(self, now: float) -> None:
+        """The list or the operators have changed who may be sent to."""
+        self.silent.intersection_update(self.roster.servers.values())
+        ready = self.roster.ready(now, self.set.cold.warm_ms)
+        apart = self.set.crossing_cost > 0  # own zone and others are then drawn from separately
+        self.order = [[s for s in ready if apart and s.at.zone == self.set.zone],
+                      [s for s in ready if not apart or s.at.zone != self.set.zone]]
+
+    def left_out(self) -> int:
+        """How many of those listed are sent nothing, or one call at a time to see whether they are back."""
+        return len(self.roster.servers) - sum(not s.quiet for part in self.order for s in part)
+
+    def end_window(self, now: float) -> None:
+        """Sums fade and means are taken, of the window that ends."""
+        span = now - self.began
+        self.demand += (self.arrived / span * 1000 - self.demand) * (0.2 if self.demand else 1.0)
+        self.entry.renew(span, self.good, self.bad)
+        self.good, self.bad, self.arrived = self.good * 0.9, self.bad * 0.9, 0
+        self.copyable, self.copied, self.came = self.copyable * 0.9, self.copied * 0.9, self.came * 0.9
+        for mean in (self.tier, *self.roster.kinds.values()):
+            mean.renew(ENOUGH, SPAN)
+        usual = self.usual.values()
+        self.typical = sum(u.mean * u.answers for u in usual) / max(sum(u.answers for u in usual), 1)
+
+    def wake(self, at: float, call: Call | None, acts: list[Action]) -> None:
+        """A timer for a call, or for the list."""
+        self.token += 1
+        self.timers[self.token] = call
+        acts.append(face.SetTimer(at, self.token))
+
+    # Calls and attempts
+
+    def take(self, now: float, event: face.Arrival) -> Call:
+        """A record for a call that came. Raises ValueError if its class is none of the settings."""
+        if not 0 <= event.traffic_class < len(self.set.classes):
+            raise ValueError(f"traffic_class: {event.traffic_class} is no class of the settings")
+        cls = self.set.classes[event.traffic_class]
+        useful = min(event.budget_ms, cls.aim_ms) if cls.late_worth <= 0 else event.budget_ms
+        usual, most, aim = self.usual[cls.name], self.set.max_attempts, now + cls.aim_ms
+        call = Call(event.call, cls, usual, most, now + useful, aim, once=event.once)
+        self.calls[call.name] = call
+        self.came, self.arrived = self.came + 1, self.arrived + 1
+        return call
+
+    def over_quota(self, now: float, tenant: face.Tenant) -> bool:
+        """One call more of this tenant: whether it is above what its quota has saved up."""
+        rate = tenant.quota_per_s / self.set.parts / 1000
+        saved, since = self.quota[tenant.name]
+        saved = min(saved + (now - since) * rate, max(BURST, rate * self.window))
+        self.quota[tenant.name] = (max(saved - 1, min(saved, 0.0)), now)
+        return saved < 1 and rate > 0
+
+    def send(self, now: float, call: Call, server: Server, acts: list[Action], copy: int = 0) -> None:
+        call.tries.append(Attempt(server, now))
+        if not call.once:
+            self._count(call.tries[-1], now)
+        self.copied, self.budget = self.copied + copy, self.budget - copy
+        server.credit -= 1
+        acts.append(face.Send(call.name, server.at.name, max(call.end - now, 0.001)))
+
+    def _count(self, attempt: Attempt, now: float) -> None:
+        """Its server has work by it from now on."""
+        if not attempt.server.out:
+            attempt.server.heard = now
+        attempt.sent, attempt.counted = now, True
+        attempt.server.out, self.out = attempt.server.out + 1, self.out + 1
+
+    def uploaded(self, now: float, event: face.Uploaded) -> None:
+        """How long its client took to send it is neither load nor lateness."""
+        call = self.calls.get(event.call)
+        if call is not None and not call.done and call.tries and call.tries[-1].open:
+            call.end, call.aim = now + event.budget_ms, now + call.cls.aim_ms
+            self._count(call.tries[-1], now)
+
+    def ended(self, now: float, event: face.Finished) -> tuple[Call, Attempt] | None:
+        """The attempt that has ended and its call; None for one that is not known to be out."""
+        call = self.calls.get(event.call)
+        if call is None or not 0 <= event.attempt < len(call.tries) or not call.tries[event.attempt].open:
+            return None
+        attempt = call.tries[event.attempt]
+        attempt.open, attempt.ran = False, event.outcome not in face.NEVER_RAN
+        attempt.server.out, self.out = attempt.server.out - attempt.counted, self.out - attempt.counted
+        if event.outcome in HEARD:
+            attempt.server.heard, attempt.server.quiet = now, False
+            self.silent.discard(attempt.server)
+        return call, attempt
+
+    # Evidence
+
+    def reported(self, now: float, server: Server, event: face.Finished) -> None:
+        """What the upstream says of itself; most answers repeat its last report."""
+        server.fade(now, self.memory)
+        if event.utilisation is None:
+            return
+        server.util = util = event.utilisation
+        per_s = event.per_s
+        if per_s is not None and (util, per_s) != server.told:
+            server.add_report(now, self.reports, util, per_s)
+            if server.capacity(now, self.set.cold) >= 1.0:
+                for mean in (server.like, self.tier):
+                    mean.done, mean.busy = mean.done + per_s, mean.busy + util * server.weight
+
+    def learn(self, now: float, call: Call, server: Server, event: face.Finished) -> None:
+        """What the attempt's end shows: in time or a miss, and how slow."""
+        ok = event.outcome is Outcome.OK
+        if ok and now <= call.aim:
+            # Only answers in time count: a jam that ends in time-outs would else pass for a fair pace.
+            self.entry.in_time(now)
+            server.good, self.good = server.good + 1, self.good + 1
+        elif event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
+            server.bad, self.bad = server.bad + 1, self.bad + 1
+        if event.outcome not in (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED):
+            return  # a fast failure is no fast answer
+        if ok:
+            call.usual.add(event.spent_ms)
+        ratio = min(event.spent_ms / max(call.usual.mean, 1e-3), CLIP)
+        if ok or ratio > server.slow:  # cut off: at least that slow
+            server.ratios, server.count = server.ratios + ratio, server.count + 1
+            for mean in (server.like, self.tier):
+                mean.add(ratio)
+        self.held += (self.out - self.held) / 20
--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -8,28 +8,19 @@
 from __future__ import annotations
 
 from bisect import bisect
-from itertools import accumulate
-from math import exp, inf
-from random import Random
+from math import exp
 
 from . import interface as face
-from .entry import Entry
+from .books import BURST, Books, Table, drawable
 from .interface import Action, Effect, Outcome, Scope
-from .records import Attempt, Call, Mean, Server, Usual
-from .roster import Roster
+from .records import Call, Server
 from .subset import subset
 
-MEMORY = 4.0  # evidence on an upstream fades over this many of the longest aims: troubles last a few aims
-WINDOW = 0.5  # shares and means are renewed after this part of the mean aim: answers still matter by then
-SPAN = 30  # windows over which the lowest mean stands for an idle tier
-ENOUGH = 8  # samples before a window's mean counts: fewer make the lowest mean sit too low
 PRIOR = 4.0  # samples with which an upstream's own mean weighs as much as its kind's
 LEAN = 2.0  # share falls with this power of relative slowness: much hides behind time spent in tiers below
 SHUN = 3.0  # share falls with this power of the relative part served
 FLOOR = 0.02  # of its weight, always left to an upstream so that recovery is seen
-CLIP = 4.0  # one answer counts at most this many times the usual: a costly call is not a slow upstream
 RETRIES = 0.2  # copies and retries allowed for each recent call: they can't multiply down the tiers
-BURST = 10.0  # of them saved up at most
 DRAWS = 4  # tries at one that may be sent to: more would bend the shares of those left
 SHORT = 2.0  # service times: a wait by which the better of two drawn upstreams is told
 STEADY = 0.15  # a call bound by its first attempt goes to the one of two serving so much more
@@ -42,7 +33,6 @@
 HEADROOM = 0.375  # of what would push a cold upstream over: what all balancers together may send it
 AFAR = 0.05  # part of its weight left to an upstream of another zone while the own zone is sound
 FULL = 0.6  # use of the own zone's upstreams up to which calls stay in it: beyond, waits grow
-REPORTS = 1.2  # reports fade over this many of the longest aims: a jam shows within two or three of them
 BUSY = 0.5  # use of cores reported that weighs as much as what its kind has shown
 ROW = 4  # misses in a row after which a provider rests, so that one choked on its queue can be idle
 REST = 6000.0  # ms: choked machines want up to 5 s of it, and each balancer rests it on its own
@@ -50,38 +40,10 @@
 CHOICES = 9  # drawn for a call where nothing is reported: our own calls out tell of a queue first
 CROSSINGS = 1.5  # prices of a crossing that a better chance to be in time must outweigh
 
-HEARD = (Outcome.OK, Outcome.ERROR, Outcome.REFUSED, Outcome.RESET)  # its machine is there
-Table = tuple[list[Server], list[float]]
 
-
-def drawable(servers: list[Server]) -> Table:
-    return servers, list(accumulate(s.share for s in servers))
-
-
-class Balancer:
+class Balancer(Books):
     """Feed it events in order; carry out the actions it returns in order."""
 
-    def __init__(self, settings: face.Settings, seed: int) -> None:
-        self.random = Random(seed)
-        self.roster = Roster(self.random)
-        self.order: list[list[Server]] = [[], []]  # those ready: own zone, others
-        self.table, self.home = drawable([]), drawable([])  # those drawn from, and of them the own zone's
-        self.groups: dict[tuple[Scope, int], Table] = {}
-        self.tier = Mean()
-        self.calls: dict[str, Call] = {}
-        self.timers: dict[int, Call | None] = {}
-        self.token, self.failures, self.now, self.began, self.due = 0, 0, -inf, -1.0, -inf  # window's ends
-        self.budget, self.out, self.held, self.arrived = BURST, 0, 0.0, 0
-        self.good = self.bad = self.room = self.demand = 0.0
-        self.copyable = self.copied = self.came = 0.0
-        self.fair = self.best = self.live = 1.0
-        self.typical = 0.0  # mean latency over all classes
-        self.silent: set[Server] = set()
-        self.entry = Entry()
-        self.usual: dict[str, Usual] = {}  # of each class
-        self.quota: dict[str, tuple[float, float]] = {}  # of each tenant: calls saved up, and when
-        self._adopt(settings)
-
     def handle(self, now_ms: float, event: face.Event) -> list[Action]:
         acts: list[Action] = []
         if now_ms < self.now:
@@ -105,12 +67,12 @@
                 self.calls[event.call].streaming = True
                 self._cancel(self.calls[event.call], event.attempt, acts)
         elif isinstance(event, face.Uploaded):
-            self._uploaded(now_ms, event)
+            self.uploaded(now_ms, event)
         elif isinstance(event, face.Ban):
             self.roster.ban(now_ms, event)
             self._ready(now_ms)
         elif isinstance(event, face.Retuned):
-            self._adopt(event.settings)
+            self.adopt(event.settings)
             self._ready(now_ms)
         elif isinstance(event, face.Started):
             acts += [face.Subscribe()] if self.set.must_ask else []
@@ -118,14 +80,6 @@
             raise TypeError(f"not an event of interface.py: {event!r}")
         return acts
 
-    def _adopt(self, settings: face.Settings) -> None:
-        """Rules for the calls to come. What was learnt stays with the names that stay."""
-        self.set, aims = settings, [c.aim_ms for c in settings.classes]
-        self.memory, self.window = MEMORY * max(aims), WINDOW * sum(aims) / len(aims)
-        self.reports = REPORTS * max(aims)
-        self.usual = {c.name: self.usual.get(c.name) or Usual() for c in settings.classes}
-        self.quota = {t.name: self.quota.get(t.name, (BURST, 0.0)) for t in settings.tenants}
-
     # The list of upstreams
 
     def _membership(self, now: float, event: face.Membership, acts: list[Action]) -> None:
@@ -133,38 +87,21 @@
             # Blind to drains, ask again; later each time, out of step, or the list service stays jammed.
             self.failures += 1
             wait = self.window * min(2.0 ** (self.failures - 1), 4.0) * (0.1 + 0.4 * self.random.random())
-            self._wake(now + wait, None, acts)
+            self.wake(now + wait, None, acts)
             return
         self.failures = 0
         self.roster.heard(now, event, self.set.weights_listed)
         self._ready(now)
 
     def _ready(self, now: float) -> None:
-        """The list or the operators have changed who may be sent to."""
-        self.silent.intersection_update(self.roster.servers.values())
-        ready = self.roster.ready(now, self.set.cold.warm_ms)
-        apart = self.set.crossing_cost > 0  # own zone and others are then drawn from separately
-        self.order = [[s for s in ready if apart and s.at.zone == self.set.zone],
-                      [s for s in ready if not apart or s.at.zone != self.set.zone]]
+        self.relist(now)
         self._shares(now)
 
-    def left_out(self) -> int:
-        """How many of those listed are sent nothing, or one call at a time to see whether they are back."""
-        return len(self.roster.servers) - sum(not s.quiet for part in self.order for s in part)
-
     # Windows: means, shares, what to refuse
 
     def _renew(self, now: float) -> None:
         if self.began >= 0:
-            span = now - self.began
-            self.demand += (self.arrived / span * 1000 - self.demand) * (0.2 if self.demand else 1.0)
-            self.entry.renew(span, self.good, self.bad)
-            self.good, self.bad, self.arrived = self.good * 0.9, self.bad * 0.9, 0
-            self.copyable, self.copied, self.came = self.copyable * 0.9, self.copied * 0.9, self.came * 0.9
-            for mean in (self.tier, *self.roster.kinds.values()):
-                mean.renew(ENOUGH, SPAN)
-            usual = self.usual.values()
-            self.typical = sum(u.mean * u.answers for u in usual) / max(sum(u.answers for u in usual), 1)
+            self.end_window(now)
             # Before two means are known a just started balancer takes its first calls for a jam.
             self.entry.bound(self.tier.low * self.typical, self.tier.now * self.typical,
                              min(c.aim_ms for c in self.set.classes), known=len(self.tier.lows) > 1)
@@ -291,9 +228,7 @@
         if server.capacity(now, self.set.cold) >= 1.0:
             return True
         rate = self.room * server.share
-        credit = server.credit + (now - server.credit_at) * rate
-        server.credit, server.credit_at = min(credit, 1.0 + rate * self.set.cold.fall_ms / 2), now
-        return server.credit >= 1.0
+        return server.earn(now, rate, 1.0 + rate * self.set.cold.fall_ms / 2) >= 1.0
 
     def _load(self, server: Server) -> float:
         """Utilisation, from reports or else from latency; our own unanswered attempts make it current."""
@@ -336,40 +271,11 @@
         lax = (2 - sum(raised)) / max(2 - sum(plain), 1e-9) if shared > 0.01 else 1.0
         return (1 - raised[0] * raised[1]) * lax > 1 - plain[0]
 
-    def _send(self, now: float, call: Call, server: Server, acts: list[Action], copy: int = 0) -> None:
-        call.tries.append(Attempt(server, now))
-        if not call.once:
-            self._count(call.tries[-1], now)
-        self.copied, self.budget = self.copied + copy, self.budget - copy
-        server.credit -= 1
-        acts.append(face.Send(call.name, server.at.name, max(call.end - now, 0.001)))
-
-    def _count(self, attempt: Attempt, now: float) -> None:
-        """Its server has work by it from now on."""
-        if not attempt.server.out:
-            attempt.server.heard = now
-        attempt.sent, attempt.counted = now, True
-        attempt.server.out, self.out = attempt.server.out + 1, self.out + 1
-
     # Calls
 
-    def _uploaded(self, now: float, event: face.Uploaded) -> None:
-        """How long its client took to send it is neither load nor lateness."""
-        call = self.calls.get(event.call)
-        if call is not None and not call.done and call.tries and call.tries[-1].open:
-            call.end, call.aim = now + event.budget_ms, now + call.cls.aim_ms
-            self._count(call.tries[-1], now)
-
     def _arrival(self, now: float, event: face.Arrival, acts: list[Action]) -> None:
-        if not 0 <= event.traffic_class < len(self.set.classes):
-            raise ValueError(f"traffic_class: {event.traffic_class} is no class of the settings")
-        cls = self.set.classes[event.traffic_class]
-        useful = min(event.budget_ms, cls.aim_ms) if cls.late_worth <= 0 else event.budget_ms
-        usual, most, aim = self.usual[cls.name], self.set.max_attempts, now + cls.aim_ms
-        call = Call(event.call, cls, usual, most, now + useful, aim, once=event.once)
-        self.calls[call.name] = call
-        self.came, self.arrived = self.came + 1, self.arrived + 1
-        if useful <= 0 or (not self.set.layer and self._refused(now, call, event)):
+        call = self.take(now, event)
+        if call.end <= now or (not self.set.layer and self._refused(now, call, event)):
             self._finish(now, call, acts)
         else:
             # Refused calls earn no copies: in incident i4bceea they paid for a third more at a full entry.
@@ -380,12 +286,8 @@
         worth = call.cls.worth
         if event.tenant < len(self.set.tenants):
             tenant = self.set.tenants[event.tenant]
-            rate = tenant.quota_per_s / self.set.parts / 1000
-            saved, since = self.quota[tenant.name]
-            saved = min(saved + (now - since) * rate, max(BURST, rate * self.window))
-            if saved < 1 and rate > 0:
+            if self.over_quota(now, tenant):
                 worth *= self.set.over_share_worth
-            self.quota[tenant.name] = (max(saved - 1, min(saved, 0.0)), now)
         # Calls that hang at a silent upstream are no load on the others; the mean smooths what chance brings.
         held = (self.out + self.held) / 2 - sum(s.out for s in self.silent)
         return self.entry.refuses(now, worth / max(call.usual.mean, 1.0), held, self.live)
@@ -400,7 +302,7 @@
             if rest or call.tries or now + self.window / 8 >= min(call.end, call.aim - self.typical):
                 self._finish(now, call, acts)
             else:
-                self._wake(now + self.window / 8, call, acts)
+                self.wake(now + self.window / 8, call, acts)
             return
         repeat = call.cls.effect is not Effect.AT_MOST_ONCE and self.set.may_copy
         urgent = call.cls.late_worth < LAX
@@ -413,15 +315,15 @@
         elif two and (self._odds(two) > self._odds(one) if urgent else two.ok > one.ok + STEADY):
             one, two = two, one
         two = two if urgent else None
-        self._send(now, call, one, acts)
+        self.send(now, call, one, acts)
         repeat = repeat and call.end - now <= call.usual.mean * one.like.low * URGENT
         self.copyable += repeat and two is not None
         if repeat and two and self._copy_allowed(now, call, two) and self._gate(
                 now, call, one, two, self.copyable / self.came):
-            self._send(now, call, two, acts, copy=1)
+            self.send(now, call, two, acts, copy=1)
         elif call.cls.effect is not Effect.AT_MOST_ONCE:
             wait = max(OVERDUE * call.usual.mean * one.slow, self.window / 8)
-            self._wake(now + wait, call, acts)
+            self.wake(now + wait, call, acts)
 
     def _copy_allowed(self, now: float, call: Call, server: Server) -> bool:
         if call.once or not self.set.may_copy or len(call.tries) >= call.most or self.budget < BURST / 2:
@@ -435,29 +337,27 @@
         two = self._draw(now, call, lone.server)
         if self._quiet(now, lone.server) and two is not None and self.set.may_copy and not call.once:
             if len(call.tries) < call.most and two in self._reach(now, call)[0]:
-                self._send(now, call, two, acts)
+                self.send(now, call, two, acts)
             return
         usual = call.usual.mean
         if now < call.end:
-            self._wake(now + max(OVERDUE * usual * lone.server.slow, self.window / 8), call, acts)
+            self.wake(now + max(OVERDUE * usual * lone.server.slow, self.window / 8), call, acts)
         urgent = call.cls.late_worth < LAX and call.end - now <= usual * lone.server.like.low * URGENT
         if two is None or not urgent or not self._copy_allowed(now, call, two):
             return
         # A call may be late because it is costly, and a copy as costly: only its server's other calls tell.
         if self._odds(two) > self._odds(lone.server) and self._gate(now, call, lone.server, two, RETRIES):
-            self._send(now, call, two, acts, copy=1)
+            self.send(now, call, two, acts, copy=1)
 
     def _finished(self, now: float, event: face.Finished, acts: list[Action]) -> None:
-        call = self.calls.get(event.call)
-        if call is None or not 0 <= event.attempt < len(call.tries) or not call.tries[event.attempt].open:
+        ended = self.ended(now, event)
+        if ended is None:
             return
-        attempt = call.tries[event.attempt]
-        attempt.open, attempt.ran = False, event.outcome not in face.NEVER_RAN
-        attempt.server.out, self.out = attempt.server.out - attempt.counted, self.out - attempt.counted
-        if event.outcome in HEARD:
-            attempt.server.heard, attempt.server.quiet = now, False
-            self.silent.discard(attempt.server)
-        self._learn(now, call, attempt.server, event)
+        call, attempt = ended
+        self.reported(now, attempt.server, event)
+        if event.outcome in (Outcome.OK, Outcome.TIMEOUT) and not attempt.server.quiet:
+            self._tired(now, attempt.server, event.outcome is Outcome.OK and now <= call.aim)
+        self.learn(now, call, attempt.server, event)
         if event.closed or event.outcome is Outcome.OK:
             self._close(call, acts)
         elif call.done or any(t.open for t in call.tries):
@@ -493,11 +393,6 @@
         if self.set.may_cancel:
             acts += [face.Cancel(call.name, n) for n, t in enumerate(call.tries) if t.open and n != but]
 
-    def _wake(self, at: float, call: Call | None, acts: list[Action]) -> None:
-        self.token += 1
-        self.timers[self.token] = call
-        acts.append(face.SetTimer(at, self.token))
-
     def _timer(self, now: float, token: int, acts: list[Action]) -> None:
         if token not in self.timers:
             return
@@ -511,33 +406,7 @@
         elif sum(t.open for t in call.tries) == 1:
             self._overdue(now, call, acts)
 
-    # Evidence
-
-    def _learn(self, now: float, call: Call, server: Server, event: face.Finished) -> None:
-        server.fade(now, self.memory)
-        if event.utilisation is not None:
-            server.util = event.utilisation
-            if event.per_s is not None and (event.utilisation, event.per_s) != server.told:
-                self._told(now, server, event.utilisation, event.per_s)
-        ok = event.outcome is Outcome.OK
-        if event.outcome in (Outcome.OK, Outcome.TIMEOUT) and not server.quiet:
-            self._tired(now, server, ok and now <= call.aim)
-        if ok and now <= call.aim:
-            # Only answers in time count: a jam that ends in time-outs would else pass for a fair pace.
-            self.entry.in_time(now)
-            server.good, self.good = server.good + 1, self.good + 1
-        elif event.outcome not in (Outcome.NOT_SENT, Outcome.CANCELLED):
-            server.bad, self.bad = server.bad + 1, self.bad + 1
-        if event.outcome not in (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED):
-            return  # a fast failure is no fast answer
-        if ok:
-            call.usual.add(event.spent_ms)
-        ratio = min(event.spent_ms / max(call.usual.mean, 1e-3), CLIP)
-        if ok or ratio > server.slow:  # cut off: at least that slow
-            server.ratios, server.count = server.ratios + ratio, server.count + 1
-            for mean in (server.like, self.tier):
-                mean.add(ratio)
-        self.held += (self.out - self.held) / 20
+    # Rest
 
     def _tired(self, now: float, server: Server, in_time: bool) -> None:
         """One that misses call after call is choked or worse: it gets idle time, the entry less meanwhile."""
@@ -546,10 +415,3 @@
             if sum(s.at_rest(now) for s in self.table[0]) < RESTING * len(self.table[0]):
                 server.rests, server.row = now + REST, 0
                 self._shares(now)
-
-    def _told(self, now: float, server: Server, util: float, per_s: float) -> None:
-        """A report that is new; most answers repeat the last one."""
-        server.add_report(now, self.reports, util, per_s)
-        if server.capacity(now, self.set.cold) >= 1.0:
-            for mean in (server.like, self.tier):
-                mean.done, mean.busy = mean.done + per_s, mean.busy + util * server.weight
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -1,6 +1,6 @@
 """What a balancer keeps of upstreams, calls and attempts, and how evidence adds up and fades.
 
-No record knows another's; decide.py alone draws conclusions and acts.
+No record knows another's; books.py keeps them, and the files under `policy` alone draw conclusions and act.
 """
 
 from __future__ import annotations
@@ -107,6 +107,11 @@
             self.rests = self.ratios = self.count = self.good = self.bad = 0.0
         return self.rests > 0
 
+    def earn(self, now: float, rate: float, most: float) -> float:
+        """Its credit as of now, which grows by `rate` a ms up to `most`."""
+        self.credit, self.credit_at = min(self.credit + (now - self.credit_at) * rate, most), now
+        return self.credit
+
     def fade(self, now: float, memory: float) -> None:
         """What answers have shown, brought to `now`."""
         fade = exp((self.stamp - now) / memory)
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -24,6 +24,6 @@
     names = {alias.name for node in ast.walk(tree) if isinstance(node, ast.Import) for alias in node.names}
     modules = {node.module for node in ast.walk(tree) if isinstance(node, ast.ImportFrom)}
     standard = {"__future__", "bisect", "itertools", "math", "random", "zlib"}
-    allowed = standard | {"entry", "interface", "records", "roster", "subset", None}
+    allowed = standard | {"books", "entry", "interface", "records", "roster", "subset", None}
     assert names | modules <= allowed
     assert not any(isinstance(node, (ast.Global, ast.Nonlocal)) for node in ast.walk(tree))
