Split decide.py by decision: door, shares, verdicts, placement, copies, a call's life

Seven files decide and deploy/balancer.toml names them all; entry.py and subset.py decided before without being named.

--- a/switchthread/benchlink.py
+++ b/switchthread/benchlink.py
@@ -1,6 +1,6 @@
 """The bench's wire on standard input and output; one Balancer per instance, nothing shared.
 
-Only translation lives here. Every decision is made in decide.py.
+Only translation lives here. Every decision is made in the files that deploy/balancer.toml names under `policy`.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/switchthread/flow.py
@@ -0,0 +1,38 @@
+"""What comes to the door and what is answered in time: rates and sums that entry.py weighs. Rates a ms."""
+
+from __future__ import annotations
+
+from .records import Rate
+
+TRUST = 5.0  # in time for each miss, under which the pace shown falls fast: a lull holds it, a jam not
+FADE = 0.7  # of the values of calls that came, at each window's end
+
+
+class Flow:
+    """Counts only; nothing is decided here."""
+
+    def __init__(self) -> None:
+        self.flow = self.pace = 0.0  # answers in time: of the last windows, and the most that was shown, fading
+        self.coming, self.answered = Rate(), Rate()
+        self._served = 0
+        self._values: dict[float, float] = {}  # of the calls that came, and how many
+
+    def in_time(self, now: float) -> None:
+        self._served += 1
+        self.answered.add(now)
+
+    def renew(self, span: float, good: float, bad: float) -> None:
+        """A window of `span` ms ends; `good` answers in time and `bad` misses, both fading."""
+        self.flow += (self._served / span - self.flow) * (0.4 if self.flow else 1.0)
+        self.pace = max(self.flow, self.pace * (0.9 if good >= TRUST * bad else 0.5))
+        self._served = 0
+
+    def came(self, now: float, value: float) -> float:
+        """One call more, of this worth for its work; tells the part of all that came that is worth more."""
+        self.coming.add(now)
+        value = float(f"{value:.1g}")
+        self._values[value] = self._values.get(value, 0.0) + 1
+        return sum(n for v, n in self._values.items() if v > value) / sum(self._values.values())
+
+    def fade(self) -> None:
+        self._values = {value: part * FADE for value, part in self._values.items() if part > 0.1}
--- /dev/null
+++ b/switchthread/placement.py
@@ -0,0 +1,105 @@
+"""Where an attempt goes: several are drawn by share among those it may go to, and the better one is taken.
+
+Of two by the chance of a short wait where loads are reported; of more by their price where nothing is.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect
+from math import exp
+
+from .books import Books, Table, drawable
+from .interface import Effect, Scope
+from .records import Call, Server
+from .shares import share
+from .verdicts import crowded, quiet
+
+DRAWS = 4  # tries at one that may be sent to: more would bend the shares of those left
+SHORT = 2.0  # service times: a wait by which the better of two drawn upstreams is told
+STEADY = 0.15  # a call bound by its first attempt goes to the one of two serving so much more
+LAX = 0.5  # a call that keeps this part of its worth when late is lax: it goes where its one draw says
+CHOICES = 9  # drawn for a call where nothing is reported: our own calls out tell of a queue first
+CROSSINGS = 1.5  # prices of a crossing that a better chance to be in time must outweigh
+
+
+def choose(books: Books, now: float, call: Call) -> tuple[Server | None, Server | None]:
+    """Where the next attempt goes, and where a copy of an urgent call could go; None for nobody."""
+    last = call.tries[-1].server if call.tries else None
+    one = draw(books, now, call, last) or draw(books, now, call, None, any_=True)
+    if one is None:
+        return None, None
+    urgent = call.cls.late_worth < LAX
+    two = draw(books, now, call, one) if not call.tries and (urgent or not call.cls.free) else None
+    if not books.tier.done:
+        more = [draw(books, now, call, last, home=n % 3 == 0) for n in range(CHOICES)]
+        drawn = [one, *filter(None, [two, *more])]
+        drawn.sort(key=lambda server: price(books, now, call, server))
+        one, two = drawn[0], next((s for s in drawn if two and s is not drawn[0]), None)
+    elif two and (odds(books, two) > odds(books, one) if urgent else two.ok > one.ok + STEADY):
+        one, two = two, one
+    return one, two if urgent else None
+
+
+def draw(books: Books, now: float, call: Call, avoid: Server | None, any_: bool = False,
+         home: bool = False) -> Server | None:
+    """An upstream by share, of the group that an attempt which may have run binds the call to."""
+    servers, sums = reach(books, now, call, home)
+    for _ in range(DRAWS):
+        if not sums or sums[-1] <= 0:
+            return None
+        server = servers[bisect(sums, books.random.random() * sums[-1], 0, len(sums) - 1)]
+        if not any_ and (quiet(books, now, server) and server.out or crowded(books, server)):
+            servers, sums = drawable([s for s in servers if s is not server])
+        elif server is not avoid and warm_enough(books, server, now):
+            return server
+    return None
+
+
+def reach(books: Books, now: float, call: Call, home: bool = False) -> Table:
+    bound = next((t for t in call.tries if t.ran), None)
+    if bound is None or call.cls.effect is Effect.IDEMPOTENT:
+        return books.home if home else books.table
+    if call.cls.effect is Effect.AT_MOST_ONCE or now - bound.sent >= call.cls.window_ms:
+        return [], []
+    if call.cls.scope is Scope.ALL:
+        return books.table
+    zone = call.cls.scope is Scope.ZONE
+    key = (call.cls.scope, bound.server.at.zone if zone else bound.server.at.cell)
+    if key not in books.groups:
+        members = [s for part in books.order for s in part if (s.at.zone if zone else s.at.cell) == key[1]]
+        for s in members:
+            share(books, s, now)
+        books.groups[key] = drawable(members)
+    return books.groups[key]
+
+
+def warm_enough(books: Books, server: Server, now: float) -> bool:
+    """A cold upstream gets no more than this balancer's part of what all may send it."""
+    if server.capacity(now, books.set.cold) >= 1.0:
+        return True
+    rate = books.room * server.share
+    return server.earn(now, rate, 1.0 + rate * books.set.cold.fall_ms / 2) >= 1.0
+
+
+def load_at(books: Books, server: Server) -> float:
+    """Utilisation, from reports or else from latency; our own unanswered attempts make it current."""
+    mean = max(server.slow, server.like.low)
+    load = server.util if server.util is not None else 1 - server.like.low / mean
+    usual_out = books.held * server.share / max(books.table[1][-1], 1e-9)
+    return 1 - (1 - min(load, 0.99)) * (usual_out + 1) / (max(server.out, usual_out) + 1)
+
+
+def odds(books: Books, server: Server) -> float:
+    """Chance of a short wait: over a long one a trace of errors would outweigh any queue."""
+    load = load_at(books, server)
+    return server.ok * (1 - load * exp(-(1 - load) * SHORT))
+
+
+def price(books: Books, now: float, call: Call, server: Server) -> float:
+    """Chance to miss the aim there, by our calls out against its share, and the price of crossing."""
+    count = len(books.table[0])
+    queue = (server.out + 1) * books.table[1][-1] / count / server.share / (books.held / count + 1)
+    late = exp(-max(call.aim - now, 1.0) / max(call.usual.mean * queue, 1e-3))
+    away = books.set.crossing_cost if server.at.zone != books.set.zone else 0.0
+    # Far from its aim every queue seems as good: the shorter one then.
+    return 1 - min(server.ok / books.best, 1.0) * (1 - late) + CROSSINGS * away + 1e-6 * queue
--- a/switchthread/subset.py
+++ b/switchthread/subset.py
@@ -1,8 +1,8 @@
 """The part of a tier that one balancer draws from, by the list, its number and the calls that it holds.
 
-A balancer with few calls can't learn of a large tier, and connections from every caller to every upstream fill
-the upstreams' tables. Each balancer takes one stretch of an order that all agree on; the stretches start at even
-distances, so that all upstreams are covered (deterministic subsetting).
+A balancer with few calls can't learn of a large tier, and connections from every caller to every upstream
+fill the upstreams' tables. Each balancer takes one stretch of an order that all agree on; the stretches start
+at even distances, so that all upstreams are covered (deterministic subsetting).
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 
 
 def subset(groups: Sequence[list[Server]], held: float, rank: int, balancers: int) -> list[Server]:
-    """Of each group of upstreams one stretch, for balancer `rank` of `balancers`, which holds `held` calls."""
+    """Of each group one stretch, for balancer `rank` of `balancers`, which holds `held` calls."""
     chosen: list[Server] = []
     for group in groups:
         size = int(max(FEWEST, SPREAD * held, OVERLAP * len(group) / balancers))
--- /dev/null
+++ b/switchthread/verdicts.py
@@ -0,0 +1,40 @@
+"""Whom calls avoid for a time: an upstream that is crowded, one that has gone silent, one that is choked."""
+
+from __future__ import annotations
+
+from .books import Books
+from .records import Server
+from .shares import reshare
+
+OVERDUE = 2.0  # of its expected time out, a lone attempt asks the gate again
+QUIET = 8.0  # answers overdue by its mean, with none at all, after which an upstream counts as silent
+CROWD = 1.7  # times what the others hold each that one upstream may hold ...
+FREE = 2.0  # ... counting this many more: on a calm day the own zone does not spill over
+ROW = 4  # misses in a row after which a provider rests, so that one choked on its queue can be idle
+REST = 6000.0  # ms: choked machines want up to 5 s of it, and each balancer rests it on its own
+RESTING = 0.5  # part of those drawn from that may rest at once: more would be an outage of our making
+
+
+def crowded(books: Books, server: Server) -> bool:
+    """Whether it holds far more of our calls than the others: it jams before its mean shows it."""
+    others = len(books.table[0]) - 1
+    return others > 0 and server.out >= CROWD * (FREE + (books.out - server.out) / others)
+
+
+def quiet(books: Books, now: float, server: Server) -> bool:
+    """Whether it has gone silent: its machine may be gone though its connections stay open."""
+    mean, wait = books.typical * server.slow / server.capacity(now, books.set.cold), now - server.heard
+    if not server.quiet and mean and wait > OVERDUE * mean and wait * server.out > QUIET * mean:
+        server.quiet = True
+        books.silent.add(server)
+        reshare(books, now)
+    return server.quiet
+
+
+def tired(books: Books, now: float, server: Server, in_time: bool) -> None:
+    """One that misses call after call is choked or worse: it gets idle time, the entry less meanwhile."""
+    server.row = 0 if in_time else server.row + 1
+    if server.row >= ROW and not server.at_rest(now) and not books.set.layer:  # it alone refuses
+        if sum(s.at_rest(now) for s in books.table[0]) < RESTING * len(books.table[0]):
+            server.rests, server.row = now + REST, 0
+            reshare(books, now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,6 +7,7 @@
 from limenotch.settings import Directory
 from switchthread import Balancer
 from switchthread import interface as face
+from switchthread.shares import reshare
 
 LOOK = face.TrafficClass("look", face.Effect.IDEMPOTENT, 2000.0, 5000.0, late_worth=0.5)
 COLD = face.ColdStart(0.12, 24_000.0, 4.0, 3000.0)
@@ -209,7 +210,7 @@
     balancer = host.balancer
     balancer.demand = 7.0  # 70 a second for each zone, of which one box can do 50
     balancer.roster.servers["0x"].quiet = True
-    balancer._shares(host.now)
+    reshare(balancer, host.now)
     own = sum(s.share for s in balancer.table[0] if s.at.zone == 0)
     assert own < 0.6 * sum(s.share for s in balancer.table[0])  # at the use of the tier left: 0.58
 
--- a/tests/test_module.py
+++ b/tests/test_module.py
@@ -1,29 +1,62 @@
-"""The text of the module itself: its length, its width, its first lines."""
+"""The text of the files that decide, as deploy/balancer.toml names them: length, width, imports, no globals."""
+
+from __future__ import annotations
 
 import ast
+import tomllib
 from pathlib import Path
 
-SOURCE = Path(__file__).parent.parent / "switchthread" / "decide.py"
-LINES = SOURCE.read_text().splitlines()
+import pytest
+
+ROOT = Path(__file__).parent.parent
+POLICY = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
+BESIDE = {"books", "flow", "interface", "records"}  # what they may read of the package, besides one another
+STANDARD = {"__future__", "bisect", "collections.abc", "math", "typing"}
+
+
+def lines(name: str) -> list[str]:
+    return (ROOT / name).read_text().splitlines()
+
+
+def imports(name: str) -> set[str]:
+    """Modules that a file imports; of its own package by their bare names."""
+    found = set()
+    for node in ast.walk(ast.parse("\n".join(lines(name)))):
+        if isinstance(node, ast.Import):
+            found |= {alias.name for alias in node.names}
+        elif isinstance(node, ast.ImportFrom):
+            found |= {node.module} if node.module else {alias.name for alias in node.names}
+    return found
 
 
 def test_length() -> None:
-    assert len([line for line in LINES if line.strip()]) <= 500
+    assert sum(bool(line.strip()) for name in POLICY for line in lines(name)) <= 500
+    assert len(set(POLICY)) == len(POLICY)
 
 
-def test_width() -> None:
-    assert max(len(line) for line in LINES) <= 110
+@pytest.mark.parametrize("name", POLICY)
+def test_length_and_width_of_each(name: str) -> None:
+    assert len(lines(name)) <= 400
+    assert max(len(line) for line in lines(name)) <= 110
 
 
 def test_first_lines_name_the_interface() -> None:
-    assert "interface.py" in "\n".join(LINES[:2])
+    assert "interface.py" in "\n".join(lines("switchthread/decide.py")[:2])
 
 
-def test_no_clock_no_globals() -> None:
-    tree = ast.parse(SOURCE.read_text())
-    names = {alias.name for node in ast.walk(tree) if isinstance(node, ast.Import) for alias in node.names}
-    modules = {node.module for node in ast.walk(tree) if isinstance(node, ast.ImportFrom)}
-    standard = {"__future__", "bisect", "itertools", "math", "random", "zlib"}
-    allowed = standard | {"books", "entry", "interface", "records", "roster", "subset", None}
-    assert names | modules <= allowed
+@pytest.mark.parametrize("name", POLICY)
+def test_no_clock_no_globals(name: str) -> None:
+    assert imports(name) <= STANDARD | BESIDE | {Path(other).stem for other in POLICY}
+    tree = ast.parse("\n".join(lines(name)))
     assert not any(isinstance(node, (ast.Global, ast.Nonlocal)) for node in ast.walk(tree))
+    # At a module's top only text, imports, constants, functions and classes: nothing that a balancer could write to.
+    for node in tree.body:
+        value = node.value if isinstance(node, ast.Assign) else None
+        assert not isinstance(value, (ast.List, ast.Dict, ast.Set, ast.Call)), ast.dump(node)
+
+
+def test_what_keeps_books_decides_nothing() -> None:
+    """Files beside the policy import none of it, but for the door's type that the books hold."""
+    deciding = {Path(name).stem for name in POLICY} - {"entry"}
+    for beside in sorted(BESIDE):
+        assert not imports(f"switchthread/{beside}.py") & deciding
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from switchthread.copies import gate
 from switchthread.interface import (
     AnswerBegun,
     Cancel,
@@ -24,7 +25,9 @@
     TimerFired,
     Upstream,
 )
+from switchthread.placement import draw
 from switchthread.records import Call, Usual
+from switchthread.shares import reshare
 
 from .referee import READ, WRITE, ZONAL, Referee, fleet, sends, settings
 
@@ -343,9 +346,9 @@
     balancer.usual[balancer.set.classes[0].name].mean, balancer.copyable = 150.0, balancer.came
     for server in (one, two):
         server.slow, server.like.low, server.out = 1.2, 1.0, 0
-    assert balancer._gate(referee.now, call, one, two, 1.0)
+    assert gate(balancer, referee.now, call, one, two, 1.0)
     balancer.out, balancer.held, balancer.entry.limit = 20, 20.0, 20.0
-    assert not balancer._gate(referee.now, call, one, two, 1.0)
+    assert not gate(balancer, referee.now, call, one, two, 1.0)
 
 
 def test_gate_where_formula_one_says() -> None:
@@ -360,14 +363,14 @@
     for load, copies in ((0.2, True), (0.6, False)):
         one.util = two.util = load
         one.out = two.out = 0
-        assert balancer._gate(referee.now, call, one, two, 1.0) is copies
+        assert gate(balancer, referee.now, call, one, two, 1.0) is copies
 
 
 def test_placement_follows_shares() -> None:
     """Even shares: each of eight upstreams gets an eighth of the draws, within four standard deviations."""
     referee = Referee(settings(), 5, fleet(8))
     call = Call("c", READ, Usual(), 3, 1e9, 1e9)
-    drawn = [referee.balancer._draw(referee.now, call, None) for _ in range(8000)]
+    drawn = [draw(referee.balancer, referee.now, call, None) for _ in range(8000)]
     for server in referee.balancer.table[0]:
         assert abs(drawn.count(server) - 1000) < 4 * (8000 * 0.125 * 0.875) ** 0.5
 
@@ -459,7 +462,7 @@
         server.good, server.bad = (0.0, 10.0) if own else (5.0, 0.0)
         balancer.good, balancer.bad = balancer.good + server.good, balancer.bad + server.bad
     for _ in range(2):  # the second sees what the first has made of the evidence
-        balancer._shares(balancer.now)
+        reshare(balancer, balancer.now)
     share = {server.at.zone: server.share for server in balancer.roster.servers.values()}
     assert share[0] < 0.05 * 3 * share[1]
 
@@ -471,7 +474,7 @@
     balancer = referee.balancer
     ill = balancer.table[0][0]
     ill.ok = 0.4
-    firsts = [balancer._draw(referee.now, Call("c", lax, Usual(), 3, 1e9, 1e9), None) for _ in range(400)]
+    firsts = [draw(balancer, referee.now, Call("c", lax, Usual(), 3, 1e9, 1e9), None) for _ in range(400)]
     assert firsts.count(ill) > 20  # it is drawn ...
     for _ in range(100):
         name, actions = referee.arrive(0)
