--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from math import inf
 
 import pytest
 from hypothesis import given
@@ -351,6 +352,21 @@
     assert not gate(balancer, referee.now, call, one, two, 1.0)
 
 
+@pytest.mark.parametrize("layer", [0, 1])
+def test_the_doors_bound_closes_the_gate_only_where_calls_are_turned_away(layer: int) -> None:
+    """Lower tiers turn nothing away, yet a bound of theirs kept copies from urgent calls at an idle pair."""
+    referee = Referee(settings(classes=(READ,), layer=layer), rows=fleet(5))
+    steady(referee, 200, Outcome.OK)
+    balancer = referee.balancer
+    name, _ = referee.arrive(0)
+    one, two = balancer.table[0][:2]
+    one.util = two.util = 0.2
+    one.out = two.out = 0
+    balancer.out, balancer.copyable = 100, balancer.came
+    assert gate(balancer, referee.now, balancer.calls[name], one, two, 1.0) is bool(layer)
+    assert (balancer.entry.limit < inf) is not bool(layer)
+
+
 def test_gate_where_formula_one_says() -> None:
     """By hand: v = 100, t = 1000 - 100. At load 0.2 a lone miss is 0.2 e^-7.2 = 1.5e-4 and a pair's, at 0.4,
     (0.4 e^-5.4)^2 = 3.3e-6: copy. At load 0.6 copies make both loads 1.2, a sure miss: no copy."""
