Let the laboratory's variants replace any file of the decisions; its planted faults name theirs

Need: the decisions stand in seven files now; a variant replaced decide.py alone, and the faults that tests plant in its text were no longer found there. Seen: tests/lab/test_world.py and test_compare.py pass with it and fail without.

--- a/limenotch/lab/policy.py
+++ b/limenotch/lab/policy.py
@@ -1,4 +1,4 @@
-"""Decision modules to play: the one installed, another text of its policy file, or a git revision's.
+"""Decision modules to play: the one installed, another text of one of its files, or a git revision's.
 
 A variant is a whole package beside the installed one, under a name of its own, so that several can be loaded in
 one process and none sees another's types.
@@ -111,8 +111,9 @@
 
 @cache
 def sources(spec: str) -> dict[str, bytes]:
-    """The files of a variant: `installed`, `git:REVISION`, or the path of a policy file. Raises FaultError.
+    """The files of a variant: `installed`, `git:REVISION`, or the path of one of its files. Raises FaultError.
 
+    Such a file takes the place of the one of its name, or else of `decide.py`.
     Read once a process, so that a digest is always of the text that was loaded.
     """
     if spec == "installed":
@@ -120,7 +121,8 @@
     if spec.startswith("git:"):
         return _of_revision(spec.removeprefix("git:"))
     try:
-        return {**_installed(), FILE: Path(spec).read_bytes()}
+        files, path = _installed(), Path(spec)
+        return {**files, path.name if path.name in files else FILE: path.read_bytes()}
     except OSError as error:
         raise FaultError(f"policy {spec}: {error.strerror}") from None
 
--- a/tests/lab/test_compare.py
+++ b/tests/lab/test_compare.py
@@ -124,8 +124,9 @@
 
 
 def test_the_command(two: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
-    text = (Path(switchthread.__file__).parent / "decide.py").read_text()
-    worse = tmp_path / "worse.py"
+    text = (Path(switchthread.__file__).parent / "shares.py").read_text()
+    assert "FLOOR = 0.02" in text
+    worse = tmp_path / "shares.py"
     worse.write_text(text.replace("FLOOR = 0.02", "FLOOR = 5.0"))
     line = ["lab", "compare", "--scenario", two, "--variant", "a=installed", "--variant", f"b={worse}", "--seeds", "4",
             "--json", str(tmp_path / "c.json"), "--report", str(tmp_path / "c.html"), "--out", str(tmp_path / "runs")]
--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -193,19 +193,20 @@
 
 
 PLANTED = {
-    # The module's text, with a fault planted in one place each.
-    ONE_ANSWER: ("            acts.append(face.Fail(call.name))\n        else:", "            pass\n        else:"),
-    REPEATS: ("        if bound is None or call.cls.effect is Effect.IDEMPOTENT:", "        if True:"),
-    COLD: ("server.capacity(now, self.set.cold)", "1.0"),
+    # The module's text, with a fault planted in one place each: file, what stands there, what shall.
+    ONE_ANSWER: (
+        "decide.py", "            acts.append(face.Fail(call.name))\n        else:", "            pass\n        else:"),
+    REPEATS: ("placement.py", "    if bound is None or call.cls.effect is Effect.IDEMPOTENT:", "    if True:"),
+    COLD: ("records.py", "        if self.since <= 0 or age >= cold.warm_ms:", "        if True:"),
 }
 
 
 @pytest.mark.parametrize("rule", PLANTED)
 def test_a_policy_that_breaks_a_rule_is_caught(rule: str, tmp_path: Path) -> None:
-    text = (Path(switchthread.__file__).parent / "decide.py").read_text()
-    old, new = PLANTED[rule]
+    file, old, new = PLANTED[rule]
+    text = (Path(switchthread.__file__).parent / file).read_text()
     assert old in text
-    variant = tmp_path / "decide.py"
+    variant = tmp_path / file
     variant.write_text(text.replace(old, new))
     rough = TWO_TIERS + fault("error_burst", part=1.0, size=0.8) + fault("spoil", at_s=8, part=1.0, size=0.8)
     if rule == COLD:
