--- a/limenotch/lab/fleet/streams.py
+++ b/limenotch/lab/fleet/streams.py
@@ -2,7 +2,7 @@
 
 It opens with the first message and ends with the process at either end; what is in it then is lost and its sender is
 not told. Under a cut it is silent and keeps what it is given; after the heal all of that arrives in order, unless the
-cut lasted longer than `patience` ms since the first message that waits: then the connection is given up, all in it lost.
+cut lasted longer than `patience` ms since the first message that waits: then it is given up, with all in it.
 """
 
 from __future__ import annotations
