--- a/limenotch/lab/fleet/explore.py
+++ b/limenotch/lab/fleet/explore.py
@@ -37,6 +37,9 @@
     states: int = 500_000
 
 
+USUAL = Bounds()
+
+
 @dataclass(frozen=True)
 class View:
     """What the predicate sees: parts by name (None: down), and who has ever noted what."""
@@ -71,6 +74,7 @@
 @dataclass(frozen=True)
 class _Node:
     part: Any = None
+    mark: Hashable = None  # the part's digest
     life: int = 0
     now: float = 0.0
     timers: tuple[tuple[float, int], ...] = ()
@@ -100,7 +104,7 @@
 
     def __init__(
         self, nodes: Sequence[str], make: Make, digest: Callable[[Any], Hashable], check: Callable[[View], str | None],
-        bounds: Bounds = Bounds(), *, seed: int = 0, asks: Sequence[tuple[str, Any]] = (), clocks: str = "free",
+        bounds: Bounds = USUAL, *, seed: int = 0, asks: Sequence[tuple[str, Any]] = (), clocks: str = "free",
     ) -> None:
         if clocks not in ("free", "one"):
             raise ValueError(f"clocks: {clocks!r} is neither 'free' nor 'one'")
@@ -147,7 +151,7 @@
 
     def _key(self, state: _State) -> Hashable:
         nodes = tuple(
-            (None if node.part is None else self.digest(node.part), node.life,
+            (node.mark, node.life,
              tuple((at - node.now, token) for at, token in node.timers),
              _ENCODER.encode((node.held.ballot, node.held.snapshot, node.held.entries, node.waiting)))
             for node in state.nodes.values())
@@ -164,7 +168,7 @@
                 after = replace(state, asked=state.asked + 1)
                 yield self._told(after, state, name, event, f"ask {name} {_brief(event)}")
         if fire:
-            due = [(node.timers[0][0], name) for name, node in state.nodes.items() if node.part is not None and node.timers]
+            due = [(node.timers[0][0], name) for name, node in state.nodes.items() if node.timers]
             if self.one_clock and due:
                 soonest = min(due)[0]
                 due = [one for one in due if one[0] == soonest]
@@ -190,7 +194,7 @@
                     held = node.held
                     for _, records in node.waiting[:many]:
                         held = _with(held, records)
-                    down = _Node(None, node.life, node.now, (), held, ())
+                    down = _Node(life=node.life, now=node.now, held=held)
                     flying = tuple(one for one in state.flying if not (one.stream and name in (one.frm, one.to)))
                     yield replace(state, nodes={**state.nodes, name: down}, flying=flying, noted=(), before=state,
                                   left=(lose, double, crash - 1, fire), steps=state.steps + 1,
@@ -248,10 +252,10 @@
             elif isinstance(action, Note):
                 noted.append((name, action.text))
         timers.sort(key=lambda timer: timer[0])
-        told = replace(node, part=part, timers=tuple(timers), waiting=tuple(waiting))
-        return replace(after, nodes={**after.nodes, name: told}, flying=tuple(sorted(flying, key=lambda one: one.order)),
-                       notes=after.notes | set(noted), noted=tuple(noted), before=before, steps=before.steps + 1,
-                       choice=choice)
+        told = replace(node, part=part, mark=self.digest(part), timers=tuple(timers), waiting=tuple(waiting))
+        flying.sort(key=lambda one: one.order)
+        return replace(after, nodes={**after.nodes, name: told}, flying=tuple(flying), notes=after.notes | set(noted),
+                       noted=tuple(noted), before=before, steps=before.steps + 1, choice=choice)
 
     def _found(self, why: str, state: _State, states: int) -> Explored:
         steps: list[_State] = []
@@ -278,5 +282,7 @@
 
 
 def _brief(what: Any) -> str:
-    fields = getattr(what, "__struct_fields__", None) or getattr(what, "_fields", ())
+    if isinstance(what, str):
+        return what
+    fields = tuple(getattr(what, "__struct_fields__", getattr(what, "_fields", ())))
     return " ".join([type(what).__name__, *(str(getattr(what, name)) for name in fields)])
--- /dev/null
+++ b/tests/fleet/test_drawing.py
@@ -0,0 +1,212 @@
+"""Drawings: the words for faults, what is read and refused, how what was seen is compared, and drawn anew."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limenotch.lab.fleet.comparing import exact, within
+from limenotch.lab.fleet.drawing import Drawn, Scenario, draw, expand, read
+from limenotch.lab.fleet.faults import (
+    Ask,
+    Chance,
+    Clock,
+    Cut,
+    Delay,
+    Disk,
+    Doing,
+    Fault,
+    Heal,
+    Slow,
+    Way,
+    parse,
+    parse_all,
+)
+from limenotch.lab.fleet.scenario import check, load, play
+from limenotch.lab.fleet.world import World
+
+from .toys import listeners
+
+names = st.lists(st.sampled_from(["a", "b", "c", "n12", "east-1"]), min_size=2, max_size=5, unique=True)
+figures = st.integers(0, 999_999).map(lambda number: number / 1000)
+TEXT = """\
+# Three listeners; one falls.
+nodes: a b c
+seed: 1
+show: suspects back
+
+ms      a               b               c               faults
+0
+1000                                                    kill c
+1350    suspects c      suspects c
+2000                                                    start c
+2001    c back          c back
+"""
+
+
+@st.composite
+def faults(draw: st.DrawFn) -> Fault:
+    some = draw(names)
+    middle = draw(st.integers(1, len(some) - 1))
+    way = Way(tuple(some[:middle]), tuple(some[middle:]))
+    perhaps = draw(st.sampled_from([None, way]))
+    low, high = sorted([draw(figures), draw(figures)])
+    disk = draw(st.sampled_from(["ok", "full", "slow", "torn", "read-only"]))
+    return draw(st.sampled_from([
+        Cut((way.frm, way.to)), Cut((way.frm, way.to), one_way=True), Cut(tuple((one,) for one in some)), Heal(),
+        Chance(draw(st.sampled_from(["loss", "double", "reorder"])), draw(figures) % 100, perhaps),
+        Delay(low, high, perhaps), Slow(way, high), Disk(some[0], disk, high if disk == "slow" else 0.0),
+        Doing(draw(st.sampled_from(["pause", "wake", "kill", "start", "wipe", "leave", "mute"])), tuple(some)),
+        Clock(some[0], draw(st.integers(-10**8, 10**8)) * 1.0), Ask(some[0], "rules 5 propose"),
+    ]))
+
+
+@given(faults())
+def test_faults_are_read_as_they_are_written(fault: Fault) -> None:
+    assert parse(str(fault)) == fault
+
+
+@given(st.lists(faults(), min_size=1, max_size=4))
+def test_several_in_one_cell(some: list[Fault]) -> None:
+    assert parse_all(", ".join(map(str, some))) == some
+
+
+@pytest.mark.parametrize(("text", "words"), [
+    ("cat a | b", "'cat' is none"), ("cut a b", "'a b' has no"), ("cut a > a", "both sides"), ("cut a | ", "name is missing"),
+    ("cut a | b | a", "twice"), ("loss 20", "'20' is no share"), ("loss 120%", "'120%'"), ("delay 40..5", "'40..5'"),
+    ("slow a > b", "no number of ms"), ("disk a fulll", "'fulll' is none"), ("disk a full 3", "'3' after 'full'"),
+    ("clock a 3600s", "'3600s' is no step"), ("ask a", "ask what"), ("kill", "missing"), ("heal a", "'a' is too much"),
+    ("pause 1a", "'1a' is no name"), ("cut a > b | c", "either"), ("disk a slow x", "'x' is no number"),
+])
+def test_faults_refused_name_the_words(text: str, words: str) -> None:
+    with pytest.raises(ValueError, match="fault") as error:
+        parse(text)
+    assert words in str(error.value)
+
+
+def test_a_drawing_is_read() -> None:
+    scenario = read(TEXT)
+    assert scenario.nodes == scenario.columns == ("a", "b", "c")
+    assert scenario.notes == (Drawn(1350, "a", "suspects c"), Drawn(1350, "b", "suspects c"), Drawn(2001, "a", "c back"),
+                              Drawn(2001, "b", "c back"))
+    assert [(at, str(fault)) for at, fault in scenario.faults] == [(1000, "kill c"), (2000, "start c")]
+    assert scenario.ends == 2001 and scenario.seed == 1
+
+
+def test_a_cell_belongs_to_the_heading_last_before_it() -> None:
+    scenario = read("ms    a       b       faults\n0          x    y, z\n0             w   heal\n")
+    assert scenario.notes == (Drawn(0, "a", "x"), Drawn(0, "b", "y"), Drawn(0, "b", "z"), Drawn(0, "b", "w")) or \
+        [note.node for note in scenario.notes] == ["a", "a", "a", "b"]
+
+
+@pytest.mark.parametrize(("text", "words"), [
+    ("nodes: a\n", "no heading"), ("nodes a\nms a\n", "'nodes a'"), ("ms  a\n0\tx\n", "a tab"),
+    ("ms    a       b\n0     long note here\n", "runs into the column of b"), ("ms  a\n5\n4\n", "4 after 5"),
+    ("ms    a\nx     y\n", "'x' is no time"), ("ms    a\n      y\n", "'y' is no time"), ("nodes: a\nms    a    b\n", "'b'"),
+    ("ms    a    faults\n0          kill b\n", "'b' is none of the nodes"), ("ms   a   faults\n0        kil a\n", "'kil'"),
+    ("show: dead\nms    a\n0     back\n", "'back' is drawn at 0"), ("ms    faults    a\n", "last column"),
+    ("nodes: n1..n0\nms   n1\n", "no range"), ("seed: x\nms   a\n", "'x' is no number"), ("a: 1\na: 2\nms  a\n", "twice"),
+    ("until: 5\nms    a\n9     x\n", "after `until`"),
+])
+def test_drawings_refused_name_the_words(text: str, words: str) -> None:
+    with pytest.raises(ValueError, match="drawing") as error:
+        read(text)
+    assert words in str(error.value)
+
+
+def test_ranges_of_names() -> None:
+    assert expand("a n8..n11 b") == ("a", "n8", "n9", "n10", "n11", "b")
+
+
+def seen_of(scenario: Scenario) -> list[tuple[float, str, str]]:
+    return [(float(note.at_ms), note.node, note.text) for note in scenario.notes]
+
+
+texts = st.sampled_from(["suspects b", "b dead", "leads 4", "narrow"])
+notes = st.lists(st.tuples(st.integers(0, 50), st.sampled_from(["a", "b", "c"]), texts), min_size=1, max_size=12)
+
+
+@given(notes, st.lists(st.tuples(st.integers(0, 50), faults()), max_size=3))
+def test_what_is_drawn_anew_is_read_as_it_was(some: list[tuple[int, str, str]], what: list[tuple[int, Fault]]) -> None:
+    head = "nodes: a b c n12 east-1\nuntil: 60\n\nms    a     b     c     faults\n"
+    empty = read(head)
+    scenario = Scenario(empty.head, empty.nodes, empty.columns, tuple(empty.looked_at(some)),
+                        tuple(sorted(what, key=lambda one: one[0])), 60, "drawing")
+    assert read(draw(scenario, scenario.notes)) == scenario
+    assert exact(scenario, some) is None
+
+
+@given(notes, st.data())
+def test_one_row_moved_missing_or_more_is_found(some: list[tuple[int, str, str]], data: st.DataObject) -> None:
+    empty = read("nodes: a b c\nuntil: 100\n\nms    a     b     c\n")
+    scenario = Scenario(empty.head, empty.nodes, empty.columns, tuple(empty.looked_at(some)), (), 100, "drawing")
+    which = data.draw(st.integers(0, len(some) - 1))
+    at, node, text = some[which]
+    moved = [*some[:which], (at + data.draw(st.integers(1, 40)), node, text), *some[which + 1:]]
+    missing = some[:which] + some[which + 1:]
+    more = [*some, (data.draw(st.integers(0, 100)), node, "more")]
+    changed = [*some[:which], (at, node, "other"), *some[which + 1:]]
+    for other in (moved, missing, more, changed):
+        difference = exact(scenario, other)
+        assert difference is not None
+        marked = [line for line in difference.splitlines() if line.startswith(">")]
+        assert len(marked) == 1
+        assert all(left.strip() == right.strip() for left, right in (
+            (line[8:].split("|")[0], line.split("|")[2]) for line in difference.splitlines()[2:]
+            if int(line[1:].split()[0]) < int(marked[0][1:].split()[0])))
+        left, _, right = marked[0][8:].split("|")
+        assert left.strip() != right.strip()
+    assert within(scenario, missing, window=1000) is not None
+    assert within(scenario, changed, window=1000) is not None
+    assert within(scenario, some, window=0) is None
+
+
+def test_a_window_lets_nodes_change_places_but_not_a_nodes_own_order() -> None:
+    scenario = read("window: 100\nuntil: 3000\nms    a      b      faults\n1000  x\n1050         y\n1080  z\n"
+                    "2000                kill a\n2500         w\n")
+    assert within(scenario, [(1060, "b", "y"), (1090, "a", "x"), (1100, "a", "z"), (2500, "b", "w")]) is None
+    swapped = within(scenario, [(1000, "a", "z"), (1050, "b", "y"), (1080, "a", "x"), (2500, "b", "w")])
+    assert swapped is not None and "a: 'z' at 1000 where 'x' is drawn" in swapped
+    late = within(scenario, [(1101, "a", "x"), (1050, "b", "y"), (1180, "a", "z"), (2500, "b", "w")])
+    assert late is not None and "101 ms from 1000" in late
+    more = within(scenario, [(1000, "a", "x"), (1050, "b", "y"), (1080, "a", "z"), (2500, "b", "w"), (2600, "b", "v")])
+    assert more is not None and "'v' at 2600 is not drawn" in more
+
+
+def test_a_window_is_counted_from_the_fault_as_it_happened() -> None:
+    scenario = read("window: 50\nms    a      faults\n1000         kill b\n1300  dead\nnodes: a b\n".replace(
+        "nodes: a b\n", "").replace("window", "nodes: a b\nwindow", 1))
+    assert within(scenario, [(1700, "a", "dead")], [1400.0]) is None
+    assert within(scenario, [(1300, "a", "dead")], [1400.0]) is not None
+    assert within(scenario, [(1700, "a", "dead")]) is not None
+
+
+def test_what_show_leaves_out_counts_for_nothing() -> None:
+    scenario = read(TEXT)
+    assert exact(scenario, [*seen_of(scenario), (1100.0, "a", "leads 4"), (1100.0, "z", "suspects a")]) is None
+
+
+def test_a_scenario_comes_out_in_simulated_time(tmp_path: Path) -> None:
+    file = tmp_path / "falls.txt"
+    file.write_text(TEXT, encoding="utf-8")
+    outcome = check(load(file), listeners("a", "b", "c"))
+    assert read(outcome.drawn_anew()).notes == outcome.scenario.notes
+    wrong = play(read(TEXT.replace("1350", "1351"), "falls"), listeners("a", "b", "c"))
+    assert wrong.difference is not None
+    assert "> 1350" in wrong.difference and "falls" in wrong.difference
+    with pytest.raises(AssertionError, match="drawn anew"):
+        check(read(TEXT.replace("start c", "heal   ")), listeners("a", "b", "c"))
+
+
+def test_asking_in_a_scenario() -> None:
+    scenario = read("nodes: a b\nshow: hello\nms    a               b      faults\n10    hello there            ask a hello there\n")
+
+    def ask(world: World, node: str, words: str) -> None:
+        world.poke(node, words)
+
+    check(scenario, listeners("a", "b"), ask)
+    with pytest.raises(ValueError, match="nobody answers"):
+        play(scenario, listeners("a", "b"))
--- /dev/null
+++ b/tests/fleet/toys.py
@@ -0,0 +1,182 @@
+"""Parts small enough to see through: one that beats and listens, one that keeps, and a vote in two phases."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from limenotch.fleet.contract import (
+    Carrier,
+    Heard,
+    Leave,
+    Message,
+    Note,
+    Send,
+    SetTimer,
+    Started,
+    Store,
+    Stored,
+    StoreFailed,
+    Tell,
+    TimerFired,
+)
+from limenotch.lab.fleet.world import address
+from limenotch.store.records import Append, Ballot, Entry, Held
+
+BEAT, LOOK = 1, 2
+
+
+class Beat(Message, frozen=True, tag="toy.beat"):
+    number: int
+
+
+class Listener:
+    """Beats every 100 ms to all; suspects who was silent for 350 ms, looking every 50; says when they are back."""
+
+    def __init__(self, name: str, others: tuple[str, ...], carrier: Carrier = Carrier.DATAGRAM) -> None:
+        self.name, self.others, self.carrier = name, others, carrier
+        self.heard: dict[str, float] = {}
+        self.suspected: set[str] = set()
+        self.numbers: list[tuple[str, int]] = []  # as heard
+        self.late: list[float] = []  # how late its own beats were
+        self.beats = 0
+        self.due = 0.0
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        if isinstance(event, Started):
+            self.heard = dict.fromkeys(self.others, now)
+            return [*self._beat(now), SetTimer(now + 50, LOOK)]
+        if isinstance(event, TimerFired):
+            if event.token == BEAT:
+                self.late.append(now - self.due)
+                return self._beat(now)
+            return [*self._look(now), SetTimer(now + 50, LOOK)]
+        if isinstance(event, Heard):
+            self.numbers.append((event.sender, event.message.number))  # type: ignore[attr-defined]
+            self.heard[event.sender] = now
+            if event.sender in self.suspected:
+                self.suspected.discard(event.sender)
+                return [Note(f"{event.sender} back")]
+            return []
+        if isinstance(event, Leave):
+            return [Note("leaves")]
+        if isinstance(event, str):
+            return [Note(event)]
+        raise TypeError(event)
+
+    def _beat(self, now: float) -> list[Any]:
+        self.beats += 1
+        self.due = now + 100
+        return [SetTimer(self.due, BEAT), *(Send(address(to), Beat(self.beats), self.carrier) for to in self.others)]
+
+    def _look(self, now: float) -> list[Any]:
+        silent = [one for one in self.others if now - self.heard[one] >= 350 and one not in self.suspected]
+        self.suspected.update(silent)
+        return [Note(f"suspects {one}") for one in silent]
+
+
+def listeners(*names: str, carrier: Carrier = Carrier.DATAGRAM) -> Callable[[str, int, int, Held], Listener]:
+    return lambda name, seed, life, held: Listener(name, tuple(one for one in names if one != name), carrier)
+
+
+class Put(NamedTuple):
+    """`many` entries, a record each, in one batch."""
+
+    many: int = 1
+
+
+class Keeper:
+    """Appends entries to its disk; says at its start what it found, and what became of each batch."""
+
+    def __init__(self, held: Held) -> None:
+        self.held = held
+        self.last = held.last
+        self.answers: list[Any] = []
+        self.tickets = 0
+        self.batches: dict[int, int] = {}  # ticket: its first index
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        if isinstance(event, Started):
+            return [Note(f"found {self.held.last}")]
+        if isinstance(event, Put):
+            self.tickets += 1
+            self.batches[self.tickets] = self.last + 1
+            records = tuple(Append((Entry(self.last + 1 + step, 1, "put"),)) for step in range(event.many))
+            self.last += event.many
+            return [Store(self.tickets, records)]
+        self.answers.append(event)
+        if isinstance(event, Stored):
+            return [Note(f"kept {event.ticket}")]
+        if isinstance(event, StoreFailed):
+            self.last = min(self.last, self.batches[event.ticket] - 1)
+            return [Note(f"refused {event.ticket} {event.why}")]
+        raise TypeError(event)
+
+
+class Ask(Message, frozen=True, tag="toy.ask"):
+    pass
+
+
+class Vote(Message, frozen=True, tag="toy.vote"):
+    yes: bool
+
+
+class Outcome(Message, frozen=True, tag="toy.outcome"):
+    yes: bool
+
+
+class Voter:
+    """Two phases: `a` asks, all vote, `a` decides. `bug` plants one: see the test for what each does."""
+
+    def __init__(self, name: str, held: Held, bug: str = "", no: str = "c") -> None:
+        self.name, self.bug, self.no = name, bug, no
+        self.yes: set[str] = set()
+        self.votes = 0
+        self.decided = ""
+        self.voted = held.ballot.vote
+        self.asked = ""
+
+    def digest(self) -> Any:
+        return (tuple(sorted(self.yes)), self.votes, self.decided, self.voted, self.asked)
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        if isinstance(event, Started):
+            return [Tell(to, Ask(), Carrier.DATAGRAM) for to in ("b", "c")] + [SetTimer(now + 100, 1)] \
+                if self.name == "a" else []
+        if isinstance(event, TimerFired):
+            return self._decide(self.bug == "late means yes")
+        if isinstance(event, Stored):
+            return [Tell("a", Vote(True), Carrier.DATAGRAM)]
+        if isinstance(event.message, Ask):
+            return self._asked()
+        if isinstance(event.message, Vote):
+            return self._voted(event.sender, event.message.yes)
+        return self._told(event.message.yes)
+
+    def _asked(self) -> list[Any]:
+        if self.asked:
+            return []
+        self.asked = "asked"
+        if self.name == self.no:
+            return [Tell("a", Vote(False), Carrier.DATAGRAM), Note("votes no")]
+        return [Note("votes yes"), Store(1, (Ballot(1, "yes"),))]
+
+    def _voted(self, sender: str, yes: bool) -> list[Any]:
+        if not yes:
+            return self._decide(False)
+        self.yes.add(sender)
+        self.votes += 1
+        enough = self.votes >= 2 if self.bug == "counts votes" else len(self.yes) == 2
+        return self._decide(True) if enough else []
+
+    def _decide(self, yes: bool) -> list[Any]:
+        if self.decided:
+            return []
+        self.decided = "yes" if yes else "no"
+        return [Note(f"decides {self.decided}"), *(Tell(to, Outcome(yes)) for to in ("b", "c"))]
+
+    def _told(self, yes: bool) -> list[Any]:
+        if self.decided:
+            return []
+        self.decided = "yes" if yes else "no"
+        return [Note(f"did {self.decided}")]
