--- a/limenotch/lab/fleet/world.py
+++ b/limenotch/lab/fleet/world.py
@@ -40,6 +40,7 @@
 
 Make = Callable[[str, int, int, Held], Any]  # name, seed, life, held: a part
 PORT = 7000
+_MASK = (1 << 64) - 1
 MOST_BUFFERED = 256  # datagrams that wait in a paused process's socket; later ones are dropped
 
 
@@ -78,8 +79,9 @@
 class Node:
     """One name: the process that runs under it now, if one does, its clocks, its disk, its socket's buffer."""
 
-    def __init__(self, name: str, disk: SimulatedDisk, ahead: float, rate: float) -> None:
+    def __init__(self, name: str, number: int, disk: SimulatedDisk, ahead: float, rate: float) -> None:
         self.name = name
+        self.number = number
         self.address = address(name)
         self.disk = disk
         self.part: Any = None  # None: no process
@@ -136,7 +138,7 @@
             rate = 1 + random.uniform(-drift_ppm, drift_ppm) * 1e-6
             disk = SimulatedDisk(self.kernel, lambda event, name=name: self.poke(name, event), fsync_ms,  # type: ignore[misc]
                                  f"{seed} disk {name}")
-            self.nodes[name] = Node(name, disk, float(random.randrange(1_000_000)), rate)
+            self.nodes[name] = Node(name, len(self.nodes), disk, float(random.randrange(1_000_000)), rate)
             if name in absent:
                 self.weather.dead.add(name)
             else:
@@ -275,7 +277,9 @@
     # Events and actions
 
     def _handle(self, node: Node, event: Any) -> None:
-        now = node.ahead + self.kernel.now * node.rate
+        at = self.kernel.now
+        self._history = (self._history * 1_000_003 + int(at * 1000) + node.number) & _MASK
+        now = node.ahead + at * node.rate
         if now > node.now:
             node.now = now
         if self.watch is not None:
@@ -316,7 +320,7 @@
             both[1] += size
         else:
             traffic.by_tag[tag] = [1, size]
-        self._history = crc32(encoded, (self._history ^ int(kernel.now * 1000)) & 0xFFFFFFFF)
+        self._history ^= crc32(encoded)
         heard = Heard(node.address, frm, message, carrier)
         if carrier is Carrier.STREAM:
             self._streams.send(frm, to, heard)
