--- a/limenotch/lab/fleet/world.py
+++ b/limenotch/lab/fleet/world.py
@@ -66,14 +66,19 @@
 
 
 class Traffic:
-    """What one node has sent, by carrier; bytes are of the message alone, without frame, UDP or TCP."""
+    """What one node has sent, all its lives together; bytes are of messages alone, without frame, UDP or TCP."""
 
-    __slots__ = ("messages", "bytes", "by_tag")
+    __slots__ = ("messages", "bytes", "by_type")
 
     def __init__(self) -> None:
         self.messages = 0
         self.bytes = 0
-        self.by_tag: dict[str, list[int]] = {}  # the message's class: how many, bytes
+        self.by_type: dict[type, list[int]] = {}  # how many, bytes
+
+    @property
+    def by_tag(self) -> dict[str, list[int]]:
+        """How many and bytes, by the messages' tags: `mb.ping`, ... so that layers can be told apart."""
+        return {str(kind.__struct_config__.tag): both for kind, both in self.by_type.items()}  # type: ignore[attr-defined]
 
 
 class Node:
@@ -313,13 +318,11 @@
         size, traffic = len(encoded), node.traffic
         traffic.messages += 1
         traffic.bytes += size
-        tag = type(message).__name__
-        if tag in traffic.by_tag:
-            both = traffic.by_tag[tag]
-            both[0] += 1
-            both[1] += size
-        else:
-            traffic.by_tag[tag] = [1, size]
+        both = traffic.by_type.get(type(message))
+        if both is None:
+            both = traffic.by_type[type(message)] = [0, 0]
+        both[0] += 1
+        both[1] += size
         self._history ^= crc32(encoded)
         heard = Heard(node.address, frm, message, carrier)
         if carrier is Carrier.STREAM:
--- a/tests/fleet/test_drawing.py
+++ b/tests/fleet/test_drawing.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from pathlib import Path
+from textwrap import dedent
 
 import pytest
 from hypothesis import given, settings
@@ -207,6 +209,17 @@
         check(read(TEXT.replace("start c", "heal   ")), listeners("a", "b", "c"))
 
 
+def test_the_page_holds_what_it_says() -> None:
+    page = (Path(__file__).parents[2] / "docs" / "fleet" / "lab.md").read_text(encoding="utf-8")
+    block = page.split("## How to write a drawing\n\n")[1].split("\n\n- ")[0]
+    check(read(dedent(block), "the page"), listeners("a", "b", "c"))
+    table = page.split("| words | meaning | simulated |\n| --- | --- | --- |\n")[1].split("\n\n")[0]
+    first = [re.split(r" \| ", row)[0].replace("\\|", "|") for row in table.splitlines()]
+    words = [word for cell in first for word in re.findall(r"`(.*?)`", cell)]
+    whole = [word for word in words if word not in ("read-only", "-250ms")]
+    assert len(whole) == 22 and all(str(parse(word)) == word for word in whole)
+
+
 def test_asking_in_a_scenario() -> None:
     scenario = read("nodes: a b\nshow: hello\nms    a               b      faults\n"
                     "10    hello there            ask a hello there\n")
--- a/tests/fleet/test_world.py
+++ b/tests/fleet/test_world.py
@@ -52,7 +52,9 @@
     made = world()
     assert not made.seen and not made.counts
     assert numbers(made, "a", "b") == list(range(1, 51))
-    assert made.bytes_per_second() == pytest.approx(made.nodes["a"].traffic.bytes / 5, rel=0.01)
+    traffic = made.nodes["a"].traffic
+    assert traffic.by_tag == {"toy.beat": [traffic.messages, traffic.bytes]} and traffic.messages == 102
+    assert made.bytes_per_second() == pytest.approx(traffic.bytes / 5)
 
 
 def test_a_one_way_cut_is_one_way() -> None:
