--- a/tests/fleet/test_explore.py
+++ b/tests/fleet/test_explore.py
@@ -69,7 +69,7 @@
 
 
 class Order:
-    """`a` says 1, 2 to b, who says when 2 came first."""
+    """`a` says 2, then 1 to b, who says when 1 came first."""
 
     def __init__(self, name: str, carrier: Carrier) -> None:
         self.name, self.carrier = name, carrier
@@ -77,10 +77,10 @@
 
     def handle(self, now: float, event: Any) -> list[Any]:
         if isinstance(event, Started) and self.name == "a":
-            return [Tell("b", Beat(number), self.carrier) for number in (1, 2)]
+            return [Tell("b", Beat(number), self.carrier) for number in (2, 1)]
         if isinstance(event, Heard):
             self.heard.append(event.message.number)  # type: ignore[attr-defined]
-            return [Note("wrong order")] if self.heard == [2, 1] else []
+            return [Note("wrong order")] if self.heard == [1, 2] else []
         return []
 
 
--- a/tests/fleet/test_world.py
+++ b/tests/fleet/test_world.py
@@ -70,9 +70,10 @@
 
 
 def test_who_is_mute_hears_on() -> None:
-    made = world((1000, "mute a"), until=2000)
-    assert {(node, text) for _, node, text in said(made)} == {("b", "suspects a"), ("c", "suspects a")}
-    assert numbers(made, "a", "b") == list(range(1, 21))
+    made = world((1000, "mute a"), (2000, "heal"), until=2100)
+    assert said(made) == [(1300, "b", "suspects a"), (1300, "c", "suspects a"), (2001, "b", "a back"),
+                          (2001, "c", "a back")]
+    assert numbers(made, "a", "b") == list(range(1, 22))
 
 
 def test_a_paused_node_gets_its_timers_late_and_what_it_heard_after_them() -> None:
@@ -115,6 +116,24 @@
         assert fired == [1, 4, 3, 2, 0]
 
 
+def test_no_timer_is_early_by_the_last_digit_of_a_float() -> None:
+    early: list[float] = []
+
+    class Timers:
+        def handle(self, now: float, event: Any) -> list[Any]:
+            if isinstance(event, Started):
+                self.due = [now + token * 7.3 for token in range(500)]
+                return [SetTimer(at, token) for token, at in enumerate(self.due)]
+            early.extend(one for one in [self.due[event.token] - now] if one > 0)
+            return []
+
+    made = World("abc", lambda *_: Timers())
+    for node in made.nodes.values():
+        node.ahead = 0.0  # a clock that starts far on hides that digit
+    made.run(5000)
+    assert not early
+
+
 def test_a_killed_process_is_gone_with_its_timers_and_its_next_life_is_another() -> None:
     lives: list[tuple[int, int]] = []
 
@@ -130,7 +149,11 @@
     assert not made.alive("c") and made.part("c") is None and made.counts["no process"] > 0
     made.run(3000)
     assert [life for life, _ in lives] == [1, 2] and lives[0][1] != lives[1][1]
-    assert made.part("c").beats == 11  # none of the first life's timers
+    assert made.part("c").beats == 11
+    for at, text in ((3050, "kill c"), (3060, "start c")):
+        made.at(at, parse(text))
+    made.run(3300)
+    assert made.part("c").beats == 3  # the timer that the life before had set for 3100 is none of its own
     with pytest.raises(ValueError, match="runs already"):
         made.start("c")
 
@@ -298,6 +321,11 @@
     assert during == ({1, 2, 3} if state == "torn" else {1})
 
 
+def test_a_write_of_before_a_kill_answers_nobody() -> None:
+    made = keeper((15.0, "kill a"), (16.0, "start a"), puts=[(12.0, Put()), (18.0, Put())])
+    assert said(made)[2:] == [(28, "a", "kept 1")]
+
+
 def test_a_slow_disk_is_slow() -> None:
     made = keeper((0.0, "disk a slow 300"), puts=[(10.0, Put())])
     assert said(made)[-1] == (310, "a", "kept 1")
