--- /dev/null
+++ b/limenotch/lab/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Many sidecars under faults: simulated time, relays and processes, drawings, checkers."""
