--- a/limenotch/lab/emulate/sidecars.py
+++ b/limenotch/lab/emulate/sidecars.py
@@ -45,21 +45,33 @@
     def log(self) -> Path:
         return self._folder / f"{self.name}.log"
 
+    def place(self) -> int:
+        """The port to listen on; asked again should somebody else have it by now."""
+        return free_port()
+
+    def command(self) -> list[str]:
+        """Of the process, behind the interpreter."""
+        return ["-m", "limenotch", "serve", "--log", self._log_form]
+
+    def environment(self) -> dict[str, str]:
+        """What is set beside the configuration."""
+        return {}
+
     def spawn(self) -> None:
         """Start it on a port that is free now."""
-        self.port = free_port()
+        self.port = self.place()
         self._config["listen"] = f"127.0.0.1:{self.port}"
         config = self._folder / f"{self.name}.json"
         config.write_text(json.dumps(self._config), encoding="utf-8")
         environ = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
-        environ.update(LB_CONFIG=str(config), PYTHONUNBUFFERED="1")
+        environ.update(LB_CONFIG=str(config), PYTHONUNBUFFERED="1", **self.environment())
         root = str(Path(__file__).resolve().parents[3])
         environ["PYTHONPATH"] = os.pathsep.join(part for part in (root, environ.get("PYTHONPATH")) if part)
         with self.log.open("ab") as log:
             # A group of its own: Ctrl-C at the terminal is for the rehearsal, which then ends its sidecars.
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "limenotch", "serve", "--log", self._log_form], env=environ, stdout=log,
-                stderr=log, stdin=subprocess.DEVNULL, start_new_session=True,
+                [sys.executable, *self.command()], env=environ, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                start_new_session=True,
             )
 
     async def ready(self) -> None:
--- a/limenotch/lab/fleet/__init__.py
+++ b/limenotch/lab/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""Many sidecars under faults: simulated time, relays and processes, drawings, checkers."""
+"""Many sidecars at once: simulated time with faults, and drawings of what is to be seen. See docs/fleet/lab.md."""
--- /dev/null
+++ b/limenotch/lab/fleet/trial.py
@@ -0,0 +1,93 @@
+"""The four rules where sidecars are stopped and killed by faults: what is then owed, and what still is not allowed.
+
+- A call that was with a sidecar at some moment of its stop is owed no answer. It stays known: an attempt that the
+  sidecar makes after it woke is no breach by itself (it read the call before it read that its consumer had left), but
+  a second one must still be allowed by the call's class.
+- A stopped sidecar is told of a drain when it wakes.
+- Calls of one that is killed are owed nothing; `Rules.lost` is told by the consumer, whose connection breaks.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from typing import Any
+
+from ..model.rules import Limits, Rules
+
+
+class Trial(Rules):
+    """Memory follows the calls of a run that were excused, which are few and short."""
+
+    def __init__(self, limits: Limits | None = None) -> None:
+        super().__init__(limits)
+        self.excused = 0
+        self._next: Hashable | None = None
+        self._via: dict[Hashable, tuple[Hashable, float]] = {}  # call: its sidecar, and when it was taken
+        self._paused: dict[Hashable, float] = {}  # sidecar: since when
+        self._woke: dict[Hashable, float] = {}  # sidecar: when it last did
+        self._kept: dict[Hashable, Any] = {}  # excused calls, with their attempts
+
+    def next_goes_to(self, sidecar: Hashable) -> None:
+        """The call that is taken next is this sidecar's."""
+        self._next = sidecar
+
+    def paused(self, now: float, sidecar: Hashable) -> None:
+        self._paused.setdefault(sidecar, now)
+
+    def woke(self, now: float, sidecar: Hashable) -> None:
+        since = self._paused.pop(sidecar, None)
+        if since is None:
+            return
+        self._woke[sidecar] = now
+        for key, at in self._told.items():
+            if key[0] == sidecar and at >= since - self.limits.grace_ms:
+                self._told[key] = now
+
+    def died(self, sidecar: Hashable) -> None:
+        self._paused.pop(sidecar, None)
+        self._woke.pop(sidecar, None)
+        self.forget(sidecar)
+
+    def taken(self, now: float, call: Hashable, effect: str, scope: str, window_ms: float, end: float) -> None:
+        super().taken(now, call, effect, scope, window_ms, end)
+        if self._next is not None:
+            self._via[call] = (self._next, now)
+            self._next = None
+
+    def sent(self, now: float, call: Hashable, sidecar: Hashable, provider: str, group: int) -> int:
+        if call not in self._calls and call in self._kept:
+            self._past[call] = self._kept[call]
+        return super().sent(now, call, sidecar, provider, group)
+
+    def ended(self, now: float, call: Hashable, attempt: int, outcome: str, ran: bool) -> None:
+        kept = self._kept.get(call)
+        if call not in self._calls and kept is not None and attempt < len(kept.attempts):
+            kept.attempts[attempt].over, kept.attempts[attempt].ran = True, ran
+        super().ended(now, call, attempt, outcome, ran)
+
+    def answered(self, now: float, call: Hashable, verdict: str) -> None:
+        held = self._calls.get(call)
+        if held is not None and self._was_stopped(call):
+            held.left = True  # late or not, it came
+        super().answered(now, call, verdict)
+        self._via.pop(call, None)
+
+    def departed(self, now: float, call: Hashable) -> None:
+        held = self._calls.get(call)
+        if held is None or held.answered or not self._was_stopped(call):
+            super().departed(now, call)
+        else:
+            held.note(now, "its consumer left; its sidecar had been stopped")
+            held.left = held.answered = True
+            self._kept[call] = held
+            self.excused += 1
+            self._drop(now, call, held)
+        self._via.pop(call, None)
+
+    def lost(self, call: Hashable) -> None:
+        super().lost(call)
+        self._via.pop(call, None)
+
+    def _was_stopped(self, call: Hashable) -> bool:
+        sidecar, taken = self._via.get(call, (None, 0.0))
+        return sidecar in self._paused or self._woke.get(sidecar, -1.0) >= taken
--- /dev/null
+++ b/tests/fleet/test_processes.py
@@ -0,0 +1,352 @@
+"""Processes under faults: their notes, ends and disks; and one run of plain sidecars, by the rules for calls."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import json
+import os
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any, NamedTuple
+
+import pytest
+
+from limenotch.fleet.contract import Carrier
+from limenotch.lab import scenario
+from limenotch.lab.fleet import node as node_module
+from limenotch.lab.fleet.faulty import FaultyFiles, Wish, Wishes, ask_for, read_wish
+from limenotch.lab.fleet.processes import NodeProcess, NotReachedError, Processes, Seen, Tail, fleet_table
+from limenotch.lab.fleet.stage import Outcome, Stage
+from limenotch.lab.fleet.trial import Trial
+from limenotch.lab.model.rules import DRAINS, ONE_ANSWER, REPEATS
+from limenotch.toml import decode_table
+
+TOY = """
+import http.server, json, os, pathlib, sys, threading, time
+config = json.load(open(os.environ["LB_CONFIG"]))
+data = pathlib.Path(os.environ["TMPDIR"]).parent / "data"
+data.mkdir(exist_ok=True)
+lives = len(list(data.iterdir()))
+(data / str(lives)).touch()
+def note(text, **fields):
+    print(json.dumps({"event": text, "fleet": True, "mono_ms": time.monotonic() * 1000, "level": "info", **fields}),
+          flush=True)
+class Answer(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    def do_GET(self):
+        self.send_response(200)
+        body = json.dumps({"lives": lives, "name": config["name"]}).encode()
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+    def log_message(self, *about):
+        pass
+for key in ("listen", "admin_addr"):
+    host, port = config[key].split(":")
+    threading.Thread(target=http.server.ThreadingHTTPServer((host, int(port)), Answer).serve_forever).start()
+print("no JSON")
+note("life", number=lives)
+"""
+
+
+def run(case: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(asyncio.wait_for(case, 60))
+
+
+class Toy(NodeProcess):
+    """A child that answers at both addresses, logs one note, and leaves a file in its data for each of its lives."""
+
+    def __init__(self, name: str, folder: Path) -> None:
+        super().__init__(name, folder, {}, 1, 1, {})
+
+    def command(self) -> list[str]:
+        return ["-c", TOY]
+
+
+def test_a_node_is_paused_killed_wiped_and_started_again_at_its_addresses(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with Processes() as processes:
+            a, b = (processes.add(Toy(name, tmp_path)) for name in "ab")
+            before = time.monotonic() * 1000
+            await processes.start()
+            await processes.until_all(lambda name, state: state == {"lives": 0, "name": name}, 10, "first lives")
+            await processes.until_seen("life", "ab", 10)
+            seen = processes.seen()
+            assert [(s.text, s.fields) for s in seen] == [("life", {"number": 0})] * 2
+            assert before < seen[0].at_ms <= seen[1].at_ms < time.monotonic() * 1000
+            assert {s.node for s in seen} == {"a", "b"} and a.tail.foreign == 1
+            ports = a.port, a.admin
+            a.pause()
+            assert stopped(a) and a.paused
+            a.wake()
+            await processes.until(lambda: not stopped(a), 10, "a goes on")
+            a.kill()
+            assert not a.alive and await a.state() is None and not a.crashed
+            await processes.start("a")
+            assert (a.port, a.admin) == ports
+            await processes.until_all(lambda name, state: state["lives"] == (name == "a"), 10, "a's second life")
+            a.pause()
+            a.wipe()
+            assert not a.data.exists() and not a.alive
+            await processes.start("a")
+            await processes.until_all(lambda name, state: state["lives"] == 0, 10, "it knows nothing of before")
+            with pytest.raises(RuntimeError, match="a is there already"):
+                a.spawn()
+            with pytest.raises(NotReachedError, match='not reached: pigs fly.*"lives": 0'):
+                await processes.until_all(lambda name, state: False, 0.05, "pigs fly")
+            b.pause()
+            raise KeyError("whatever happened in the block")
+
+    with pytest.raises(KeyError):
+        run(case())
+    assert not children()
+
+
+def stopped(node: NodeProcess) -> bool:
+    assert node.process is not None
+    return Path(f"/proc/{node.process.pid}/stat").read_text().rpartition(")")[2].split()[0] in "Tt"
+
+
+def children() -> list[str]:
+    return Path(f"/proc/{os.getpid()}/task/{os.getpid()}/children").read_text().split()
+
+
+def test_a_note_in_two_pieces_and_lines_that_are_none(tmp_path: Path) -> None:
+    path = tmp_path / "log"
+    tail = Tail("n", path)
+    assert tail.read() == []
+    whole = json.dumps({"event": "b dead", "fleet": True, "mono_ms": 5, "sidecar": "n", "level": "info", "after": 3})
+    seen = Seen(5.0, "n", "b dead", {"after": 3})
+    with path.open("w") as log:
+        for piece, expected in ((whole[:20], []), (whole[20:] + "\n" + whole[:9], [seen]),
+                                (whole[9:] + "\n[1]\n{\n\n", [seen]),
+                                ('{"event": "listening"}\n{"fleet": true, "event": "x"}\n', [])):
+            log.write(piece)
+            log.flush()
+            assert tail.read() == expected
+    assert tail.foreign == 3
+
+
+def test_the_table_is_toml() -> None:
+    table = decode_table(fleet_table("127.0.0.1:1", {"b": "127.64.1.2:3"}, {"group": "g", "seeds": ["h:1"]}), "t")
+    assert table == {"fleet": {"listen": "127.0.0.1:1", "group": "g", "seeds": ["h:1"],
+                               "addresses": {"b": "127.64.1.2:3"}}}
+
+
+class Folder:
+    """Files of a folder, as short as can be."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        folder.mkdir(exist_ok=True)
+
+    def open_append(self, name: str) -> int:
+        return os.open(self.folder / name, os.O_WRONLY | os.O_APPEND)
+
+    def write(self, handle: int, data: bytes) -> None:
+        os.write(handle, data)
+
+    def sync(self, handle: int) -> None:
+        os.fsync(handle)
+
+    def close(self, handle: int) -> None:
+        os.close(handle)
+
+    def read(self, name: str) -> bytes:
+        return (self.folder / name).read_bytes()
+
+    def replace(self, name: str, data: bytes) -> None:
+        (self.folder / name).write_bytes(data)
+
+    def remove(self, name: str) -> None:
+        (self.folder / name).unlink()
+
+    def names(self) -> list[str]:
+        return sorted(os.listdir(self.folder))
+
+    def truncate(self, name: str, size: int) -> None:
+        os.truncate(self.folder / name, size)
+
+
+def test_a_disk_is_full_torn_read_only_and_slow_as_wished(tmp_path: Path) -> None:
+    module = SimpleNamespace(RealFiles=Folder)
+    node_module.spoil_disks(module)
+    files = module.RealFiles(tmp_path / "data")
+    assert isinstance(files, FaultyFiles)
+    waited: list[float] = []
+    files._wait = waited.append
+    wishes = tmp_path / "faults"
+    files.replace("log", b"")
+    handle = files.open_append("log")
+    files.write(handle, b"one.")
+
+    def fails(number: int, do: Any, *about: Any) -> None:
+        with pytest.raises(OSError) as caught:
+            do(*about)
+        assert caught.value.errno == number
+
+    ask_for(wishes, Wish("full"))
+    fails(errno.ENOSPC, files.write, handle, b"full")
+    fails(errno.ENOSPC, files.replace, "log", b"")
+    files.sync(handle)
+    ask_for(wishes, Wish("torn"))
+    fails(errno.EIO, files.write, handle, b"torn")
+    fails(errno.EIO, files.sync, handle)
+    fails(errno.EIO, files.truncate, "log", 0)
+    assert files.read("log") == b"one.futo"
+    ask_for(wishes, Wish("read-only"))
+    for do, about in ((files.open_append, ("log",)), (files.write, (handle, b"x")), (files.replace, ("log", b"")),
+                      (files.remove, ("log",)), (files.truncate, ("log", 0)), (files.sync, (handle,))):
+        fails(errno.EROFS, do, *about)
+    assert files.names() == ["log"] and not waited
+    ask_for(wishes, Wish("slow", 300.0))
+    files.write(handle, b"!")
+    files.sync(handle)
+    assert waited == [300.0] and files.failed == {"full": 2, "slow": 1, "torn": 3, "read-only": 6}
+    wishes.unlink()
+    files.truncate("log", 4)
+    files.close(handle)
+    files.remove("log")
+    assert files.names() == [] and len(waited) == 1
+    for text in ("disk", "disk slow", "disk slow -1", "disk slow 1e9", "disk wet", "clock", "clock ten", "moon full"):
+        with pytest.raises(ValueError):
+            read_wish(text)
+
+
+def test_a_wall_clock_is_set_apart(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    for name in ("time", "time_ns"):
+        monkeypatch.setattr(time, name, getattr(time, name))
+    real = time.time
+    node_module.set_apart(Wishes(tmp_path / "faults"))
+    assert abs(time.time() - real()) < 60
+    ask_for(tmp_path / "faults", Wish(clock_s=-3600.0))
+    assert -3660 < time.time() - real() < -3540 and -3660 < time.time_ns() / 1e9 - real() < -3540
+
+
+# The rules for calls, where a sidecar was stopped
+
+
+def test_who_was_stopped_owes_no_answer_and_everybody_else_does() -> None:
+    trial = Trial()
+    trial.next_goes_to("b")
+    trial.taken(0.0, "with b", "at_most_once", "all", 0.0, 100.0)
+    trial.next_goes_to("a")
+    trial.taken(0.0, "with a", "idempotent", "all", 0.0, 100.0)
+    trial.told(5.0, "b", "p", "draining")
+    trial.paused(10.0, "b")
+    trial.told(20.0, "b", "q", "draining")
+    for call in ("with a", "with b"):
+        trial.departed(100.0, call)
+    assert trial.counts[ONE_ANSWER] == trial.excused == 1
+    trial.woke(1000.0, "b")
+    first = trial.sent(1001.0, "with b", "b", "q", 0)  # it was told of the drain just now
+    assert trial.kept is False and trial.counts[ONE_ANSWER] == 1 and trial.counts[DRAINS] == 0
+    trial.ended(1002.0, "with b", first, "refused", False)
+    trial.sent(1003.0, "with b", "b", "r", 0)
+    assert trial.counts[REPEATS] == 0
+    trial.sent(1004.0, "with b", "b", "r", 0)  # the attempt before may have run
+    assert trial.counts[REPEATS] == 1
+    trial.next_goes_to("b")
+    trial.taken(1500.0, "later", "idempotent", "all", 0.0, 1600.0)
+    trial.sent(1501.0, "later", "b", "q", 0)
+    assert trial.counts[DRAINS] == 1
+    trial.departed(1600.0, "later")
+    assert trial.counts[ONE_ANSWER] == 2 and trial.excused == 1
+
+
+TRAFFIC = """
+name = "stage"
+length_s = 3
+[sidecars]
+count = 3
+[clients]
+rate_per_s = 60
+[network]
+zones = ["z1", "z2", "z3"]
+same_ms = 0.01
+cross_ms = [0.01, 0.02]
+[[tier]]
+name = "only"
+providers = 6
+[[tier.kind]]
+name = "k"
+slots = 4
+queue = 4
+[[class]]
+name = "free"
+work_ms = 2
+aim_ms = 300
+deadline_ms = 600
+[[class]]
+name = "keyed"
+share = 0.3
+work_ms = 2
+aim_ms = 300
+deadline_ms = 600
+effect = "deduplicated"
+window_s = 2
+[[class]]
+name = "once"
+share = 0.3
+work_ms = 2
+aim_ms = 300
+deadline_ms = 600
+effect = "at_most_once"
+"""
+
+
+class Drawn(NamedTuple):
+    nodes: tuple[str, ...]
+    faults: tuple[tuple[int, str], ...]
+    ends: int = 3000
+    later: tuple[str, ...] = ()
+
+
+class Fair:
+    """Weather that only takes note."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def apply(self, fault: Any) -> None:
+        self.told.append(str(fault))
+
+    def fate(self, now_ms: float, frm: str, to: str, carrier: Carrier) -> list[float]:
+        return [0.0]
+
+    def is_cut(self, frm: str, to: str) -> bool:
+        return False
+
+
+def test_sidecars_killed_and_stopped_while_consumers_call(tmp_path: Path) -> None:
+    plan = scenario.plan(scenario.parse(TRAFFIC, "stage"), 3)
+    faults = ((500, "kill b"), (700, "pause c"), (1200, "start b"), (1700, "wake c"))
+    weather = Fair()
+
+    async def case() -> Outcome:
+        stage = Stage(plan, tmp_path, Drawn(("a", "b", "c"), faults), weather)
+        try:
+            return await stage.perform()
+        finally:
+            await stage.close()
+
+    outcome = asyncio.run(asyncio.wait_for(case(), 60)).check()
+    assert weather.told == [fault for _, fault in faults] and not children()
+    assert all(0 <= came - at < 500 for came, (at, _) in zip(outcome.happened, faults, strict=True))
+    # c was stopped for a second, with a third of the calls, each waited for 600 ms.
+    assert 5 < outcome.excused < 40 and outcome.calls["timed out"] == outcome.excused
+    assert outcome.calls["served"] > 110 and not outcome.crashed
+    logs = [json.loads(line) for line in (tmp_path / "b" / "b.log").read_text().splitlines()]
+    assert sum(line["event"] == "listening" for line in logs) == 2
+
+
+def test_what_the_stage_does_not_take(tmp_path: Path) -> None:
+    plan = scenario.plan(scenario.parse(TRAFFIC, "stage"), 3)
+    with pytest.raises(ValueError, match="3 entry sidecars for 1"):
+        Stage(plan, tmp_path, Drawn(("a",), ()), Fair())
+    for fault, says in (("ask a x", "nobody answers"), ("disk a full", "no disk that fails")):
+        with pytest.raises(ValueError, match=says):
+            Stage(plan, tmp_path, Drawn(("a", "b", "c"), ((1, fault),)), Fair())
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -107,7 +107,7 @@
         self.there = await self.met.get()
         self.streams += [self.here, self.there]
 
-    async def __aexit__(self, *_: object) -> None:
+    async def __aexit__(self, *about: object) -> None:
         self.relay.close()
         for _, writer in self.streams:
             writer.close()
