--- a/limenotch/lab/fleet/processes.py
+++ b/limenotch/lab/fleet/processes.py
@@ -135,8 +135,10 @@
     # What befalls it. Each may be told at any time, and does nothing to a process that is not there.
 
     def pause(self) -> None:
-        if self.alive:
+        """SIGSTOP, and until it has stopped: the kernel may let it run on for a moment."""
+        if self.process is not None and self.alive:
             self._signal(signal.SIGSTOP)
+            os.waitid(os.P_PID, self.process.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
             self.paused = True
 
     def wake(self) -> None:
