--- a/limenotch/lab/fleet/processes.py
+++ b/limenotch/lab/fleet/processes.py
@@ -282,8 +282,11 @@
 
 
 def fleet_table(listen: str, addresses: dict[str, str], more: dict[str, Any] | None = None) -> str:
-    """The `[fleet]` table as TOML text: its own address, where it finds the others, and other keys of the table."""
-    lines = ["[fleet]", f"listen = {json.dumps(listen)}"]
-    lines += [f"{key} = {json.dumps(value)}" for key, value in (more or {}).items()]
-    lines += ["", "[fleet.addresses]", *(f"{json.dumps(name)} = {json.dumps(at)}" for name, at in addresses.items())]
-    return os.linesep.join(lines) + os.linesep
+    """The `[fleet]` table as TOML text: its own address, where it finds the others, and other keys and tables."""
+    keys: dict[str, Any] = {"listen": listen, **(more or {}), "addresses": addresses}
+    plain = {key: value for key, value in keys.items() if not isinstance(value, dict)}
+    lines = ["[fleet]", *(f"{key} = {json.dumps(value)}" for key, value in plain.items())]
+    for key, table in keys.items():
+        if isinstance(table, dict):
+            lines += ["", f"[fleet.{key}]", *(f"{json.dumps(name)} = {json.dumps(at)}" for name, at in table.items())]
+    return "\n".join(lines) + "\n"
--- a/limenotch/lab/fleet/stage.py
+++ b/limenotch/lab/fleet/stage.py
@@ -2,7 +2,8 @@
 
 Nodes are the entry sidecars, in the order of the drawing's columns. Providers answer and consumers call throughout; at
 the end there are two verdicts of the same run: the drawing as a partial order with its window (`compare`), and the four
-rules for calls (`Trial`). A drawing's time 0 is when every node that is there from the start is ready.
+rules for calls (`Trial`). A drawing's time 0 is when every node that is there from the start is ready, and whatever
+`settled` waits for holds.
 
 What a fault means here, by its first word: `kill` is kill -9, `wipe` that with the disk removed, `pause` SIGSTOP,
 `wake` SIGCONT, `leave` SIGTERM, `start` the same node at its own addresses; `disk` and `clock` go into the file that
@@ -36,6 +37,7 @@
 Seen = tuple[float, str, str]  # ms of the drawing's time, node, text
 Fleet = Callable[["Stage", NodeProcess], str]  # the settings file's text of a node that is to start
 Asked = Callable[[NodeProcess, str], Awaitable[None]]  # the node, the words of `ask`
+Settled = Callable[[Processes], Awaitable[None]]  # waits for what holds before a drawing begins
 
 
 class Drawing(Protocol):
@@ -178,9 +180,14 @@
 
     # The run
 
-    async def perform(self) -> Outcome:
-        """From the start of all to the last answer. Raises SidecarError, TooLargeError, RelayError."""
+    async def perform(self, settled: Settled | None = None) -> Outcome:
+        """From the start of all to the last answer; the drawing's time 0 is when `settled`, if given, has ended.
+
+        Raises SidecarError, TooLargeError, RelayError, and what `settled` raises.
+        """
         await self.start()
+        if settled is not None:
+            await settled(self.processes)
         playing = asyncio.get_running_loop().create_task(self._play())
         try:
             record = await self.run()
@@ -266,14 +273,17 @@
                 self.relay.close()
 
 
-def together(names: Sequence[str], key_file: Path, voters: Sequence[str] = ()) -> Fleet:
-    """Settings that make the stage's nodes one fleet, each finding the others through the relay."""
+def together(names: Sequence[str], key_file: Path, voters: Sequence[str] = (), **tables: dict[str, Any]) -> Fleet:
+    """Settings that make the stage's nodes one fleet, each finding the others through the relay.
+
+    `tables`: of the parts, `membership={"period_ms": 300.0}`.
+    """
     def text(stage: Stage, node: NodeProcess) -> str:
         assert stage.relay is not None
         addresses = stage.relay.addresses(node.name)
         more: dict[str, Any] = {"group": "stage", "key_file": str(key_file), "voters": list(voters),
                                 "seeds": [addresses[name] for name in names if name in addresses],
-                                "folder": str(node.data)}
+                                "folder": str(node.data), **tables}
         return fleet_table(f"127.0.0.1:{stage.ports[node.name]}", addresses, more)
 
     return text
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -131,9 +131,10 @@
 
 
 def test_the_table_is_toml() -> None:
-    table = decode_table(fleet_table("127.0.0.1:1", {"b": "127.64.1.2:3"}, {"group": "g", "seeds": ["h:1"]}), "t")
+    more = {"group": "g", "membership": {"period_ms": 300.0}, "seeds": ["h:1"]}
+    table = decode_table(fleet_table("127.0.0.1:1", {"b": "127.64.1.2:3"}, more), "t")
     assert table == {"fleet": {"listen": "127.0.0.1:1", "group": "g", "seeds": ["h:1"],
-                               "addresses": {"b": "127.64.1.2:3"}}}
+                               "membership": {"period_ms": 300.0}, "addresses": {"b": "127.64.1.2:3"}}}
 
 
 class Folder:
