--- a/limenotch/lab/fleet/trial.py
+++ b/limenotch/lab/fleet/trial.py
@@ -4,6 +4,7 @@
   sidecar makes after it woke is no breach by itself (it read the call before it read that its consumer had left), but
   a second one must still be allowed by the call's class.
 - A stopped sidecar is told of a drain when it wakes.
+- A call is known for OVER_MS after its end, and what the host's loop was late by is not held against an attempt.
 - Calls of one that is killed are owed nothing; `Rules.lost` is told by the consumer, whose connection breaks.
 """
 
@@ -14,6 +15,8 @@
 
 from ..model.rules import Limits, Rules
 
+OVER_MS = 2000.0
+
 
 class Trial(Rules):
     """Memory follows the calls of a run that were excused, which are few and short."""
@@ -26,6 +29,7 @@
         self._paused: dict[Hashable, float] = {}  # sidecar: since when
         self._woke: dict[Hashable, float] = {}  # sidecar: when it last did
         self._kept: dict[Hashable, Any] = {}  # excused calls, with their attempts
+        self._over: dict[Hashable, tuple[float, Any]] = {}  # calls by their end, the oldest first
 
     def next_goes_to(self, sidecar: Hashable) -> None:
         """The call that is taken next is this sidecar's."""
@@ -57,6 +61,10 @@
     def sent(self, now: float, call: Hashable, sidecar: Hashable, provider: str, group: int) -> int:
         if call not in self._calls and call in self._kept:
             self._past[call] = self._kept[call]
+        elif call not in self._calls and call not in self._past:
+            ended, held = self._over.get(call, (0.0, None))
+            if held is not None and now - ended <= self.limits.slack_ms + self.lag_ms():
+                self._past[call] = held
         return super().sent(now, call, sidecar, provider, group)
 
     def ended(self, now: float, call: Hashable, attempt: int, outcome: str, ran: bool) -> None:
@@ -88,6 +96,13 @@
         super().lost(call)
         self._via.pop(call, None)
 
+    def _drop(self, now: float, call: Hashable, held: Any) -> None:
+        super()._drop(now, call, held)
+        if call not in self._calls:
+            self._over[call] = (now, held)
+            while self._over and next(iter(self._over.values()))[0] < now - OVER_MS:
+                del self._over[next(iter(self._over))]
+
     def _was_stopped(self, call: Hashable) -> bool:
         sidecar, taken = self._via.get(call, (None, 0.0))
         return sidecar in self._paused or self._woke.get(sidecar, -1.0) >= taken
