--- /dev/null
+++ b/limenotch/fleet/membership/__init__.py
@@ -0,0 +1,8 @@
+"""Who is there: which sidecars of the fleet are alive. Decisions only; see `core` for the rules."""
+
+from .core import Membership, Seen
+from .ground import Phase
+from .states import State
+from .tuning import Tuning
+
+__all__ = ["Membership", "Phase", "Seen", "State", "Tuning"]
--- /dev/null
+++ b/limenotch/fleet/membership/ground.py
@@ -0,0 +1,102 @@
+"""What all sides of membership stand on: who one is, what one knows, and how one speaks."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from enum import Enum
+from random import Random
+from typing import Any
+
+from ..contract import Action, Address, Carrier, Fenced, MemberChanged, Message, Note, Send
+from .agenda import Agenda
+from .health import Health
+from .messages import Claim, Me
+from .news import Broadcasts
+from .states import CODES, State, wins
+from .table import Table
+from .tuning import Tuning
+
+
+class Phase(Enum):
+    JOINING = "joining"  # asks seeds; nobody has been told of it
+    OUT = "out"  # another process has its name; it holds no duty
+    INSIDE = "inside"
+    GONE = "gone"  # it left
+
+
+class Ground:
+    def __init__(self, name: str, at: Address, life: int, seeds: Iterable[Address], tuning: Tuning, seed: int,
+                 addresses: Mapping[str, Address]) -> None:
+        self.name, self.at, self.life, self.incarnation = name, at, life, 0
+        self.seeds = tuple(dict.fromkeys(seed for seed in seeds if seed != at))
+        self.tuning, self.addresses = tuning, addresses
+        self.random = Random(f"{seed} {name} {life}")
+        self.phase = Phase.JOINING
+        self.table = Table(tuning.most_members - 1)
+        self.agenda = Agenda()
+        self.health = Health(tuning.health)
+        self.queue = Broadcasts()
+        self.counts: dict[str, int] = {}  # what was heard and not believed, by why
+        self.acts: list[Action] = []
+        self._seq = 0
+
+    @property
+    def size(self) -> int:
+        """Members held alive or suspect, and oneself."""
+        return len(self.table.live) + 1
+
+    @property
+    def me(self) -> Me:
+        return Me(self.at, self.life, self.incarnation, self.phase is Phase.INSIDE)
+
+    def seq(self) -> int:
+        self._seq += 1
+        return self._seq
+
+    def count(self, why: str) -> None:
+        self.counts[why] = self.counts.get(why, 0) + 1
+
+    def note(self, text: str, **fields: Any) -> None:
+        self.acts.append(Note(text, fields))
+
+    def where(self, name: str, otherwise: Address) -> Address:
+        return self.addresses.get(name, otherwise)
+
+    def at_of(self, name: str) -> Address:
+        return self.where(name, self.table[name].at)
+
+    def say(self, at: Address, message: Message, carrier: Carrier = Carrier.DATAGRAM) -> None:
+        self.acts.append(Send(at, message, carrier))
+
+    def own_claim(self, state: State = State.ALIVE) -> Claim:
+        return Claim(self.name, CODES.index(state), self.at, self.life, self.incarnation)
+
+    def against(self, name: str, me: Me | None, now: float) -> Claim | None:
+        """What is held of somebody that beats what it says of itself: it must hear of that first."""
+        held = self.table.get(name)
+        if held is None:
+            return None
+        if me is None:
+            return None if held.state is State.ALIVE else held.claim(now)
+        return held.claim(now) if wins(held.standing, (me.life, State.ALIVE, me.incarnation)) else None
+
+    def news(self, first: Claim | None = None) -> tuple[Claim, ...]:
+        return self.queue.take(self.tuning.sends(self.size), first)
+
+    def tell(self, claim: Claim) -> None:
+        """To be spread; and soon, even if nothing else is to be said."""
+        self.queue.add(claim)
+
+    def all_known(self, now: float) -> tuple[Claim, ...]:
+        known = [member.claim(now) for member in self.table]
+        if self.phase is Phase.INSIDE:
+            known.append(self.own_claim())
+        return tuple(known)
+
+    def changed(self, state: State) -> None:
+        """Oneself, for the parts above."""
+        self.acts.append(MemberChanged(self.name, state.value, self.at, self.incarnation, self.life))
+
+    def fenced(self, **fields: Any) -> None:
+        self.acts.append(Fenced())
+        self.note("fenced", **fields)
--- /dev/null
+++ b/limenotch/fleet/membership/news.py
@@ -0,0 +1,64 @@
+"""News on their way: each is sent a limited number of times, put into whatever message goes out next.
+
+Source: SWIM (2002), 4.1 (piggybacked dissemination, lambda * log n times each). One entry a name: a newer claim takes the
+older one's place. Those sent least go first, of those the newest. Bounded by the table's names, and by `room` bytes a message.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..contract import MOST_DATAGRAM
+from .messages import MOST_NEWS, Claim
+
+OVERHEAD = 400  # bytes of a frame for its head, its digest, and the message's other fields with names at their longest
+ROOM = MOST_DATAGRAM - OVERHEAD
+
+_encoder = msgspec.msgpack.Encoder()
+
+
+def size(claim: Claim) -> int:
+    return len(_encoder.encode(claim))
+
+
+class _Entry:
+    __slots__ = ("bytes", "claim", "order", "sent")
+
+    def __init__(self, claim: Claim, order: int) -> None:
+        self.claim, self.order, self.sent, self.bytes = claim, order, 0, size(claim)
+
+
+class Broadcasts:
+    def __init__(self) -> None:
+        self._queued: dict[str, _Entry] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        return len(self._queued)
+
+    def add(self, claim: Claim) -> None:
+        self._count += 1
+        self._queued[claim.name] = _Entry(claim, -self._count)
+
+    def drop(self, name: str) -> None:
+        self._queued.pop(name, None)
+
+    def take(self, sends: int, first: Claim | None = None, room: int = ROOM) -> tuple[Claim, ...]:
+        """What goes into one message; `first` goes in whether queued or not. `sends`: how often each may go out."""
+        taken, left = [], room
+        if first is not None:
+            taken.append(first)
+            left -= size(first)
+        if not self._queued:
+            return tuple(taken)
+        for entry in sorted(self._queued.values(), key=lambda entry: (entry.sent, entry.order)):
+            if len(taken) >= MOST_NEWS:
+                break
+            if entry.bytes > left or (first is not None and first.name == entry.claim.name):
+                continue
+            taken.append(entry.claim)
+            left -= entry.bytes
+            entry.sent += 1
+            if entry.sent >= sends:
+                del self._queued[entry.claim.name]
+        return tuple(taken)
