--- a/limenotch/fleet/membership/core.py
+++ b/limenotch/fleet/membership/core.py
@@ -1,14 +1,16 @@
 """Who is there: SWIM with Lifeguard's refinements, as decisions without I/O, clock or randomness of their own.
 
-Sources: Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol" (2002);
-Dadgar, Phillips, Currey, "Lifeguard: Local Health Awareness for More Accurate Failure Detection" (2018). Written from the
-papers. What is ours: lives and fencing, who has the name (`own`), knocking at the dead so that cuts heal by themselves.
+Sources: Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership Protocol"
+(2002); Dadgar, Phillips, Currey, "Lifeguard: Local Health Awareness for More Accurate Failure Detection" (2018).
+Written from the papers. Ours: lives and fencing, who has the name (`own`), knocking at the dead so that cuts heal.
 
 Rules
 - States and which claim wins: `states`. Probes: `probing`. Oneself: `own`. How long a suspect has: `suspicion`.
 - Whoever speaks and is held to be less than it says (suspect, dead, of an older life) is told so in the answer.
-- A timer that fires late by more than `timeout_ms` means a pause: health goes down, what was under way is dropped, every
-  suspicion starts again, and nobody is probed until somebody was heard or a period is over (`_woke`).
+- A timer that fires late by more than `timeout_ms` means a pause: health goes down, what was under way is dropped,
+  every suspicion starts again, and nobody is probed until somebody was heard or a period is over (`_woke`).
+- Before a suspicion can be over its holder asks the suspect itself once more: news are sent on a limited number of
+  times, so now and then one member of many misses that a suspicion was refuted.
 - Every now and then one of the dead is knocked at, and one seed that isn't alive is asked for its table.
 - Once a process left it does and answers nothing.
 - What is sound to the codec and still nonsense is counted (`counts`) and changes nothing.
@@ -31,6 +33,7 @@
 
 TOKEN = 1  # one timer at a time is looked at
 MOST_KNOCKS = 16
+LAST_ASKED = 3.5  # timeouts before a suspicion can be over: a stream that loses a segment still gets there
 ALIVE, SUSPECT, DEAD, LEFT = (CODES.index(state) for state in (State.ALIVE, State.SUSPECT, State.DEAD, State.LEFT))
 
 
@@ -46,8 +49,8 @@
 
 
 class Membership:
-    """`life` should be higher than that of any process of this name before (say, ms of the wall clock); where it is not,
-    it is raised. `addresses` says where to send to instead of what a member advertises (relays of a laboratory)."""
+    """`life` should be higher than that of any process of this name before (say, ms of the wall clock); where it is
+    not, it is raised. `addresses` says where to send to instead of what a member advertises (a laboratory's relays)."""
 
     def __init__(self, name: str, at: Address, life: int, seeds: Iterable[Address], tuning: Tuning, seed: int,
                  addresses: Mapping[str, Address] | None = None) -> None:
@@ -87,8 +90,8 @@
     def members(self) -> list[Seen]:
         """All that is held, oneself first if inside."""
         ground = self.ground
-        seen = [Seen(ground.name, State.ALIVE, ground.incarnation, ground.life, ground.at, self._since)] if self.inside else []
-        return seen + [Seen(m.name, m.state, m.incarnation, m.life, m.at, m.since) for m in ground.table]
+        own = Seen(ground.name, State.ALIVE, ground.incarnation, ground.life, ground.at, self._since)
+        return [own] * self.inside + [Seen(m.name, m.state, m.incarnation, m.life, m.at, m.since) for m in ground.table]
 
     def figures(self) -> dict[str, Any]:
         """For operators: numbers of what is held, of what was not believed, and the own health (0 is well)."""
@@ -142,8 +145,9 @@
                 {"indirect": self.prober.indirect, "failed": self.prober.fail, "nack": self._nack,
                  "relayed": self._relayed}[what](now, of)
             else:
-                {"probe": self._probe, "gossip": self._gossip, "suspect": self._suspect_over, "own": self._own,
-                 "tables": self._tables, "reconnect": self._reconnect, "forget": self._forget}[what](now, of)
+                {"probe": self._probe, "gossip": self._gossip, "suspect": self._suspect_over, "ask": self._ask_suspect,
+                 "own": self._own, "tables": self._tables, "reconnect": self._reconnect,
+                 "forget": self._forget}[what](now, of)
 
     def _entered(self, now: float) -> None:
         """Inside: begins to probe, and gives its table to the seeds."""
@@ -234,6 +238,17 @@
             return
         self._hear(now, Claim(name, DEAD, held.at, held.life, held.incarnation, self.ground.name))
 
+    def _watch(self, suspicion: Suspicion, name: str) -> None:
+        agenda, timeout = self.ground.agenda, self.ground.tuning.timeout_ms
+        agenda.at(suspicion.until, ("suspect", name))
+        agenda.at(suspicion.began + suspicion.shortest - LAST_ASKED * timeout, ("ask", name))
+
+    def _ask_suspect(self, now: float, name: str) -> None:
+        held = self.ground.table.get(name)
+        if held is not None and held.state is State.SUSPECT and self.ground.phase is Phase.INSIDE:
+            for carrier in Carrier:
+                self.prober.knock(now, name, carrier)
+
     def _unanswered(self, now: float, name: str) -> None:
         """A probe failed."""
         held = self.ground.table.get(name)
@@ -248,7 +263,7 @@
             suspicion = ground.table[name].suspicion
             if suspicion is not None:
                 suspicion.restart(now)
-                ground.agenda.at(suspicion.until, ("suspect", name))
+                self._watch(suspicion, name)
         if ground.phase is Phase.INSIDE and late > ground.tuning.period_ms:
             self._unsure_until = now + ground.tuning.period_ms
             for name in ground.table.some(ground.random, ground.tuning.fanout):
@@ -320,7 +335,7 @@
 
     def _speaker(self, now: float, name: str, me: Me) -> None:
         held = self.ground.table.get(name)
-        if me.inside and (held is None or held.life != me.life or held.incarnation != me.incarnation or held.at != me.at):
+        if me.inside and (held is None or (held.life, held.incarnation, held.at) != (me.life, me.incarnation, me.at)):
             self._hear(now, Claim(name, ALIVE, me.at, me.life, me.incarnation))
 
     def _answer(self, now: float, event: Heard, message: Spoken) -> None:
@@ -379,9 +394,10 @@
             shortest = tuning.shortest_ms(ground.size)
             member.suspicion = Suspicion(now, member.by, shortest, shortest * tuning.suspicion_longest,
                                          min(tuning.confirmations, ground.size - 2))
-            ground.agenda.at(member.suspicion.until, ("suspect", name))
+            self._watch(member.suspicion, name)
         else:
             ground.agenda.drop(("suspect", name))
+            ground.agenda.drop(("ask", name))
         if member.state in FINAL:
             ground.agenda.at(member.since + ground.tuning.keep_dead_ms, ("forget", name))
         else:
--- a/limenotch/fleet/membership/health.py
+++ b/limenotch/fleet/membership/health.py
@@ -1,7 +1,7 @@
 """How far a member may trust its own clock and ears: Lifeguard's local health multiplier.
 
-Source: Dadgar, Phillips, Currey, "Lifeguard" (2018), "Local Health Aware Probe". A score from 0 to the highest; one's own
-timeouts are lengthened by 1 + score.
+Source: Dadgar, Phillips, Currey, "Lifeguard" (2018), "Local Health Aware Probe". A score from 0 to the highest; one's
+own timeouts are lengthened by 1 + score.
 
     event                                              score
     a probe was answered, in whatever way              - 1
--- a/limenotch/fleet/membership/news.py
+++ b/limenotch/fleet/membership/news.py
@@ -1,7 +1,8 @@
 """News on their way: each is sent a limited number of times, put into whatever message goes out next.
 
-Source: SWIM (2002), 4.1 (piggybacked dissemination, lambda * log n times each). One entry a name: a newer claim takes the
-older one's place. Those sent least go first, of those the newest. Bounded by the table's names, and by `room` bytes a message.
+Source: SWIM (2002), 4.1 (piggybacked dissemination, lambda * log n times each). One entry a name: a newer claim takes
+the older one's place. Those sent least go first, of those the newest. Bounded by the table's names, and by `room` bytes
+a message.
 """
 
 from __future__ import annotations
--- a/limenotch/fleet/membership/probing.py
+++ b/limenotch/fleet/membership/probing.py
@@ -18,7 +18,7 @@
 from ..contract import Address, Carrier
 from .ground import Ground
 from .health import ANSWERED, UNHEARD
-from .messages import Ack, Me, Nack, Ping, PingReq
+from .messages import Ack, Nack, Ping, PingReq
 from .states import FINAL
 
 MOST_RELAYED = 256  # probes under way for others
@@ -130,15 +130,15 @@
         for seq in list(self.relayed):
             self.unrelay(seq)
 
-    def knock(self, now: float, name: str) -> int:
-        """At somebody dead: no answer is expected, and none proves anything. Gives the seq an answer would bear."""
+    def knock(self, now: float, name: str, carrier: Carrier = Carrier.DATAGRAM) -> int:
+        """So that it hears what is held of it; no answer proves anything. Gives the seq an answer would bear."""
         seq = self.ground.seq()
-        self.ground.say(self.ground.at_of(name), self._ping(seq, name, now))
+        self.ground.say(self.ground.at_of(name), self._ping(seq, name, now), carrier)
         return seq
 
-    def _ping(self, seq: int, name: str, now: float, me: Me | None = None) -> Ping:
+    def _ping(self, seq: int, name: str, now: float) -> Ping:
         ground = self.ground
-        return Ping(seq, name, me or ground.me, ground.news(ground.against(name, None, now)))
+        return Ping(seq, name, ground.me, ground.news(ground.against(name, None, now)))
 
     def _stands(self, flight: Flight) -> bool:
         held = self.ground.table.get(flight.name)
--- a/limenotch/fleet/membership/table.py
+++ b/limenotch/fleet/membership/table.py
@@ -6,7 +6,6 @@
 from enum import Enum
 from random import Random
 
-from ..contract import Address
 from .messages import Claim
 from .states import CODES, FINAL, Standing, State, wins
 from .suspicion import Suspicion
