--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -96,8 +96,8 @@
     parser.add_argument("--set", action="append", default=[], metavar="KEY=NUMBER", help="of the tuning")
     given = parser.parse_args()
     tuning = convert({key: json.decode(value) for key, value in (one.split("=") for one in given.set)}, Tuning)
-    print("members  loss   first p50  p99    all p50  p99   worst   not told  suspected  false  paused   bytes/s  messages/s  "
-          "CPU us/s")
+    print("members  loss   first p50  p99    all p50  p99   worst   not told  suspected  false  paused"
+          "   bytes/s  messages/s  CPU us/s")
     for count in map(int, given.members.split(",")):
         for loss in map(float, given.loss.split(",")):
             found = Found()
--- a/limenotch/fleet/membership/core.py
+++ b/limenotch/fleet/membership/core.py
@@ -21,20 +21,17 @@
 from collections.abc import Iterable, Mapping
 from typing import Any, NamedTuple
 
-from ..contract import Action, Address, Carrier, Heard, Leave, MemberChanged, SetTimer, Started, TimerFired
+from ..contract import Action, Address, Carrier, Heard, Leave, SetTimer, Started, TimerFired
 from .ground import Ground, Phase
-from .messages import MOST_NEWS, Ack, Answer, Ask, Claim, Me, Nack, News, Ping, PingReq, Spoken, sound, sound_me
+from .holding import Holder
+from .messages import ALIVE, MOST_NEWS, Ack, Answer, Ask, Claim, Me, Nack, News, Ping, PingReq, Spoken, sound, sound_me
 from .own import Own
 from .probing import Prober
-from .states import CODES, FINAL, State
-from .suspicion import Suspicion
-from .table import Came, Member
+from .states import State
 from .tuning import Tuning
 
 TOKEN = 1  # one timer at a time is looked at
 MOST_KNOCKS = 16
-LAST_ASKED = 3.5  # timeouts before a suspicion can be over: a stream that loses a segment still gets there
-ALIVE, SUSPECT, DEAD, LEFT = (CODES.index(state) for state in (State.ALIVE, State.SUSPECT, State.DEAD, State.LEFT))
 
 
 class Seen(NamedTuple):
@@ -58,7 +55,8 @@
             raise ValueError(f"name {name!r}, address {at} or life {life} can't be a member's")
         self.ground = Ground(name, at, life, seeds, tuning, seed, addresses or {})
         self.own = Own(self.ground, self._entered)
-        self.prober = Prober(self.ground, self._unanswered)
+        self.prober = Prober(self.ground, lambda now, name: self.holder.unanswered(now, name))
+        self.holder = Holder(self.ground, self.own, self.prober)
         self._now = float("-inf")
         self._since = 0.0
         self._knocks: dict[int, str] = {}
@@ -145,9 +143,9 @@
                 {"indirect": self.prober.indirect, "failed": self.prober.fail, "nack": self._nack,
                  "relayed": self._relayed}[what](now, of)
             else:
-                {"probe": self._probe, "gossip": self._gossip, "suspect": self._suspect_over, "ask": self._ask_suspect,
+                {"probe": self._probe, "gossip": self._gossip, "suspect": self.holder.over, "ask": self.holder.ask,
                  "own": self._own, "tables": self._tables, "reconnect": self._reconnect,
-                 "forget": self._forget}[what](now, of)
+                 "forget": self.holder.forget}[what](now, of)
 
     def _entered(self, now: float) -> None:
         """Inside: begins to probe, and gives its table to the seeds."""
@@ -219,51 +217,11 @@
     def _own(self, now: float, _: str) -> None:
         self.own.tick(now)
 
-    def _forget(self, now: float, name: str) -> None:
-        held = self.ground.table.get(name)
-        if held is None or held.state not in FINAL:
-            return
-        until = held.since + self.ground.tuning.keep_dead_ms
-        if now >= until:
-            self.ground.table.forget(name)
-        else:
-            self.ground.agenda.at(until, ("forget", name))
-
-    def _suspect_over(self, now: float, name: str) -> None:
-        held = self.ground.table.get(name)
-        if held is None or held.state is not State.SUSPECT or held.suspicion is None:
-            return
-        if self.ground.phase is not Phase.INSIDE or now < held.suspicion.until:
-            self.ground.agenda.at(max(held.suspicion.until, now + self.ground.tuning.period_ms), ("suspect", name))
-            return
-        self._hear(now, Claim(name, DEAD, held.at, held.life, held.incarnation, self.ground.name))
-
-    def _watch(self, suspicion: Suspicion, name: str) -> None:
-        agenda, timeout = self.ground.agenda, self.ground.tuning.timeout_ms
-        agenda.at(suspicion.until, ("suspect", name))
-        agenda.at(suspicion.began + suspicion.shortest - LAST_ASKED * timeout, ("ask", name))
-
-    def _ask_suspect(self, now: float, name: str) -> None:
-        held = self.ground.table.get(name)
-        if held is not None and held.state is State.SUSPECT and self.ground.phase is Phase.INSIDE:
-            for carrier in Carrier:
-                self.prober.knock(now, name, carrier)
-
-    def _unanswered(self, now: float, name: str) -> None:
-        """A probe failed."""
-        held = self.ground.table.get(name)
-        if held is not None and held.state not in FINAL and self.ground.phase is Phase.INSIDE:
-            self._hear(now, Claim(name, SUSPECT, held.at, held.life, held.incarnation, self.ground.name))
-
     def _woke(self, now: float, late: float) -> None:
         ground = self.ground
         ground.health.paused(late, ground.tuning.period_ms)
         self.prober.drop_all()
-        for name in ground.table.live:
-            suspicion = ground.table[name].suspicion
-            if suspicion is not None:
-                suspicion.restart(now)
-                self._watch(suspicion, name)
+        self.holder.restart(now)
         if ground.phase is Phase.INSIDE and late > ground.tuning.period_ms:
             self._unsure_until = now + ground.tuning.period_ms
             for name in ground.table.some(ground.random, ground.tuning.fanout):
@@ -302,7 +260,7 @@
         self._unsure_until = float("-inf")
         self._speaker(now, event.sender, message.me)
         for claim in claims:
-            self._hear(now, claim)
+            self.holder.hear(now, claim)
         self._answer(now, event, message)
 
     def _heard_before(self, now: float, event: Heard, message: Spoken, claims: tuple[Claim, ...]) -> None:
@@ -336,7 +294,7 @@
     def _speaker(self, now: float, name: str, me: Me) -> None:
         held = self.ground.table.get(name)
         if me.inside and (held is None or (held.life, held.incarnation, held.at) != (me.life, me.incarnation, me.at)):
-            self._hear(now, Claim(name, ALIVE, me.at, me.life, me.incarnation))
+            self.holder.hear(now, Claim(name, ALIVE, me.at, me.life, me.incarnation))
 
     def _answer(self, now: float, event: Heard, message: Spoken) -> None:
         ground = self.ground
@@ -365,53 +323,3 @@
             self.prober.nack(event.sender, message)
         if against is not None and ground.phase is Phase.INSIDE:
             ground.say(at, News(ground.me, (against,)))
-
-    def _hear(self, now: float, claim: Claim) -> None:
-        """A claim about anybody; the one way in which what is held changes."""
-        ground = self.ground
-        if not sound(claim):
-            ground.count("unsound claim")
-            return
-        if claim.name == ground.name:
-            self.own.hear(now, claim)
-            return
-        if claim.age_ms >= ground.tuning.keep_dead_ms and claim.says in FINAL:
-            return
-        before = ground.table.get(claim.name)
-        came = ground.table.hear(claim, now)
-        if came is Came.FULL:
-            ground.count("no room for another member")
-        elif came is Came.SAME_SUSPICION:
-            self._confirm(now, claim)
-        elif came is not Came.OLD:
-            ground.tell(claim)
-            self._took(now, ground.table[claim.name], came, welcome=before is None)
-
-    def _took(self, now: float, member: Member, came: Came, *, welcome: bool) -> None:
-        ground, name = self.ground, member.name
-        if member.state is State.SUSPECT:
-            tuning = ground.tuning
-            shortest = tuning.shortest_ms(ground.size)
-            member.suspicion = Suspicion(now, member.by, shortest, shortest * tuning.suspicion_longest,
-                                         min(tuning.confirmations, ground.size - 2))
-            self._watch(member.suspicion, name)
-        else:
-            ground.agenda.drop(("suspect", name))
-            ground.agenda.drop(("ask", name))
-        if member.state in FINAL:
-            ground.agenda.at(member.since + ground.tuning.keep_dead_ms, ("forget", name))
-        else:
-            ground.agenda.drop(("forget", name))
-            if welcome:
-                self.prober.welcome(name)
-        if came is Came.REFRESHED:
-            return
-        text = f"suspects {name}" if member.state is State.SUSPECT else f"{name} {member.state.value}"
-        ground.note(text, life=member.life, incarnation=member.incarnation, by=member.by)
-        ground.acts.append(MemberChanged(name, member.state.value, member.at, member.incarnation, member.life))
-
-    def _confirm(self, now: float, claim: Claim) -> None:
-        member = self.ground.table[claim.name]
-        if member.suspicion is not None and member.suspicion.confirm(claim.by):
-            self.ground.tell(claim)
-            self.ground.agenda.at(max(now, member.suspicion.until), ("suspect", claim.name))
--- a/limenotch/fleet/membership/messages.py
+++ b/limenotch/fleet/membership/messages.py
@@ -16,6 +16,7 @@
 MOST_LIFE = 1 << 52
 MOST_INCARNATION = 1 << 31
 MOST_AGE_MS = 1 << 40
+ALIVE, SUSPECT, DEAD, LEFT = range(len(CODES))
 
 
 class Me(Struct, frozen=True, array_like=True):
