--- a/limenotch/fleet/membership/tuning.py
+++ b/limenotch/fleet/membership/tuning.py
@@ -19,7 +19,7 @@
     probes: int = 8  # sent in a period, evenly spread
     timeout_ms: float = 120.0  # for a direct answer; the indirect ones have until three times that
     indirect: int = 3  # members asked to probe when the direct probe wasn't answered
-    suspicion: float = 1.7  # the shortest suspicion, in periods, before what spreading the news takes
+    suspicion: float = 1.65  # the shortest suspicion, in periods, before what spreading the news takes
     suspicion_longest: float = 2.0  # the longest, as a multiple of the shortest
     confirmations: int = 3  # independent suspicions that make it the shortest
     retransmit: int = 4  # news are sent on this times log10(members) times
@@ -41,7 +41,7 @@
 
     def shortest_ms(self, members: int) -> float:
         """Of a suspicion: the suspect must have heard of it, and its answer have come, through `members`."""
-        there_and_back = 2 * self.gossip_ms * log(max(members, 2), self.fanout + 1)
+        there_and_back = 2 * self.gossip_ms * (1 + log(max(members, 2), self.fanout + 1))
         return self.suspicion * self.period_ms + there_and_back
 
     def sends(self, members: int) -> int:
--- /dev/null
+++ b/tests/fleet/test_membership_parts.py
@@ -0,0 +1,236 @@
+"""Tables, suspicion, news, health, settings of membership: each by itself."""
+
+from __future__ import annotations
+
+from itertools import product
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limenotch.fleet.contract import MOST_DATAGRAM, Heard, Leave, MemberChanged, Note, Send, SetTimer, Started, TimerFired
+from limenotch.fleet.membership import Membership, State, Tuning
+from limenotch.fleet.membership.agenda import Agenda
+from limenotch.fleet.membership.health import ANSWERED, UNHEARD, Health
+from limenotch.fleet.membership.messages import LONGEST_HOST, MOST_LIFE, Ack, Answer, Ask, Claim, Me, News, Ping, PingReq
+from limenotch.fleet.membership.news import Broadcasts
+from limenotch.fleet.membership.states import FINAL, TABLE, Needs, Standing, wins
+from limenotch.fleet.membership.suspicion import Suspicion
+from limenotch.fleet.membership.table import Came, Table
+
+STANDINGS: list[Standing] = list(product(range(2), State, range(3)))
+AT = ("h", 1)
+
+
+def claim(name: str = "b", state: int = 0, life: int = 1, incarnation: int = 0, by: str = "") -> Claim:
+    return Claim(name, state, AT, life, incarnation, by)
+
+
+def test_states_are_in_one_order() -> None:
+    assert set(TABLE) == set(product(State, State))
+    for one, two in product(STANDINGS, STANDINGS):
+        final = one[0] == two[0] and one[1] is two[1] and one[1] in FINAL  # their incarnations mean nothing
+        assert wins(one, two) + wins(two, one) == (one != two and not final)
+    for one, two, three in product(STANDINGS, repeat=3):
+        assert not (wins(one, two) and wins(two, three)) or wins(one, three)
+
+
+def test_nothing_of_an_ended_life_revives_it() -> None:
+    for ended, state in product(FINAL, (State.ALIVE, State.SUSPECT)):
+        assert TABLE[ended, state] is Needs.IMPOSSIBLE
+        assert wins((2, state, 0), (1, ended, 9))
+
+
+@given(st.permutations(STANDINGS), st.integers(1, len(STANDINGS)))
+def test_the_order_of_news_does_not_matter(heard: list[Standing], count: int) -> None:
+    some = heard[:count]
+
+    def end(order: list[Standing]) -> Standing:
+        table = Table(5)
+        for life, state, incarnation in order:
+            table.hear(claim(state=list(State).index(state), life=life, incarnation=incarnation), 0.0)
+        life, state, incarnation = table["b"].standing
+        return (life, state, 0 if state in FINAL else incarnation)
+
+    assert end(some) == end(list(reversed(some))) == end(some + some)
+
+
+def test_a_full_table_drops_who_is_dead_longest() -> None:
+    table = Table(3)
+    for number, name in enumerate("abc"):
+        table.hear(claim(name, state=2 if name != "b" else 0), float(number))
+    assert table.hear(claim("d"), 9.0) is Came.NEW
+    assert sorted(table.members) == ["b", "c", "d"]
+    table.hear(claim("e"), 9.0)
+    assert table.hear(claim("f"), 9.0) is Came.FULL
+
+
+def test_suspicion_gets_shorter_with_others_who_find_the_same() -> None:
+    suspicion = Suspicion(100.0, "a", 1000.0, 3000.0, 3)
+    times = [suspicion.until]
+    for by in ("a", "c", "c", "d", "e", "f"):
+        if suspicion.confirm(by):
+            times.append(suspicion.until)
+    assert times[0] == 3100.0 and times[-1] == pytest.approx(1100.0) and len(times) == 4
+    assert times == sorted(times, reverse=True)
+    suspicion.restart(5000.0)
+    assert suspicion.until == pytest.approx(6000.0)
+    assert Suspicion(0.0, "a", 1000.0, 3000.0, 0).until == 1000.0  # nobody there to confirm
+
+
+def test_health_stays_within_its_bounds() -> None:
+    health = Health(3)
+    health.note(ANSWERED)
+    assert health.score == 0
+    for _ in range(9):
+        health.note(UNHEARD)
+    assert health.score == 3 and health.scale(100.0) == 400.0
+    health.note(ANSWERED)
+    health.paused(1e9, 1000.0)
+    assert health.score == 3
+
+
+def test_news_go_out_a_limited_number_of_times_newest_first() -> None:
+    queue = Broadcasts()
+    for name in "abc":
+        queue.add(claim(name))
+    assert [one.name for one in queue.take(2)] == ["c", "b", "a"]
+    queue.add(claim("a", incarnation=1))
+    assert [one.name for one in queue.take(2)] == ["a", "c", "b"]
+    assert [one.name for one in queue.take(2)] == ["a"]
+    assert queue.take(2) == () and len(queue) == 0
+
+
+@given(st.lists(st.integers(1, 64), min_size=1, max_size=100), st.integers(1, 64))
+def test_a_message_with_news_fits_a_datagram(sizes: list[int], longest: int) -> None:
+    queue, name, host = Broadcasts(), "n" * longest, "h" * longest
+    for number, size in enumerate(sizes):
+        queue.add(Claim(f"{number:03}" + "n" * (size - 3), 1, ("h" * size, 65535), MOST_LIFE, 1 << 31, "b" * size))
+    first = Claim(name, 2, (host, 65535), MOST_LIFE, 1 << 31, name)
+    message = PingReq(1 << 40, name, (host, 65535), Me((host, 65535), MOST_LIFE, 1 << 31), queue.take(3, first))
+    assert len(msgspec.msgpack.encode(message)) + longest + 60 <= MOST_DATAGRAM  # 60: version, digest, group's and tags
+
+
+def test_the_agenda_asks_for_one_timer() -> None:
+    agenda = Agenda()
+    agenda.at(10.0, ("x", ""))
+    assert agenda.arm() == 10.0 and agenda.arm() is None
+    agenda.at(5.0, ("y", ""))
+    assert agenda.arm() == 5.0
+    agenda.at(20.0, ("x", ""))
+    agenda.fired(5.0)
+    assert agenda.pop(5.0) == ("y", "") and agenda.pop(10.0) is None and agenda.arm() == 20.0
+
+
+@pytest.mark.parametrize("wrong", [{"probes": 0}, {"period_ms": 1.0}, {"timeout_ms": 400.0}, {"most_members": 10**6}])
+def test_settings_out_of_range_name_their_key(wrong: dict[str, float]) -> None:
+    with pytest.raises(ValueError, match=next(iter(wrong))):
+        msgspec.convert(wrong, Tuning)
+
+
+# The part, by hand
+
+
+def alone(**tuning: float) -> Membership:
+    member = Membership("a", ("a", 1), 5, [], msgspec.convert(tuning, Tuning), 1)
+    notes = [act.text for act in member.handle(0.0, Started()) if isinstance(act, Note)]
+    assert notes == ["joined"] and member.size() == 1
+    return member
+
+
+ME = Me(("b", 1), 1, 0)
+
+
+def test_what_is_no_event_or_runs_backwards_is_refused() -> None:
+    member = alone()
+    with pytest.raises(TypeError):
+        member.handle(1.0, "x")
+    member.handle(10.0, TimerFired(1))
+    with pytest.raises(ValueError):
+        member.handle(9.0, TimerFired(1))
+
+
+@pytest.mark.parametrize(("message", "why"), [
+    (News(ME, (claim("c", state=9),)), "unsound claim"),
+    (News(ME, (claim("c", life=-1),)), "unsound claim"),
+    (News(ME, (claim("c", incarnation=1 << 60),)), "unsound claim"),
+    (News(ME, (claim(""),)), "unsound claim"),
+    (News(ME, (Claim("c", 0, ("x" * (LONGEST_HOST + 1), 1), 1, 0),)), "unsound claim"),
+    (News(ME, (claim("c"),) * 500), "unsound message"),
+    (Ask(ME, tuple(claim(f"m{n}") for n in range(1001))), "unsound message"),
+    (Ping(1, "z", ME), "ping for another"),
+    (Ack(77, "b", ME), "ack of nothing"),
+    (PingReq(1, "c", ("", 0), ME), "unsound message"),
+    (News(Me(("b", 0), 1, 0)), "unsound message"),
+])
+def test_sound_frames_with_nonsense_are_counted_and_do_nothing(message: News, why: str) -> None:
+    member = alone()
+    member.handle(1.0, Heard(("b", 1), "b", message))
+    assert member.figures()["counts"] == {why: 1}
+    assert {seen.name for seen in member.members()} <= {"a", "b"}
+
+
+def test_a_flood_of_names_ends_at_the_tables_bound() -> None:
+    member = alone(most_members=20)
+    for number in range(100):
+        member.handle(1.0, Heard(("b", 1), "b", News(ME, (claim(f"m{number}"),))))
+    assert len(member.members()) == 20 and member.figures()["counts"] == {"no room for another member": 82}
+
+
+def test_a_ping_req_flood_is_bounded() -> None:
+    member = alone()
+    for number in range(1000):
+        member.handle(1.0, Heard(("b", 1), "b", PingReq(number, "c", ("c", 1), ME)))
+    assert member.figures()["counts"] == {"too many ping-reqs": 1000 - 256}
+
+
+def test_who_is_held_dead_is_told_first() -> None:
+    member = alone()
+    member.handle(1.0, Heard(("c", 1), "c", News(Me(("c", 1), 1, 0), (claim("b", state=2),))))
+    acts = member.handle(2.0, Heard(("b", 1), "b", Ping(3, "a", ME)))
+    said = [act.message for act in acts if isinstance(act, Send)]
+    assert isinstance(said[0], Ack) and said[0].news[0].says is State.DEAD
+    later = member.handle(3.0, Heard(("b", 1), "b", News(Me(("b", 1), 2, 0))))
+    assert [act.state for act in later if isinstance(act, MemberChanged)] == ["alive"]
+
+
+def test_answers_go_where_the_laboratory_says() -> None:
+    member = Membership("a", ("a", 1), 5, [], Tuning(), 1, {"b": ("relay", 9)})
+    member.handle(0.0, Started())
+    acts = member.handle(1.0, Heard(("seen", 4), "b", Ping(3, "a", ME)))
+    assert [act.at for act in acts if isinstance(act, Send)] == [("relay", 9)]
+    assert member.members()[1].address == ("b", 1)
+
+
+def test_after_a_pause_what_was_under_way_is_dropped_and_tables_are_asked_for() -> None:
+    member = alone()
+    now = 0.0
+    member.handle(now, Heard(("b", 1), "b", News(ME)))
+    while not member.figures()["probing"]:
+        now += 5.0
+        member.handle(now, TimerFired(1))
+    acts = member.handle(now + 6000.0, TimerFired(1))
+    assert member.figures()["probing"] == 0 and member.figures()["health"] == 6  # 1, and 5 whole periods late
+    assert any(isinstance(act, Send) and isinstance(act.message, Ask) for act in acts)
+    assert not any(isinstance(act, MemberChanged) for act in acts)
+
+
+def test_the_dead_are_forgotten_together_however_late_they_are_heard_of() -> None:
+    member = alone(keep_dead_ms=5000.0)
+    old = Claim("c", 2, AT, 1, 0, "b", age_ms=4000)
+    member.handle(1.0, Heard(("b", 1), "b", Answer(ME, (old, Claim("d", 2, AT, 1, 0, "b", age_ms=6000)))))
+    assert [seen.name for seen in member.members()] == ["a", "b", "c"]
+    for now in range(2, 1200, 50):
+        member.handle(float(now), TimerFired(1))
+    assert [seen.name for seen in member.members()] == ["a", "b"]
+
+
+def test_who_left_does_nothing_more() -> None:
+    member = alone()
+    member.handle(0.0, Heard(("b", 1), "b", News(ME)))
+    acts = member.handle(1.0, Leave())
+    assert [act.message.news[0].says for act in acts if isinstance(act, Send) and isinstance(act.message, News)] \
+        == [State.LEFT] * 2
+    assert not any(isinstance(act, SetTimer) for act in acts)
+    assert member.handle(2.0, Heard(("b", 1), "b", Ping(1, "a", ME))) == [] and member.size() == 1
