--- a/limenotch/fleet/membership/table.py
+++ b/limenotch/fleet/membership/table.py
@@ -73,7 +73,9 @@
         if not wins(said, held.standing):
             return Came.OLD
         same = held.life == claim.life and held.state is claim.says and held.at == claim.at
+        before = held.incarnation if held.life == claim.life else 0
         held.take(claim, held.since if same else since)
+        held.incarnation = max(held.incarnation, before)  # a death may come of an older one than was heard of
         held.suspicion = None
         self._count()
         return Came.REFRESHED if same else Came.CHANGED
--- a/tests/fleet/test_membership_parts.py
+++ b/tests/fleet/test_membership_parts.py
@@ -9,11 +9,32 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from limenotch.fleet.contract import MOST_DATAGRAM, Heard, Leave, MemberChanged, Note, Send, SetTimer, Started, TimerFired
+from limenotch.fleet.contract import (
+    MOST_DATAGRAM,
+    Heard,
+    Leave,
+    MemberChanged,
+    Note,
+    Send,
+    SetTimer,
+    Started,
+    TimerFired,
+)
 from limenotch.fleet.membership import Membership, State, Tuning
 from limenotch.fleet.membership.agenda import Agenda
 from limenotch.fleet.membership.health import ANSWERED, UNHEARD, Health
-from limenotch.fleet.membership.messages import LONGEST_HOST, MOST_LIFE, Ack, Answer, Ask, Claim, Me, News, Ping, PingReq
+from limenotch.fleet.membership.messages import (
+    LONGEST_HOST,
+    MOST_LIFE,
+    Ack,
+    Answer,
+    Ask,
+    Claim,
+    Me,
+    News,
+    Ping,
+    PingReq,
+)
 from limenotch.fleet.membership.news import Broadcasts
 from limenotch.fleet.membership.states import FINAL, TABLE, Needs, Standing, wins
 from limenotch.fleet.membership.suspicion import Suspicion
@@ -56,6 +77,13 @@
     assert end(some) == end(list(reversed(some))) == end(some + some)
 
 
+def test_a_death_of_an_older_incarnation_takes_none_back() -> None:
+    table = Table(5)
+    table.hear(claim(incarnation=3), 0.0)
+    table.hear(claim(state=2, incarnation=1), 1.0)
+    assert table["b"].standing == (1, State.DEAD, 3)
+
+
 def test_a_full_table_drops_who_is_dead_longest() -> None:
     table = Table(3)
     for number, name in enumerate("abc"):
