--- a/limenotch/cli/check_config.py
+++ b/limenotch/cli/check_config.py
@@ -18,7 +18,7 @@
 from docopt import docopt
 
 from ..config import Config, ConfigError, host_port, load
-from ..settings import effective, load_settings
+from ..settings import check_as, effective, load_settings
 from ..toml import FaultError
 
 
@@ -42,7 +42,9 @@
     given = docopt(__doc__ or "", arguments)
     try:
         settings = load_settings(given["--settings"], os.environ)
-        print(describe(load(os.environ)))
+        config = load(os.environ)
+        check_as(settings, config.name)
+        print(describe(config))
     except (ConfigError, FaultError) as error:
         print(f"limenotch: {error}", file=sys.stderr)
         return 2
--- a/limenotch/cli/serve.py
+++ b/limenotch/cli/serve.py
@@ -23,7 +23,7 @@
 
 from ..config import ConfigError, load
 from ..logs import FORMS, configure
-from ..settings import load_settings
+from ..settings import check_as, load_settings
 from ..toml import FaultError
 
 
@@ -32,6 +32,7 @@
     try:
         settings = load_settings(given["--settings"], os.environ)
         config = load(os.environ)
+        check_as(settings, config.name)
     except (ConfigError, FaultError) as error:
         print(f"limenotch: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/limenotch/fleet/settings.py
@@ -0,0 +1,119 @@
+"""The `[fleet]` table of the program's settings: who this sidecar is among the others, and where they meet.
+
+Imported only where a file has that table. A part's own table belongs to the part, which says what it takes.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Iterator
+from typing import Annotated, Any, NamedTuple
+
+from msgspec import Meta, Struct
+
+from .. import settings as base
+from .. import toml
+from ..config import Address, ConfigError, address
+from .wire import LEAST_KEY, MOST_KEY, MOST_NAME
+
+Name = Annotated[str, Meta(min_length=1, max_length=MOST_NAME // 4)]  # letters, of 4 bytes at most
+ANYWHERE = ("0.0.0.0", "::")  # what can be listened at, but not reached
+STORE_FILES = 8  # descriptors that the store and its thread may hold
+SOCKETS = 2
+
+
+class Fleet(Struct, frozen=True, forbid_unknown_fields=True):
+    group: Name
+    listen: str
+    key_file: str
+    name: Name | None = None  # None: the sidecar's
+    seeds: Annotated[tuple[str, ...], Meta(max_length=64)] = ()
+    voters: Annotated[tuple[Name, ...], Meta(max_length=9)] = ()
+    folder: Annotated[str, Meta(min_length=1)] | None = None  # None: nothing is stored
+    streams: Annotated[int, Meta(ge=1, le=1024)] = 32  # of one's own, and as many of others
+    addresses: dict[Name, str] = {}
+    membership: dict[str, Any] = {}
+    agreement: dict[str, Any] = {}
+
+    @property
+    def descriptors(self) -> int:
+        """What the fleet may hold of the process's limit."""
+        return SOCKETS + 2 * self.streams + (STORE_FILES if self.folder is not None else 0)
+
+
+class _WithFleet(base.Settings, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    fleet: Fleet
+
+
+class Placed(NamedTuple):
+    """A table that was found sound, as a sidecar of some name has it."""
+
+    name: str
+    group: str
+    key: bytes
+    listen: Address
+    at: Address  # where others reach it
+    seeds: tuple[Address, ...]
+    addresses: dict[str, Address]
+    table: Fleet
+
+
+def parse_with(text: str, name: str) -> base.Settings:
+    """Settings whose `fleet` is there. Raises toml.FaultError."""
+    settings = toml.decode(text, name, _WithFleet)
+    for path, what in _faults(settings.fleet):
+        raise toml.fault(text, name, path, what)
+    return settings
+
+
+def place(table: Fleet, sidecar: str) -> Placed:
+    """Raises FaultError where the sidecar's name has a say, or the key's file has changed since."""
+    name = table.name or sidecar
+    addresses = {other: address(at, "") for other, at in table.addresses.items()}
+    listen = address(table.listen, "")
+    at = addresses.get(name, listen)
+    if at[0] in ANYWHERE:
+        raise toml.FaultError(f"fleet.listen: {table.listen} can't be reached; fleet.addresses has none for {name!r}")
+    if len(name.encode()) > MOST_NAME:
+        raise toml.FaultError(f"fleet.name: expected {MOST_NAME} bytes or less")
+    if name in table.voters and table.folder is None:
+        raise toml.FaultError(f"fleet.folder: missing, {name!r} is a voter and what it says is stored")
+    seeds = tuple(address(seed, "") for seed in table.seeds)
+    return Placed(name, table.group, read_key(table.key_file), listen, at, seeds, addresses, table)
+
+
+def read_key(path: str) -> bytes:
+    """The file's content without white space at its ends. Raises FaultError, which never shows any of it."""
+    try:
+        with open(path, "rb") as file:
+            key = file.read(4 * MOST_KEY).strip()
+    except OSError as error:
+        raise toml.FaultError(f"fleet.key_file: {path}: {error.strerror}") from None
+    except ValueError:
+        raise toml.FaultError("fleet.key_file: no path") from None
+    if not LEAST_KEY <= len(key) <= MOST_KEY:
+        raise toml.FaultError(f"fleet.key_file: {path}: expected {LEAST_KEY} to {MOST_KEY} bytes")
+    return key
+
+
+def _faults(table: Fleet) -> Iterator[tuple[str, str]]:
+    """Path and fault of what types alone don't say."""
+    addresses = [("listen", table.listen)]
+    addresses += [(f"seeds[{number}]", seed) for number, seed in enumerate(table.seeds)]
+    addresses += [(f"addresses.{name}", at) for name, at in table.addresses.items()]
+    for key, at in addresses:
+        try:
+            host, port = address(at, "fleet")
+            ipaddress.ip_address(host)
+            if port == 0:
+                yield f"fleet.{key}", "expected a port other than 0"
+        except ConfigError as error:
+            yield f"fleet.{key}", str(error).removeprefix("fleet: ")
+        except ValueError:
+            yield f"fleet.{key}", f"expected a numeric host, not {host!r}: no name service is asked"
+    if len(set(table.voters)) != len(table.voters):
+        yield "fleet.voters", "a name stands twice"
+    try:
+        read_key(table.key_file)
+    except toml.FaultError as error:
+        yield "fleet.key_file", str(error).removeprefix("fleet.key_file: ")
--- a/limenotch/net/operators.py
+++ b/limenotch/net/operators.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from urllib.parse import unquote
 
 from tornado.ioloop import IOLoop
@@ -30,6 +30,7 @@
 HEALTH, STATS, ENDPOINTS = "/healthcheck", "/stats", "/endpoints/"
 ACTIONS = {"maint": True, "ready": False}  # the last part of the path: whether it takes the endpoint out
 
+Extra = Callable[[http1.Message], Awaitable[bytes]]  # a whole call to the whole answer, `close` in it
 Ban = Callable[[str, bool], Awaitable[bool | None]]  # None: nobody has that id; else whether it is kept for later
 
 
@@ -42,8 +43,12 @@
 class Operators:
     """Owns the operators' listener and connections."""
 
-    def __init__(self, ready: Callable[[], bool], stats: Callable[[], bytes], ban: Ban) -> None:
-        self._ready, self._stats, self._ban = ready, stats, ban
+    def __init__(
+        self, ready: Callable[[], bool], stats: Callable[[], bytes], ban: Ban,
+        extra: Mapping[str, Extra] = {},  # noqa: B006 (read only)
+    ) -> None:
+        """`extra`: further paths, each with what answers any call for it."""
+        self._ready, self._stats, self._ban, self._extra = ready, stats, ban, extra
         self._loop = IOLoop.current()
         self._listener: Listener | None = None
         self._open: dict[_Caller, asyncio.Task[None]] = {}  # the oldest first
@@ -129,6 +134,8 @@
             if request.method == method:
                 name, _, action = path.removeprefix(ENDPOINTS).rpartition("/")
                 return await self._act(unquote(name), ACTIONS[action])
+        elif path in self._extra:
+            return await self._extra[path](request)
         else:
             return _says(404, "no such path")
         return http1.write_response(405, [(b"Allow", method)], b"", close=True)
--- /dev/null
+++ b/limenotch/net/others.py
@@ -0,0 +1,303 @@
+"""The other sidecars: the host of the fleet's decisions on real sockets.
+
+Owns one datagram socket and one listener at the same address, the kept streams (`streams.py`), the timers, and the way
+to the store's thread. Nothing that a consumer's call does waits for any of it, and no fault in here ends the program:
+what raises is logged with its event and is off from then on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+from functools import lru_cache
+from typing import Any, Protocol
+
+from .. import logs
+from ..config import Address, host_port
+from ..fleet.contract import (
+    MOST_DATAGRAM,
+    Action,
+    Carrier,
+    Event,
+    Heard,
+    Leave,
+    Message,
+    Note,
+    Send,
+    SetTimer,
+    Started,
+    Store,
+    Stored,
+    StoreFailed,
+    TimerFired,
+)
+from ..fleet.hub import OFF, Hub
+from ..fleet.wire import MOST_FRAME, Fault, Hello, Wire
+from .sockets import Listener
+from .streams import Streams, family
+
+log = logs.get(__name__)
+
+BACKLOG = 64
+TURN = 64  # datagrams or connections taken in one turn of the loop: consumers come between
+FIRST_WAIT_S, MOST_WAIT_S = 0.2, 5.0  # between two attempts to have the address
+MOST_TIMERS = 20_000
+MOST_STORES = 1024  # requests of which the store has not said how they ended
+SOCKETS = 2  # descriptors beside the streams'
+
+COUNTS = ("sent", "received", "send_failed", "too_long", "stores_refused")
+
+
+class Disk(Protocol):
+    """The store's thread."""
+
+    def submit(self, ticket: int, records: tuple[Any, ...], done: Callable[[str | None], None]) -> None:
+        """Never waits. `done` is called once, on any thread: None for stored, else why not."""
+        ...
+
+    def close(self) -> None: ...
+
+
+@lru_cache(1024)
+def _numeric(host: str) -> bool:
+    """A name would be looked up, and the loop would wait for that."""
+    for kind in (socket.AF_INET, socket.AF_INET6):
+        with contextlib.suppress(OSError, ValueError):
+            socket.inet_pton(kind, host)
+            return True
+    return False
+
+
+class Others:
+    """Drives one hub. Made, started and closed on the loop's thread."""
+
+    def __init__(
+        self, listen: Address, name: str, life: int, hub: Hub, wire: Wire, streams: int = 32,
+        disk: Disk | None = None, at: Address | None = None,
+    ) -> None:
+        """`at`: where others reach this process, if not at `listen`. `disk` is closed with this."""
+        self._listen, self._name, self._life = listen, name, life
+        self._at, self._most = at, streams
+        self._hub, self._wire, self._disk = hub, wire, disk
+        self._loop = asyncio.get_running_loop()
+        self._datagrams: socket.socket | None = None
+        self._listener: Listener | None = None
+        self._streams: Streams | None = None
+        self._opening: asyncio.Task[None] | None = None
+        self._timers: dict[int, asyncio.TimerHandle] = {}
+        self._timer = 0
+        self._storing = 0
+        self._now = 0.0
+        self._off = self._closed = False
+        self.counts = dict.fromkeys(COUNTS, 0)
+        hub.faulty = self._faulty
+
+    @property
+    def at(self) -> Address | None:
+        """Where it listens; None as long as it does not."""
+        return self._listener.socket.getsockname()[:2] if self._listener is not None else None
+
+    # Life
+
+    def start(self) -> None:
+        """Listen as soon as the address can be had, and begin then.
+
+        The process before this one has it until it leaves; a wrong one is told in the log. Serving waits for neither.
+        """
+        self._opening = self._loop.create_task(self._open())
+
+    async def _open(self) -> None:
+        wait = FIRST_WAIT_S
+        while True:
+            try:
+                self._bind()
+                break
+            except OSError as error:
+                log.warning("fleet: not listening yet", listen=host_port(self._listen), error=str(error), wait_s=wait)
+            await asyncio.sleep(wait)
+            wait = min(2 * wait, MOST_WAIT_S)
+        log.info("fleet: listening", listen=host_port(self._listen), life=self._life)
+        self.tell(Started())
+
+    def _bind(self) -> None:
+        """Both sockets or none; raises OSError."""
+        taken: list[socket.socket] = []
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                sock = socket.socket(family(self._listen), kind)
+                taken.append(sock)
+                sock.setblocking(False)
+                if kind == socket.SOCK_STREAM:
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                sock.bind((self._listen[0], taken[0].getsockname()[1] if len(taken) == 2 else self._listen[1]))
+            taken[0].listen(BACKLOG)
+        except OSError:
+            for sock in taken:
+                sock.close()
+            raise
+        at = self._at or taken[0].getsockname()[:2]
+        hello = self._wire.encode(self._name, Hello(self._life, at))
+        self._streams = Streams(self._wire, hello, self._most, self._heed)
+        self._listener = Listener(taken[0], self._accept)
+        self._datagrams = taken[1]
+        self._loop.add_reader(taken[1], self._receive)
+
+    def leave(self) -> None:
+        """The parts say that this process goes; what they answer is sent at once."""
+        if self._listener is not None:
+            self.tell(Leave())
+
+    def close(self) -> None:
+        """At once, without a word to others. May be called twice."""
+        self._closed = True
+        if self._opening is not None:
+            self._opening.cancel()
+        self._quiet()
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
+        if self._datagrams is not None:
+            self._loop.remove_reader(self._datagrams)
+            self._datagrams.close()
+            self._datagrams = None
+        if self._streams is not None:
+            self._streams.close()
+        if self._disk is not None:
+            self._disk.close()
+            self._disk = None
+
+    def _quiet(self) -> None:
+        for handle in self._timers.values():
+            handle.cancel()
+        self._timers.clear()
+
+    # Events
+
+    def tell(self, event: Event) -> None:
+        """Raises nothing."""
+        if self._off or self._closed:
+            return
+        self._now = max(self._now, self._loop.time() * 1000.0)
+        if isinstance(event, TimerFired):
+            self._now = max(self._now, self._timed)
+        try:
+            for action in self._hub.handle(self._now, event):
+                self._carry_out(action)
+        except Exception as error:  # not a part's own, which the hub holds back: what came of it can't be carried out
+            self._off = True
+            self._quiet()
+            self._faulty("", event, error)
+            log.error(OFF, fleet=True, mono_ms=round(self._now, 1), off="all")
+
+    _timed = 0.0  # the deadline of the timer that fires: the loop may call it up to its clock's grain early
+
+    def _faulty(self, part: str, event: Any, error: Exception) -> None:
+        log.error("fault in the fleet's decisions", part=part, fleet_event=repr(event)[:2000], exc_info=error)
+
+    def _heed(self, sender: str, at: Address, message: Message) -> None:
+        self.tell(Heard(at, sender, message, Carrier.STREAM))
+
+    def _accept(self) -> None:
+        if self._listener is not None and self._streams is not None:
+            self._listener.take(TURN, self._streams.admit, self._refused)
+
+    def _refused(self, error: OSError) -> None:
+        log.warning("fleet's listener", error=str(error))
+
+    def _receive(self) -> None:
+        for _ in range(TURN):
+            if self._datagrams is None:
+                return
+            try:
+                frame, at = self._datagrams.recvfrom(MOST_DATAGRAM + 1)
+            except BlockingIOError:
+                return
+            except OSError:  # an earlier datagram's peer was not there: nothing to do with what comes
+                continue
+            self.counts["received"] += 1
+            said = self._wire.decode(frame, MOST_DATAGRAM)
+            if isinstance(said, Fault):
+                continue
+            if isinstance(said[1], Hello):
+                self._wire.count(Fault.KIND)  # of streams only
+                continue
+            self.tell(Heard(at[:2], said[0], said[1], Carrier.DATAGRAM))
+
+    def _fired(self, key: int, at_ms: float, token: int) -> None:
+        del self._timers[key]
+        self._timed = at_ms
+        self.tell(TimerFired(token))
+
+    # Actions
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, Send):
+            self._send(action)
+        elif isinstance(action, SetTimer):
+            if len(self._timers) >= MOST_TIMERS:
+                raise RuntimeError(f"more than {MOST_TIMERS} timers")
+            self._timer += 1
+            self._timers[self._timer] = self._loop.call_at(
+                action.at_ms / 1000.0, self._fired, self._timer, action.at_ms, action.token
+            )
+        elif isinstance(action, Store):
+            self._store(action)
+        elif isinstance(action, Note):
+            fields = {f"{key}_" if key == "event" else key: value for key, value in action.fields.items()}
+            log.info(action.text, **{**fields, "fleet": True, "mono_ms": round(self._now, 1)})
+        else:
+            raise TypeError(f"no action of a host: {action!r}")
+
+    def _send(self, action: Send) -> None:
+        if self._datagrams is None or self._streams is None:
+            return
+        if not _numeric(action.at[0]) or not 0 < action.at[1] < 65536:
+            self.counts["send_failed"] += 1
+            return
+        frame = self._wire.encode(self._name, action.message)
+        if len(frame) > (MOST_DATAGRAM if action.carrier is Carrier.DATAGRAM else MOST_FRAME):
+            self.counts["too_long"] += 1
+            return
+        if action.carrier is Carrier.STREAM:
+            self._streams.send(action.at, frame)
+            return
+        try:
+            self._datagrams.sendto(frame, action.at)
+            self.counts["sent"] += 1
+        except OSError:  # a full buffer, no way there
+            self.counts["send_failed"] += 1
+
+    def _store(self, action: Store) -> None:
+        if self._disk is None or self._storing >= MOST_STORES:
+            self.counts["stores_refused"] += 1
+            why = "no folder" if self._disk is None else "slow"
+            self._loop.call_soon(self.tell, StoreFailed(action.ticket, why))
+            return
+        self._storing += 1
+
+        def done(why: str | None) -> None:
+            if not self._loop.is_closed():
+                self._loop.call_soon_threadsafe(self._stored, action.ticket, why)
+
+        self._disk.submit(action.ticket, action.records, done)
+
+    def _stored(self, ticket: int, why: str | None) -> None:
+        self._storing -= 1
+        self.tell(Stored(ticket) if why is None else StoreFailed(ticket, why))
+
+    # For operators
+
+    def state(self) -> dict[str, Any]:
+        return {
+            "listening": self._listener is not None,
+            "off": "all" if self._off else ", ".join(self._hub.off),
+            "timers": len(self._timers),
+            "storing": self._storing,
+            "untold": self._hub.untold,
+            "unheard": self._hub.unheard,
+            "datagrams": dict(self.counts),
+            "streams": self._streams.state() if self._streams is not None else {},
+            "dropped": {fault.value: count for fault, count in self._wire.faults.items()},
+        }
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -73,18 +73,18 @@
 class Sockets:
     """Shares the descriptors out to consumers and providers."""
 
-    def __init__(self, limit: int, tuning: Descriptors = Descriptors()) -> None:  # noqa: B008 (frozen)
-        """OPERATORS are set apart. `tuning.reserve`: standard streams, the loop's own, the listener, the directory,
+    def __init__(self, limit: int, tuning: Descriptors = Descriptors(), fleet: int = 0) -> None:  # noqa: B008 (frozen)
+        """OPERATORS are set apart, and `fleet` where other sidecars are spoken with. `tuning.reserve`: standard streams, the loop's own, the listener, the directory,
         and what the interpreter holds. Neither side can use up the other's part: consumers that only stay connected
         would else leave no descriptor to reach a provider by, and every call would be rejected.
         """
-        self._tuning = tuning
+        self._tuning, self._apart = tuning, OPERATORS + fleet
         self.consumers, self.providers = Share(), Share()
         self.limit_to(limit)
 
     def limit_to(self, limit: int) -> None:
         """Also under way: what is open beyond a new limit stays until it closes."""
-        whole = max(limit - self._tuning.reserve - OPERATORS, 8)
+        whole = max(limit - self._tuning.reserve - self._apart, 8)
         self.consumers.limit = int(whole * self._tuning.for_consumers)
         self.providers.limit = whole - self.consumers.limit
         while self.providers.used > self.providers.limit and self.providers.drop_idle():
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -6,7 +6,7 @@
 import gc
 import os
 import signal
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from tornado.ioloop import PeriodicCallback
 
@@ -25,6 +25,9 @@
 from .net.successor import Inheritance, Successor
 from .settings import Settings
 
+if TYPE_CHECKING:
+    from .together import Together
+
 log = logs.get(__name__)
 
 
@@ -32,7 +35,8 @@
     """Serve until SIGTERM or SIGINT, then finish what was taken. Raises OSError if it can't listen."""
     held, serving = config, False
     facade = Facade(config.settings, config.seed, config.zones, config.kinds)
-    sockets = Sockets(config.sockets, settings.descriptors)
+    others = among_others(config, settings)
+    sockets = Sockets(config.sockets, settings.descriptors, others.descriptors if others is not None else 0)
     figures = Figures()
     figures.know(cls.name for cls in config.settings.classes)
     calls = Calls(facade, config.max_open, figures)
@@ -71,7 +75,8 @@
             "cluster_unhealthy": facade.avoided(),
         })
 
-    operators = Operators(lambda: serving and consumers.ready() and not consumers.leaving, stats, ban)
+    extra = others.paths if others is not None else {}
+    operators = Operators(lambda: serving and consumers.ready() and not consumers.leaving, stats, ban, extra)
 
     def limit(processes: int) -> None:
         """Of this sidecar, those alive: all of them are held to one sidecar's limits."""
@@ -127,15 +132,30 @@
         looking.start()
     successor.offer(listener)
     log.info("listening", listen=host_port(config.listen), layer=config.settings.layer, over=inherited is not None)
+    if others is not None:
+        others.start()
     gc.freeze()  # what stays for good is not looked through again
     await successor.serving()
     serving = True
     await stop.wait()
     log.info("leaving", open_calls=len(calls.open), handed_on=successor.serves)
+    if others is not None:
+        others.leave()
     await consumers.leave(successor.serves)
     looking.stop()
     operators.close()
     successor.close()
+    if others is not None:
+        others.close()
+
+
+def among_others(config: Config, settings: Settings) -> Together | None:
+    """The fleet's side, off without its table: nothing of it is imported then."""
+    if settings.fleet is None:
+        return None
+    from .together import Together
+
+    return Together(settings.fleet, config.name)
 
 
 def buffered(memory_mb: float, processes: int) -> int:
--- a/limenotch/settings.py
+++ b/limenotch/settings.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, Struct
@@ -59,11 +60,16 @@
     providers: Providers = Providers()
     directory: Directory = Directory()
     descriptors: Descriptors = Descriptors()
+    fleet: Any = None  # fleet.settings.Fleet where the file has that table: nothing of the fleet is imported without
 
 
 def parse(text: str, name: str) -> Settings:
     """Raises toml.FaultError, whose text names file, line and key."""
-    return toml.decode(text, name, Settings)
+    if "fleet" not in toml.decode_table(text, name):
+        return toml.decode(text, name, Settings)
+    from .fleet.settings import parse_with
+
+    return parse_with(text, name)
 
 
 def load_settings(path: str | None, environ: Mapping[str, str]) -> Settings:
@@ -74,11 +80,29 @@
     return parse(toml.read(Path(path)), path)
 
 
+def check_as(settings: Settings, sidecar: str) -> None:
+    """What the sidecar's name has a say in. Raises FaultError."""
+    if settings.fleet is not None:
+        from .fleet.settings import place
+
+        place(settings.fleet, sidecar)
+
+
 def effective(settings: Settings) -> str:
-    """As TOML, every key with the value in force."""
-    tables = []
-    for table in settings.__struct_fields__:
-        values = msgspec.to_builtins(getattr(settings, table))
-        lines = [f"{key} = {msgspec.json.encode(value).decode()}" for key, value in values.items()]
-        tables.append("\n".join([f"[{table}]", *lines]) + "\n")
-    return "\n".join(tables)
+    """As TOML, every key with the value in force; without tables that are not there."""
+    values = msgspec.to_builtins(settings)
+    return "\n".join("\n".join(_lines(table, values[table])) for table in values if values[table] is not None)
+
+
+def _lines(path: str, table: dict[str, Any]) -> list[str]:
+    """A table and those within it. What is None has no form in TOML and is left out."""
+    inner = {key: value for key, value in table.items() if isinstance(value, dict)}
+    plain = {key: value for key, value in table.items() if key not in inner and value is not None}
+    lines = [f"[{path}]", *(f"{_key(key)} = {msgspec.json.encode(value).decode()}" for key, value in plain.items()), ""]
+    for key, value in inner.items():
+        lines += _lines(f"{path}.{_key(key)}", value) if value else []
+    return lines
+
+
+def _key(name: str) -> str:
+    return name if re.fullmatch(r"[A-Za-z0-9_-]+", name) else msgspec.json.encode(name).decode()
--- /dev/null
+++ b/limenotch/together.py
@@ -0,0 +1,99 @@
+"""The fleet's side of the program: parts, hub, wire and sockets put together. Imported only where `[fleet]` is set.
+
+Which parts there are is said in one place, `parts`; all else here is the same whatever they are.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+import msgspec
+
+from . import logs
+from .config import Address, host_port
+from .fleet.contract import Message, Part
+from .fleet.hub import Hub, Names
+from .fleet.settings import Fleet, Placed, place
+from .fleet.wire import Wire
+from .net import http1
+from .net.operators import Extra
+from .net.others import Disk, Others
+
+log = logs.get(__name__)
+
+LEAVE_S = 0.5  # from the word that this process goes to the end of its sockets
+PATH = "/fleet"
+
+
+class Built(NamedTuple):
+    """What a factory of parts gives."""
+
+    messages: Sequence[type[Message]]  # of all parts
+    parts: Sequence[tuple[str, Part]]  # with the prefix of their messages' tags, membership first
+    names: Names | None = None
+    members: Callable[[], Any] = list  # for operators: anything that has a form in JSON
+    figures: Mapping[str, Callable[[], Any]] = {}  # the same, by part
+    disk: Disk | None = None
+
+
+Parts = Callable[[Placed, int, int], Built]  # settings, life, seed
+
+
+def parts(placed: Placed, life: int, seed: int) -> Built:
+    """The parts that this program has. Raises FaultError on a part's own table."""
+    return Built((), ())
+
+
+class Together:
+    """One process among others. Made on the loop's thread."""
+
+    def __init__(self, table: Fleet, sidecar: str, parts: Parts = parts) -> None:
+        """Raises toml.FaultError on settings that can't be used."""
+        placed = place(table, sidecar)
+        self.name, self.group = placed.name, placed.group
+        self.life = int.from_bytes(os.urandom(6), "big")  # of no two processes the same
+        self._built = parts(placed, self.life, self.life)
+        hub = Hub(self._built.parts, self._built.names)
+        wire = Wire(placed.key, placed.group, self._built.messages)
+        self._others = Others(
+            placed.listen, placed.name, self.life, hub, wire, table.streams, self._built.disk, placed.at
+        )
+        self._at = placed.at
+        self._end: asyncio.TimerHandle | None = None
+        self.descriptors = table.descriptors
+        self.paths: dict[str, Extra] = {PATH: self._answer}
+
+    def start(self) -> None:
+        self._others.start()
+
+    def leave(self) -> None:
+        """Tell the others. A little later the address is free: the next process of this sidecar may wait for it."""
+        if self._end is None:
+            self._others.leave()
+            self._end = asyncio.get_running_loop().call_later(LEAVE_S, self._others.close)
+
+    def close(self) -> None:
+        if self._end is not None:
+            self._end.cancel()
+        self._others.close()
+
+    def state(self) -> dict[str, Any]:
+        at: Address = self._at
+        return {
+            "name": self.name,
+            "group": self.group,
+            "life": self.life,
+            "at": host_port(at),
+            "members": self._built.members(),
+            **self._others.state(),
+            "parts": {name: figures() for name, figures in self._built.figures.items()},
+        }
+
+    async def _answer(self, request: http1.Message) -> bytes:
+        if request.method != b"GET":
+            return http1.write_response(405, [(b"Allow", b"GET")], b"", close=True)
+        body = msgspec.json.format(msgspec.json.encode(self.state()), indent=1) + b"\n"
+        return http1.write_response(200, [(b"Content-Type", b"application/json")], body, close=True)
