--- a/limenotch/fleet/hub.py
+++ b/limenotch/fleet/hub.py
@@ -36,6 +36,7 @@
     Tell,
     TimerFired,
 )
+from .wire import tag_of
 
 OFF = "fleet off: fault"  # the note's text
 
@@ -79,7 +80,7 @@
 
     def _route(self, event: Event) -> Iterable[tuple[int, Event]]:
         if isinstance(event, Heard):
-            tag = str(event.message.__struct_config__.tag)
+            tag = tag_of(event.message)
             place = self._places.get(tag[: tag.find(".") + 1])
             if place is None or place in self._off:
                 self.unheard += 1
--- a/limenotch/fleet/settings.py
+++ b/limenotch/fleet/settings.py
@@ -16,7 +16,7 @@
 from ..config import Address, ConfigError, address
 from .wire import LEAST_KEY, MOST_KEY, MOST_NAME
 
-Name = Annotated[str, Meta(min_length=1, max_length=MOST_NAME // 4)]  # letters, of 4 bytes at most
+Name = Annotated[str, Meta(min_length=1, max_length=MOST_NAME)]
 ANYWHERE = ("0.0.0.0", "::")  # what can be listened at, but not reached
 STORE_FILES = 8  # descriptors that the store and its thread may hold
 SOCKETS = 2
@@ -74,8 +74,8 @@
     at = addresses.get(name, listen)
     if at[0] in ANYWHERE:
         raise toml.FaultError(f"fleet.listen: {table.listen} can't be reached; fleet.addresses has none for {name!r}")
-    if len(name.encode()) > MOST_NAME:
-        raise toml.FaultError(f"fleet.name: expected {MOST_NAME} bytes or less")
+    if len(name) > MOST_NAME:  # the sidecar's
+        raise toml.FaultError(f"fleet.name: missing, {name!r} has more than {MOST_NAME} letters")
     if name in table.voters and table.folder is None:
         raise toml.FaultError(f"fleet.folder: missing, {name!r} is a voter and what it says is stored")
     seeds = tuple(address(seed, "") for seed in table.seeds)
--- a/limenotch/fleet/wire.py
+++ b/limenotch/fleet/wire.py
@@ -1,4 +1,4 @@
-"""Frames between sidecars, as bytes: who says what, in which version, under a digest that only the key's holders can make.
+"""Frames between sidecars, as bytes: who says what, in which version, under a digest that takes the key to make.
 
 A frame is 16 bytes of keyed BLAKE2b (RFC 7693) over all that follows, one byte of version, and a msgpack array
 `[group, sender, message]`; a message is an array whose first element is its kind. What fails is named and counted,
@@ -28,7 +28,7 @@
 LENGTH = 4  # bytes before a frame on a stream
 LEAST, MOST = 1, 1  # versions this program speaks
 MOST_FRAME = 1024 * 1024  # bytes
-MOST_NAME = 200  # bytes of a sender's or a group's name, in UTF-8
+MOST_NAME = 64  # letters of a sender's or a group's name
 LEAST_KEY, MOST_KEY = 16, 64  # bytes; more BLAKE2b does not take
 
 
@@ -51,6 +51,11 @@
     at: Address
 
 
+def tag_of(message: Message | type[Message]) -> str:
+    """Its kind, as the frame bears it."""
+    return str(message.__struct_config__.tag)
+
+
 class _Head(Struct, frozen=True, array_like=True):
     group: Annotated[str, Meta(min_length=1, max_length=MOST_NAME)]
     sender: Annotated[str, Meta(min_length=1, max_length=MOST_NAME)]
@@ -70,14 +75,14 @@
         self._least, self._most = spoken
         if not 0 <= self._least <= self._most <= 255:
             raise ValueError(f"versions: {spoken}")
-        kinds = [Hello, *messages]
-        self._tags = {str(kind.__struct_config__.tag) for kind in kinds}
+        kinds: list[type[Message]] = [Hello, *messages]
+        self._tags = {tag_of(kind) for kind in kinds}
         if len(self._tags) != len(kinds):
             raise ValueError("two kinds of messages with one tag")
         self._keyed = blake2b(key=key, digest_size=DIGEST)
         self._version = bytes([self._least])
         self._encode = msgspec.msgpack.Encoder().encode
-        self._head = msgspec.msgpack.Decoder(_Head).decode
+        self._head: Any = msgspec.msgpack.Decoder(_Head).decode
         self._message: Any = msgspec.msgpack.Decoder(Union[tuple(kinds)]).decode
         self.faults = dict.fromkeys(Fault, 0)
 
@@ -135,8 +140,8 @@
 
 
 def _name(name: str) -> str:
-    if not 0 < len(name.encode()) <= MOST_NAME:
-        raise ValueError(f"name: expected 1 to {MOST_NAME} bytes, not {name!r}")
+    if not 0 < len(name) <= MOST_NAME:
+        raise ValueError(f"name: expected 1 to {MOST_NAME} letters, not {name!r}")
     return name
 
 
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -73,10 +73,11 @@
 class Sockets:
     """Shares the descriptors out to consumers and providers."""
 
-    def __init__(self, limit: int, tuning: Descriptors = Descriptors(), fleet: int = 0) -> None:  # noqa: B008 (frozen)
-        """OPERATORS are set apart, and `fleet` where other sidecars are spoken with. `tuning.reserve`: standard streams, the loop's own, the listener, the directory,
-        and what the interpreter holds. Neither side can use up the other's part: consumers that only stay connected
-        would else leave no descriptor to reach a provider by, and every call would be rejected.
+    def __init__(self, limit: int, tuning: Descriptors = Descriptors(), fleet: int = 0) -> None:  # noqa: B008
+        """OPERATORS are set apart, and `fleet` for other sidecars. `tuning.reserve`: standard streams, the loop's own,
+        the listener, the directory, and what the interpreter holds. Neither side can use up the other's part:
+        consumers that only stay connected would else leave no descriptor to reach a provider by, and every call
+        would be rejected.
         """
         self._tuning, self._apart = tuning, OPERATORS + fleet
         self.consumers, self.providers = Share(), Share()
--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import os
+import time
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, NamedTuple
 
@@ -54,8 +55,10 @@
         """Raises toml.FaultError on settings that can't be used."""
         placed = place(table, sidecar)
         self.name, self.group = placed.name, placed.group
-        self.life = int.from_bytes(os.urandom(6), "big")  # of no two processes the same
-        self._built = parts(placed, self.life, self.life)
+        # Of two processes of one name the later has the higher one, unless the wall clock was set back in between:
+        # the only use of that clock here, and to membership it is just a number.
+        self.life = time.time_ns() // 1000
+        self._built = parts(placed, self.life, int.from_bytes(os.urandom(8), "big"))
         hub = Hub(self._built.parts, self._built.names)
         wire = Wire(placed.key, placed.group, self._built.messages)
         self._others = Others(
--- /dev/null
+++ b/tests/fleet/test_fleet_off.py
@@ -0,0 +1,155 @@
+"""Without a `[fleet]` table nothing of the fleet is imported or opened; with one, exactly two sockets more are."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+import tomllib
+from collections import Counter
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from limenotch.net.sockets import OPERATORS, Sockets
+from limenotch.settings import Descriptors
+from tests.test_sidecar import LOOK, SETTINGS, answering, ask, free_port, whole
+
+ROOT = Path(__file__).parent.parent.parent
+KEY = "sixteen bytes ok"
+# As `python -m limenotch serve`, and at the end the names of all modules there are.
+RUN = """
+import json, sys
+from limenotch.cli import main
+sys.argv = ["limenotch", "serve"]
+try:
+    main()
+finally:
+    print(json.dumps(sorted(sys.modules)))
+"""
+FLEET = ("limenotch.fleet", "limenotch.store", "limenotch.net.others", "limenotch.net.streams", "limenotch.together")
+
+
+def of_the_fleet(modules: list[str]) -> list[str]:
+    return [name for name in modules if name.startswith(FLEET)]
+
+
+class Sidecar:
+    """A process that serves calls, as the program does."""
+
+    def __init__(self, process: asyncio.subprocess.Process, port: int, admin: int, fleet: int) -> None:
+        self.process, self.port, self.admin, self.fleet = process, port, admin, fleet
+
+    def sockets(self) -> Counter[str]:
+        """What it has open, by kind."""
+        folder = Path(f"/proc/{self.process.pid}")
+        inodes = set()
+        for link in (folder / "fd").iterdir():
+            with contextlib.suppress(OSError):
+                inodes.add(os.readlink(link))
+        found: Counter[str] = Counter()
+        for kind in ("tcp", "udp", "tcp6", "udp6"):
+            for line in (folder / "net" / kind).read_text().splitlines()[1:]:
+                fields = line.split()
+                if f"socket:[{fields[9]}]" in inodes and (kind.startswith("udp") or fields[3] == "0A"):
+                    found[kind] += 1  # datagrams, and listeners
+        return found
+
+    async def told(self) -> dict[str, Any]:
+        answer = await ask(self.admin, b"GET /fleet HTTP/1.1\r\n\r\n")
+        assert answer.status == 200
+        told: dict[str, Any] = json.loads(answer.body)
+        return told
+
+    async def end(self) -> list[str]:
+        """In order; the modules that were there."""
+        self.process.send_signal(signal.SIGTERM)
+        out, _ = await asyncio.wait_for(self.process.communicate(), 20)
+        assert self.process.returncode == 0
+        modules: list[str] = json.loads(out.splitlines()[-1])
+        return modules
+
+
+@contextlib.asynccontextmanager
+async def serving(folder: Path, name: str = "n", fleet: str | None = None, port: int = 0) -> AsyncIterator[Sidecar]:
+    """`fleet`: the table's further lines; None: no table."""
+    handler, _ = answering(whole(200))
+    provider = await asyncio.start_server(handler, "127.0.0.1", 0)
+    listed = [{"name": "a", "address": "127.0.0.1:%d" % provider.sockets[0].getsockname()[1],  # noqa: UP031
+               "zone": "a", "status": "in_service"}]
+    ports = free_port(), free_port(), port or free_port()
+    config, settings = folder / f"{name}.json", folder / f"{name}.toml"
+    config.write_text(json.dumps({
+        "name": name, "listen": f"127.0.0.1:{ports[0]}", "discovery": f"127.0.0.1:{free_port()}", "seed": "1f",
+        "admin_addr": f"127.0.0.1:{ports[1]}", "settings": SETTINGS,
+        "known": {"index": 3, "snapshot": True, "endpoints": listed}}))
+    (folder / "key").write_text(KEY)
+    text = '[log]\nform = "json"\n'
+    if fleet is not None:
+        text += f'[fleet]\ngroup = "g"\nlisten = "127.0.0.1:{ports[2]}"\nkey_file = "{folder / "key"}"\n{fleet}'
+    settings.write_text(text)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", RUN, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
+        env={"LB_CONFIG": str(config), "LIMENOTCH_SETTINGS": str(settings), "PYTHONDONTWRITEBYTECODE": "1"})
+    try:
+        async with asyncio.timeout(20):
+            while True:
+                with contextlib.suppress(OSError):
+                    if (await ask(ports[1], b"GET /healthcheck HTTP/1.1\r\n\r\n")).status == 200:
+                        break
+                assert process.returncode is None
+                await asyncio.sleep(0.02)
+        assert (await ask(ports[0], LOOK)).status == 200
+        yield Sidecar(process, *ports)
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        provider.close()
+
+
+def test_off_nothing_of_it_is_imported_or_opened_and_on_two_sockets_are(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with serving(tmp_path) as off, serving(tmp_path, "on", "") as on:
+            async with asyncio.timeout(20):
+                while not (await on.told())["listening"]:
+                    await asyncio.sleep(0.02)
+            assert off.sockets() == {"tcp": 2} and on.sockets() == {"tcp": 3, "udp": 1}
+            assert (await ask(off.admin, b"GET /fleet HTTP/1.1\r\n\r\n")).status == 404
+            assert (await ask(on.admin, b"POST /fleet HTTP/1.1\r\nContent-Length: 0\r\n\r\n")).status == 405
+            told = await on.told()
+            assert (told["name"], told["group"], told["at"]) == ("on", "g", f"127.0.0.1:{on.fleet}")
+            assert told["dropped"]["digest"] == 0 and told["streams"]["accepted"] == 0 and told["life"] > 0
+            assert of_the_fleet(await off.end()) == []
+            assert of_the_fleet(await on.end())  # so that the names looked for are those that would be there
+
+    asyncio.run(case())
+
+
+def test_the_benches_run_without_settings() -> None:
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+    assert run.split()[-3:] == ["-m", "limenotch", "serve"] and "SETTINGS" not in run and "--settings" not in run
+
+
+def test_the_fleet_s_descriptors_are_taken_from_the_limit_only_where_it_is_on() -> None:
+    for limit in (64, 1024):
+        off, on = Sockets(limit), Sockets(limit, Descriptors(), 74)
+        left = max(limit - Descriptors().reserve - OPERATORS - 74, 8)
+        assert off.consumers.limit + off.providers.limit == limit - Descriptors().reserve - OPERATORS
+        assert on.consumers.limit + on.providers.limit == left
+
+
+@pytest.mark.parametrize("name", ["limenotch.settings", "limenotch.program", "limenotch.cli.serve"])
+def test_what_is_imported_by_the_name_alone(name: str) -> None:
+    async def case() -> bytes:
+        code = f"import sys, json, {name}; print(json.dumps(sorted(sys.modules)))"
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", code, cwd=ROOT, stdout=asyncio.subprocess.PIPE)
+        return (await process.communicate())[0]
+
+    assert of_the_fleet(json.loads(asyncio.run(case()))) == []
--- /dev/null
+++ b/tests/fleet/test_fleet_settings.py
@@ -0,0 +1,126 @@
+"""The `[fleet]` table: the example file, faults by file, line and key, the key's file, and what is in force."""
+
+from __future__ import annotations
+
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from limenotch import toml
+from limenotch.fleet.settings import Fleet, place, read_key
+from limenotch.settings import Settings, effective, parse
+
+EXAMPLE = Path(__file__).parent.parent.parent / "deploy" / "fleet.toml"
+KEY = b"sixteen bytes ok"
+
+
+@pytest.fixture
+def key(tmp_path: Path) -> Path:
+    path = tmp_path / "fleet.key"
+    path.write_bytes(b"\n " + KEY + b"\n")
+    return path
+
+
+def table(key: Path, more: str = "") -> str:
+    return f'[log]\nlevel = "info"\n\n[fleet]\ngroup = "g"\nlisten = "127.0.0.1:7400"\nkey_file = "{key}"\n{more}'
+
+
+def example(key: Path) -> str:
+    return EXAMPLE.read_text().replace("/etc/limenotch/fleet.key", str(key))
+
+
+def test_the_example_is_read_and_names_every_key(key: Path) -> None:
+    settings = parse(example(key), "fleet.toml")
+    keys = set(re.findall(r"^(\w+) =", EXAMPLE.read_text(), re.MULTILINE)) | set(
+        re.findall(r"^\[fleet\.(\w+)\]", EXAMPLE.read_text(), re.MULTILINE))
+    assert keys >= set(Fleet.__struct_fields__) - {"membership", "agreement"}
+    assert settings.fleet.streams == Fleet("g", "h", "k").streams  # a value that stands there is the default
+    placed = place(settings.fleet, "sidecar")
+    assert (placed.name, placed.key, placed.listen, placed.at) == ("a", KEY, ("10.0.0.1", 7400), ("10.0.0.1", 7400))
+    assert placed.seeds == (("10.0.0.2", 7400), ("10.0.0.3", 7400)) and placed.addresses["c"] == ("10.0.0.3", 7400)
+
+
+def test_what_is_in_force_can_be_read_again(key: Path) -> None:
+    for text in (example(key), table(key), table(key, '[fleet.addresses]\n"a.b \\"c" = "[::1]:7"\n')):
+        settings = parse(text, "x")
+        shown = effective(settings)
+        assert parse(shown, "x") == settings and KEY.decode() not in shown
+    assert "fleet" not in effective(Settings())
+
+
+@pytest.mark.parametrize(("more", "says"), [
+    ("streems = 3", "f.toml:8: fleet.streems: unknown key"),
+    ("streams = 0", "f.toml:8: fleet.streams: expected"),
+    ('seeds = ["127.0.0.1:1", "b"]', "f.toml:8: fleet.seeds[1]: expected HOST:PORT"),
+    ('seeds = ["localhost:1"]', "f.toml:8: fleet.seeds[0]: expected a numeric host"),
+    ('seeds = ["127.0.0.1:0"]', "f.toml:8: fleet.seeds[0]: expected a port other than 0"),
+    ('voters = ["a", "a"]', "f.toml:8: fleet.voters: a name stands twice"),
+    ('name = ""', "f.toml:8: fleet.name: expected"),
+    ('[fleet.addresses]\nb = "x"', "f.toml:9: fleet.addresses.b: expected HOST:PORT"),
+    ("[fleet.member]\nb = 1", "f.toml:8: fleet.member: unknown key"),
+])
+def test_a_fault_names_file_line_and_key(key: Path, more: str, says: str) -> None:
+    with pytest.raises(toml.FaultError, match="^" + re.escape(says)):
+        parse(table(key, more), "f.toml")
+
+
+def test_what_is_needed_is_told(key: Path) -> None:
+    for needed in ("group", "listen", "key_file"):
+        text = re.sub(rf"^{needed} = .*$", "", table(key), flags=re.MULTILINE)
+        with pytest.raises(toml.FaultError, match=f"^f.toml:4: fleet.{needed}: missing"):
+            parse(text, "f.toml")
+    with pytest.raises(toml.FaultError, match="^f.toml:1: fleet: expected `object`"):
+        parse("fleet = 3", "f.toml")
+
+
+def test_the_sidecar_s_name_has_a_say(key: Path) -> None:
+    anywhere = parse(table(key).replace("127.0.0.1", "0.0.0.0") + '[fleet.addresses]\nn = "127.0.0.1:7"\n', "x").fleet
+    assert place(anywhere, "n").at == ("127.0.0.1", 7)
+    voter = parse(table(key, 'voters = ["v"]'), "x").fleet
+    assert place(voter, "n").name == "n"
+    for fleet, name, says in [(anywhere, "m", "fleet.listen: 0.0.0.0:7400 can't be reached"),
+                              (voter, "v", "fleet.folder"), (voter, "x" * 65, "fleet.name")]:
+        with pytest.raises(toml.FaultError, match="^" + says):
+            place(fleet, name)
+
+
+@pytest.mark.parametrize("content", [b"", b"fifteen bytes..", b"   fifteen bytes..\n\n\n", b"x" * 65, b"x" * 100_000])
+def test_a_key_s_length_is_bounded_and_its_content_never_shown(tmp_path: Path, content: bytes) -> None:
+    path = tmp_path / "k"
+    path.write_bytes(content)
+    with pytest.raises(toml.FaultError, match=r"^f\.toml:7: fleet\.key_file: .*: expected 16 to 64 bytes$") as told:
+        parse(table(path), "f.toml")
+    assert "fifteen" not in str(told.value) and "xx" not in str(told.value)
+
+
+def test_keys_at_the_bounds_and_none(tmp_path: Path) -> None:
+    path = tmp_path / "k"
+    for size in (16, 64):
+        path.write_bytes(b"\n" + bytes(range(100, 100 + size)) + b"\n")
+        assert len(read_key(str(path))) == size
+    path.unlink()
+    with pytest.raises(toml.FaultError, match=r"^f\.toml:7: fleet\.key_file: .*: No such file"):
+        parse(table(path), "f.toml")
+
+
+def test_check_config_shows_the_table_and_finds_its_faults(tmp_path: Path, key: Path) -> None:
+    from tests.test_sidecar import SETTINGS
+
+    (tmp_path / "c.json").write_text(json.dumps(
+        {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": SETTINGS}))
+    file = tmp_path / "s.toml"
+
+    def check(text: str) -> subprocess.CompletedProcess[str]:
+        file.write_text(text)
+        return subprocess.run([sys.executable, "-m", "limenotch", "check-config", "--settings", str(file)],
+                              capture_output=True, text=True, env={"LB_CONFIG": str(tmp_path / "c.json")})
+
+    shown = check(table(key, "streams = 7"))
+    assert shown.returncode == 0 and '[fleet]\ngroup = "g"' in shown.stdout and "streams = 7" in shown.stdout
+    shown = check(table(key, 'voters = ["n"]'))
+    assert (shown.returncode, shown.stdout) == (2, "") and "limenotch: fleet.folder: missing" in shown.stderr
+    assert "fleet" not in check('[log]\nform = "json"\n').stdout
