--- a/limenotch/fleet/settings.py
+++ b/limenotch/fleet/settings.py
@@ -7,13 +7,14 @@
 
 import ipaddress
 from collections.abc import Iterator
-from typing import Annotated, Any, NamedTuple
+from typing import Annotated, NamedTuple
 
 from msgspec import Meta, Struct
 
 from .. import settings as base
 from .. import toml
 from ..config import Address, ConfigError, address
+from .membership.tuning import Tuning
 from .wire import LEAST_KEY, MOST_KEY, MOST_NAME
 
 Name = Annotated[str, Meta(min_length=1, max_length=MOST_NAME)]
@@ -22,6 +23,14 @@
 SOCKETS = 2
 
 
+class Membership(Tuning, frozen=True, forbid_unknown_fields=True):
+    """As the part has it."""
+
+
+class Agreement(Struct, frozen=True, forbid_unknown_fields=True):
+    """No key yet."""
+
+
 class Fleet(Struct, frozen=True, forbid_unknown_fields=True):
     group: Name
     listen: str
@@ -32,8 +41,8 @@
     folder: Annotated[str, Meta(min_length=1)] | None = None  # None: nothing is stored
     streams: Annotated[int, Meta(ge=1, le=1024)] = 32  # of one's own, and as many of others
     addresses: dict[Name, str] = {}
-    membership: dict[str, Any] = {}
-    agreement: dict[str, Any] = {}
+    membership: Membership = Membership()
+    agreement: Agreement = Agreement()
 
     @property
     def descriptors(self) -> int:
--- a/limenotch/net/others.py
+++ b/limenotch/net/others.py
@@ -99,6 +99,10 @@
         """Where it listens; None as long as it does not."""
         return self._listener.socket.getsockname()[:2] if self._listener is not None else None
 
+    def now(self) -> float:
+        """In ms, as the parts are told."""
+        return max(self._now, self._loop.time() * 1000.0)
+
     # Life
 
     def start(self) -> None:
@@ -179,7 +183,7 @@
         """Raises nothing."""
         if self._off or self._closed:
             return
-        self._now = max(self._now, self._loop.time() * 1000.0)
+        self._now = self.now()
         if isinstance(event, TimerFired):
             self._now = max(self._now, self._timed)
         try:
--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -9,7 +9,7 @@
 import os
 import time
 from collections.abc import Callable, Mapping, Sequence
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, get_args
 
 import msgspec
 
@@ -17,6 +17,8 @@
 from .config import Address, host_port
 from .fleet.contract import Message, Part
 from .fleet.hub import Hub, Names
+from .fleet.membership import Membership
+from .fleet.membership.messages import Spoken
 from .fleet.settings import Fleet, Placed, place
 from .fleet.wire import Wire
 from .net import http1
@@ -35,8 +37,8 @@
     messages: Sequence[type[Message]]  # of all parts
     parts: Sequence[tuple[str, Part]]  # with the prefix of their messages' tags, membership first
     names: Names | None = None
-    members: Callable[[], Any] = list  # for operators: anything that has a form in JSON
-    figures: Mapping[str, Callable[[], Any]] = {}  # the same, by part
+    members: Callable[[float], list[dict[str, Any]]] = lambda now: []  # for operators, as JSON
+    figures: Mapping[str, Callable[[], Any]] = {}  # by part, as JSON too
     disk: Disk | None = None
 
 
@@ -44,8 +46,32 @@
 
 
 def parts(placed: Placed, life: int, seed: int) -> Built:
-    """The parts that this program has. Raises FaultError on a part's own table."""
-    return Built((), ())
+    """The parts that this program has."""
+    membership = Membership(
+        placed.name, placed.at, life, placed.seeds, placed.table.membership, seed, placed.addresses
+    )
+    return Built(
+        get_args(Spoken), [("mb.", membership)], _Known(membership), lambda now: members(membership, now),
+        {"membership": membership.figures},
+    )
+
+
+class _Known:
+    """Addresses as membership knows them, the settings' own first."""
+
+    def __init__(self, membership: Membership) -> None:
+        self._ground = membership.ground
+
+    def address_of(self, name: str) -> Address | None:
+        return self._ground.at_of(name) if self._ground.table.get(name) is not None else None
+
+
+def members(membership: Membership, now: float) -> list[dict[str, Any]]:
+    return [
+        {"name": seen.name, "state": seen.state.value, "incarnation": seen.incarnation, "life": seen.life,
+         "address": host_port(seen.address), "since_ms": round(now - seen.since)}
+        for seen in membership.members()
+    ]
 
 
 class Together:
@@ -90,7 +116,7 @@
             "group": self.group,
             "life": self.life,
             "at": host_port(at),
-            "members": self._built.members(),
+            "members": self._built.members(self._others.now()),
             **self._others.state(),
             "parts": {name: figures() for name, figures in self._built.figures.items()},
         }
--- a/tests/fleet/test_fleet_off.py
+++ b/tests/fleet/test_fleet_off.py
@@ -76,7 +76,9 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(folder: Path, name: str = "n", fleet: str | None = None, port: int = 0) -> AsyncIterator[Sidecar]:
+async def serving(
+    folder: Path, name: str = "n", fleet: str | None = None, port: int = 0, key: str = KEY
+) -> AsyncIterator[Sidecar]:
     """`fleet`: the table's further lines; None: no table."""
     handler, _ = answering(whole(200))
     provider = await asyncio.start_server(handler, "127.0.0.1", 0)
@@ -88,7 +90,7 @@
         "name": name, "listen": f"127.0.0.1:{ports[0]}", "discovery": f"127.0.0.1:{free_port()}", "seed": "1f",
         "admin_addr": f"127.0.0.1:{ports[1]}", "settings": SETTINGS,
         "known": {"index": 3, "snapshot": True, "endpoints": listed}}))
-    (folder / "key").write_text(KEY)
+    (folder / "key").write_text(key)
     text = '[log]\nform = "json"\n'
     if fleet is not None:
         text += f'[fleet]\ngroup = "g"\nlisten = "127.0.0.1:{ports[2]}"\nkey_file = "{folder / "key"}"\n{fleet}'
--- a/tests/fleet/test_fleet_settings.py
+++ b/tests/fleet/test_fleet_settings.py
@@ -11,7 +11,7 @@
 import pytest
 
 from limenotch import toml
-from limenotch.fleet.settings import Fleet, place, read_key
+from limenotch.fleet.settings import Fleet, Membership, place, read_key
 from limenotch.settings import Settings, effective, parse
 
 EXAMPLE = Path(__file__).parent.parent.parent / "deploy" / "fleet.toml"
@@ -37,7 +37,8 @@
     settings = parse(example(key), "fleet.toml")
     keys = set(re.findall(r"^(\w+) =", EXAMPLE.read_text(), re.MULTILINE)) | set(
         re.findall(r"^\[fleet\.(\w+)\]", EXAMPLE.read_text(), re.MULTILINE))
-    assert keys >= set(Fleet.__struct_fields__) - {"membership", "agreement"}
+    assert keys >= set(Fleet.__struct_fields__) - {"agreement"} | set(Membership.__struct_fields__)
+    assert settings.fleet.membership == Membership()
     assert settings.fleet.streams == Fleet("g", "h", "k").streams  # a value that stands there is the default
     placed = place(settings.fleet, "sidecar")
     assert (placed.name, placed.key, placed.listen, placed.at) == ("a", KEY, ("10.0.0.1", 7400), ("10.0.0.1", 7400))
@@ -61,6 +62,10 @@
     ('voters = ["a", "a"]', "f.toml:8: fleet.voters: a name stands twice"),
     ('name = ""', "f.toml:8: fleet.name: expected"),
     ('[fleet.addresses]\nb = "x"', "f.toml:9: fleet.addresses.b: expected HOST:PORT"),
+    ("[fleet.membership]\n\nperiod = 1", "f.toml:10: fleet.membership.period: unknown key"),
+    ("[fleet.membership]\nprobes = 1.5", "f.toml:9: fleet.membership.probes: expected `int`"),
+    ("[fleet.membership]\nperiod_ms = 5", "f.toml:8: fleet.membership: period_ms: 5"),
+    ("[fleet.agreement]\nb = 1", "f.toml:9: fleet.agreement.b: unknown key"),
     ("[fleet.member]\nb = 1", "f.toml:8: fleet.member: unknown key"),
 ])
 def test_a_fault_names_file_line_and_key(key: Path, more: str, says: str) -> None:
