--- a/benchmarks/fleet_wire.py
+++ b/benchmarks/fleet_wire.py
@@ -2,7 +2,7 @@
 
     python -m benchmarks.fleet_wire [ROUNDS]
 
-Microseconds each, the best of five turns; beside it a plain BLAKE2b of the same bytes, to tell one machine from another.
+Microseconds each, the best of five turns; beside it a plain BLAKE2b of the same bytes, to tell machines apart.
 """
 
 from __future__ import annotations
--- a/limenotch/net/streams.py
+++ b/limenotch/net/streams.py
@@ -34,6 +34,8 @@
 MOST_HELLO = 1024  # bytes of that frame
 READ = 64 * 1024  # bytes at once
 
+USER_TIMEOUT: int | None = getattr(socket, "TCP_USER_TIMEOUT", None)  # Linux; RFC 5482
+
 COUNTS = (
     "connected", "connect_failed", "lost", "stalled", "given_up", "sent", "dropped_full", "dropped_old",
     "accepted", "refused", "heard",
@@ -125,7 +127,7 @@
     async def _run(self) -> None:
         wait = FIRST_WAIT_S
         while await self._some():
-            sent = self._counted["sent"]
+            began = self._loop.time()
             stream = await self._connect()
             if stream is not None:
                 try:
@@ -133,11 +135,11 @@
                 finally:
                     self._stream = None
                     stream.close()
-                if self._counted["sent"] > sent:
-                    wait = FIRST_WAIT_S
+                if self._loop.time() - began > MOST_WAIT_S:
+                    wait = FIRST_WAIT_S  # it was kept for a while: what ended it is new
             if self._loop.time() - self.used > IDLE_S:
                 break
-            await asyncio.sleep(wait)  # also after a stream that ended at once: its peer may not want it
+            await asyncio.sleep(wait)  # also after a stream that ended at once: its peer may have no place for it
             wait = min(2 * wait, MOST_WAIT_S)
 
     async def _connect(self) -> IOStream | None:
@@ -145,6 +147,8 @@
         try:
             stream = IOStream(socket.socket(family(self.at), socket.SOCK_STREAM), max_buffer_size=READ)
             stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if USER_TIMEOUT is not None:  # what is sent into a cut would else wait for TCP's own, ever rarer attempts
+                stream.socket.setsockopt(socket.IPPROTO_TCP, USER_TIMEOUT, int(STALL_S * 1000))
             async with asyncio.timeout(CONNECT_S):
                 await stream.connect(self.at)
                 await stream.write(framed(self._hello))
--- a/tests/fleet/test_others.py
+++ b/tests/fleet/test_others.py
@@ -148,6 +148,31 @@
     run(case)
 
 
+def test_a_peer_that_ends_each_stream_is_asked_ever_more_seldom(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(streams, "FIRST_WAIT_S", 0.01)
+    monkeypatch.setattr(streams, "MOST_WAIT_S", 0.08)
+
+    async def case() -> None:
+        a, times = One("a"), []
+
+        async def refuse(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            times.append(asyncio.get_running_loop().time())
+            await reader.read(1)
+            writer.close()
+            a.act(Tell("r", Line("again")))
+
+        server = await asyncio.start_server(refuse, HOST, 0)
+        async with several(a):
+            a.book.known["r"] = server.sockets[0].getsockname()
+            began = asyncio.get_running_loop().time()
+            a.act(Tell("r", Line("first")))
+            await until(lambda: len(times) == 6)
+            assert times[5] - began >= 0.01 + 0.02 + 0.04 + 0.08 + 0.08
+        server.close()
+
+    run(case)
+
+
 def test_old_messages_are_not_sent_and_unused_streams_end(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(streams, "FIRST_WAIT_S", 0.02)
     monkeypatch.setattr(streams, "IDLE_S", 1.0)
