--- /dev/null
+++ b/tests/fleet/ones.py
@@ -0,0 +1,74 @@
+"""A process's worth of sockets around toy parts, for several in one loop."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
+
+from limenotch.fleet.contract import (
+    Leave,
+)
+from limenotch.fleet.hub import Hub
+from limenotch.fleet.wire import Hello, Wire, framed
+from limenotch.net.others import Others
+
+from .toys import ALL, Book, Toy
+
+KEY = b"sixteen bytes ok"
+HOST = "127.0.0.1"
+
+
+class One:
+    """A process: its parts, and a book of who is where."""
+
+    def __init__(self, name: str, life: int = 1, at: tuple[str, int] = (HOST, 0), **more: Any) -> None:
+        self.toy, self.log, self.book = Toy(), Toy(), Book({})
+        self.wire = Wire(KEY, "g", ALL)
+        self.hub = Hub([("mb.", self.toy), ("ag.", self.log)], self.book)
+        self.others = Others(at, name, life, self.hub, self.wire, **more)
+
+    @property
+    def at(self) -> tuple[str, int]:
+        assert self.others.at is not None
+        return self.others.at
+
+    def act(self, *actions: Any) -> None:
+        """As if a part answered these."""
+        self.toy.answer = lambda now, event: list(actions) if isinstance(event, Leave) else []
+        self.others.tell(Leave())
+        self.toy.answer = lambda now, event: []
+
+    @property
+    def streams(self) -> dict[str, Any]:
+        found: dict[str, Any] = self.others.state()["streams"]
+        return found
+
+
+async def until(true: Callable[[], Any]) -> None:
+    """The time is a bound for a broken program; it is left as soon as what was waited for is seen."""
+    async with asyncio.timeout(10):
+        while not true():
+            await asyncio.sleep(0.002)
+
+
+@contextlib.asynccontextmanager
+async def several(*ones: One) -> AsyncIterator[None]:
+    try:
+        for one in ones:
+            one.others.start()
+        await until(lambda: all(one.toy.told for one in ones))
+        for one in ones:
+            one.book.known.update({other.others._name: other.at for other in ones})
+        yield
+    finally:
+        for one in ones:
+            one.others.close()
+
+
+def run(case: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    asyncio.run(case())
+
+
+HELLO = framed(Wire(KEY, "g", ALL).encode("a", Hello(1, (HOST, 9))))
