--- a/limenotch/lab/fleet/stage.py
+++ b/limenotch/lab/fleet/stage.py
@@ -27,7 +27,7 @@
 from ..emulate.wire import Pool
 from ..model.clients import Request
 from ..model.rules import Limits, Violation
-from ..scenario import Plan, settings_of
+from ..planning import Plan, settings_of
 from . import relay as network
 from .faulty import NAME, Wish, ask_for
 from .node import FAULTS
--- a/limenotch/lab/fleet/trial.py
+++ b/limenotch/lab/fleet/trial.py
@@ -13,7 +13,7 @@
 from collections.abc import Hashable
 from typing import Any
 
-from ..model.rules import Limits, Rules
+from ..model.rules import Allowed, Limits, Rules
 
 OVER_MS = 2000.0
 
@@ -52,8 +52,9 @@
         self._woke.pop(sidecar, None)
         self.forget(sidecar)
 
-    def taken(self, now: float, call: Hashable, effect: str, scope: str, window_ms: float, end: float) -> None:
-        super().taken(now, call, effect, scope, window_ms, end)
+    def taken(self, now: float, call: Hashable, effect: str, scope: str, window_ms: float, end: float,
+              allowed: Allowed | None = None) -> None:
+        super().taken(now, call, effect, scope, window_ms, end, allowed)
         if self._next is not None:
             self._via[call] = (self._next, now)
             self._next = None
--- /dev/null
+++ b/tests/fleet/test_others.py
@@ -0,0 +1,218 @@
+"""Two processes' worth of sockets in one loop, with toy parts: what is carried and dropped, what a fault costs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from limenotch.fleet.contract import (
+    Carrier,
+    Heard,
+    Message,
+    Note,
+    Send,
+    SetTimer,
+    Started,
+    Store,
+    Stored,
+    StoreFailed,
+    Tell,
+    TimerFired,
+)
+from limenotch.fleet.wire import Fault, Hello, Wire, framed
+from limenotch.net import others as module
+
+from .ones import HELLO, HOST, KEY, One, run, several, until
+from .said import ALL, Block, Line, Probe
+
+
+def test_datagrams_and_streams_are_carried_in_order_and_whole() -> None:
+    async def case() -> None:
+        a, b = One("a"), One("b", life=7)
+        async with several(a, b):
+            assert a.toy.told == [Started()] == a.log.told
+            a.act(Send(b.at, Probe(5, "x")))
+            await until(lambda: b.toy.heard)
+            assert b.toy.told[1] == Heard(a.at, "a", Probe(5, "x"), Carrier.DATAGRAM)
+            big = Block(bytes(range(256)) * 3900)  # 998,400 bytes
+            b.act(Tell("a", Line("1")), Tell("a", big), *[Tell("a", Line(str(n))) for n in range(2, 600)])
+            await until(lambda: len(a.log.heard) == 600)
+            assert a.log.heard == [Line("1"), big, *[Line(str(n)) for n in range(2, 600)]]
+            heard = a.log.told[-1]  # the address is where b listens, not that of its connection
+            assert (heard.at, heard.sender, heard.carrier) == (b.at, "b", Carrier.STREAM)
+            assert b.streams["connected"] == a.streams["accepted"] == 1 and b.streams["sent"] == 600
+            assert not any({**a.others.state()["dropped"], **b.others.state()["dropped"]}.values())
+
+    run(case)
+
+
+def test_what_is_too_long_or_has_no_way_is_counted() -> None:
+    async def case() -> None:
+        a, b = One("a"), One("b")
+        async with several(a, b):
+            a.act(Send(b.at, Block(bytes(1200))), Tell("b", Block(bytes(1024 * 1024))), Tell("nobody", Line("x")))
+            assert a.others.counts["too_long"] == 2 and a.hub.untold == 1
+            bad: list[tuple[Any, int]] = [("localhost", 7), ("", 7), (HOST, 0), (HOST, 70000), ("::1", 7), ("a\0b", 1)]
+            a.act(*[Send(at, Probe(1)) for at in bad], Send(b.at, Probe(2)))
+            await until(lambda: b.toy.heard)
+            assert a.others.counts["send_failed"] == len(bad) and a.others.counts["sent"] == 1
+
+    run(case)
+
+
+def test_a_kind_of_a_newer_program_does_not_end_the_stream_and_garbage_datagrams_are_counted() -> None:
+    class Newer(Message, frozen=True, tag="ag.newer"):
+        number: int
+
+    async def case() -> None:
+        b, wire = One("b"), Wire(KEY, "g", (*ALL, Newer))
+        async with several(b):
+            _, writer = await asyncio.open_connection(*b.at)
+            writer.write(HELLO + framed(wire.encode("a", Newer(1))) + framed(wire.encode("a", Line("heard"))))
+            await until(lambda: b.log.heard)
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                for data in (b"", b"x", bytes(1000), bytes(1201), bytes(60000), wire.encode("a", Hello(1, (HOST, 9))),
+                             wire.encode("a", Probe(1))):
+                    sock.sendto(data, b.at)
+            await until(lambda: b.toy.heard)
+            assert b.wire.faults == {**dict.fromkeys(Fault, 0), Fault.KIND: 2, Fault.SHORT: 2, Fault.DIGEST: 1,
+                                     Fault.TOO_LONG: 2}
+            assert b.others.counts["received"] == 7
+            writer.close()
+
+    run(case)
+
+
+def test_timers_fire_in_order_and_not_before_their_time() -> None:
+    async def case() -> None:
+        a = One("a")
+        async with several(a):
+            now = asyncio.get_running_loop().time() * 1000
+            fired: list[tuple[float, int]] = []
+
+            def answer(at: float, event: Any) -> list[Any]:
+                if isinstance(event, TimerFired):
+                    fired.append((at, event.token))
+                return [SetTimer(now + n, n) for n in (30, 10, -5, 20)] if isinstance(event, Stored) else []
+
+            a.log.answer = answer
+            a.others.tell(Stored(1))  # ticket 1 of two parts is the second's
+            assert a.others.state()["timers"] == 4
+            await until(lambda: len(fired) == 4)
+            assert [token for _, token in fired] == [-5, 10, 20, 30] and all(at >= now + n for at, n in fired)
+
+    run(case)
+
+
+class Disk:
+    def __init__(self) -> None:
+        self.asked: list[tuple[int, tuple[Any, ...], Callable[[str | None], None]]] = []
+        self.closed = 0
+
+    def submit(self, ticket: int, records: tuple[Any, ...], done: Callable[[str | None], None]) -> None:
+        self.asked.append((ticket, records, done))
+
+    def close(self) -> None:
+        self.closed += 1
+
+
+def test_the_store_answers_from_its_thread_and_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "MOST_STORES", 2)
+
+    async def case() -> None:
+        disk = Disk()
+        a, none = One("a", disk=disk), One("b")
+        async with several(a, none):
+            a.act(Store(1, ("r",)), Store(2, ()), Store(3, ()))
+            assert [records for _, records, _ in disk.asked] == [("r",), ()]
+            await asyncio.to_thread(disk.asked[0][2], None)
+            await asyncio.to_thread(disk.asked[1][2], "full")
+            await until(lambda: len(a.toy.told) == 5)
+            assert set(a.toy.told[2:]) == {StoreFailed(3, "slow"), Stored(1), StoreFailed(2, "full")}
+            none.act(Store(1, ()))
+            await until(lambda: StoreFailed(1, "no folder") in none.toy.told)
+        a.others.close()
+        assert disk.closed == 1
+        disk.asked[0][2](None)  # an answer after the end
+
+    run(case)
+
+
+def test_a_part_that_raises_is_off_and_told_with_its_event(caplog: pytest.LogCaptureFixture) -> None:
+    async def case() -> None:
+        a, b = One("a"), One("b")
+        async with several(a, b):
+            def broken(now: float, event: Any) -> list[Any]:
+                raise KeyError("broken here")
+
+            b.log.answer = broken
+            a.act(Tell("b", Line("x")), Tell("b", Line("y")))
+            await until(lambda: b.hub.unheard == 1)
+            assert len(b.log.heard) == 1 and b.others.state()["off"] == "ag."
+            a.act(Send(b.at, Probe(1)))
+            await until(lambda: b.toy.heard)  # the other part goes on
+            b.act(object())  # what no host can do, of membership: the end of all
+            assert b.others.state()["off"] == "mb., ag."
+
+    with caplog.at_level(logging.INFO):
+        run(case)
+    faults = [record for record in caplog.records if "fault in the fleet's decisions" in record.getMessage()]
+    assert len(faults) == 2 and "Line(text='x')" in faults[0].getMessage() and "broken here" in faults[0].getMessage()
+    assert sum("fleet off: fault" in record.getMessage() for record in caplog.records) == 2
+
+
+def test_too_many_timers_put_the_fleet_off_and_close_leaves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "MOST_TIMERS", 3)
+
+    async def case() -> None:
+        a = One("a")
+        async with several(a):
+            a.act(*[SetTimer(1e12, n) for n in range(4)])
+            assert a.others.state()["off"] == "all" and a.others.state()["timers"] == 0
+            told = len(a.toy.told)
+            a.act(Note("nobody hears"))
+            assert len(a.toy.told) == told
+        left = [task for task in asyncio.all_tasks() if task is not asyncio.current_task()]
+        async with asyncio.timeout(5):
+            await asyncio.gather(*left, return_exceptions=True)
+        assert a.others.at is None
+
+    run(case)
+
+
+def test_notes_are_log_lines(caplog: pytest.LogCaptureFixture) -> None:
+    async def case() -> None:
+        a = One("a")
+        async with several(a):
+            a.act(Note("suspects b", {"by": "c", "event": 3, "mono_ms": "not the part's to say"}))
+
+    with caplog.at_level(logging.INFO):
+        run(case)
+    (record,) = [record for record in caplog.records if "suspects b" in record.getMessage()]
+    said: dict[str, Any] = record.msg  # type: ignore[assignment]
+    assert said["fleet"] is True and said["by"] == "c" and said["event_"] == 3 and isinstance(said["mono_ms"], float)
+
+
+def test_the_address_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The next process of a sidecar starts while the one before still has it."""
+    monkeypatch.setattr(module, "FIRST_WAIT_S", 0.01)
+
+    async def case() -> None:
+        a = One("a")
+        async with several(a):
+            after = One("a", life=2, at=a.at)
+            after.others.start()
+            await asyncio.sleep(0)
+            assert after.others.at is None and not after.toy.told and not after.others.state()["listening"]
+            after.others.leave()  # nothing to say yet
+            a.others.close()
+            await until(lambda: after.toy.told)
+            assert after.toy.told == [Started()]
+            after.others.close()
+
+    run(case)
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -15,7 +15,7 @@
 import pytest
 
 from limenotch.fleet.contract import Carrier
-from limenotch.lab import scenario
+from limenotch.lab import planning, scenario
 from limenotch.lab.fleet import node as node_module
 from limenotch.lab.fleet.faulty import FaultyFiles, Wish, Wishes, ask_for, read_wish
 from limenotch.lab.fleet.processes import NodeProcess, NotReachedError, Processes, Seen, Tail, fleet_table
@@ -334,7 +334,7 @@
 
 
 def test_sidecars_killed_and_stopped_while_consumers_call(tmp_path: Path) -> None:
-    plan = scenario.plan(scenario.parse(TRAFFIC, "stage"), 3)
+    plan = planning.plan(scenario.parse(TRAFFIC, "stage"), 3)
     faults = ((500, "kill b"), (700, "pause c"), (1200, "start b"), (1700, "wake c"))
     weather = Fair()
 
@@ -357,7 +357,7 @@
 
 
 def test_what_the_stage_does_not_take(tmp_path: Path) -> None:
-    plan = scenario.plan(scenario.parse(TRAFFIC, "stage"), 3)
+    plan = planning.plan(scenario.parse(TRAFFIC, "stage"), 3)
     with pytest.raises(ValueError, match="3 entry sidecars for 1"):
         Stage(plan, tmp_path, Drawn(("a",), ()), Fair())
     for fault, says in (("ask a x", "nobody answers"), ("disk a full", "no disk that fails")):
--- a/tests/fleet/test_stage.py
+++ b/tests/fleet/test_stage.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from limenotch.lab import scenario
+from limenotch.lab import planning, scenario
 from limenotch.lab.fleet.processes import Processes
 from limenotch.lab.fleet.stage import Outcome, Stage, together
 
@@ -24,7 +24,7 @@
 
 def perform(text: str, folder: Path, spoils: bool = False) -> Outcome:
     drawn = drawing.read(text)
-    plan = scenario.plan(scenario.parse(TRAFFIC.replace("length_s = 3", f"length_s = {drawn.ends / 1000.0}"), "t"), 3)
+    plan = planning.plan(scenario.parse(TRAFFIC.replace("length_s = 3", f"length_s = {drawn.ends / 1000.0}"), "t"), 3)
     texts = {note.text for note in drawn.notes}  # a busy machine may bring others: doubts that are refuted
     key = folder / "key"
     key.write_text("a key for tests, of 16 bytes or more")
