--- a/tests/fleet/test_stage.py
+++ b/tests/fleet/test_stage.py
@@ -6,19 +6,13 @@
 from pathlib import Path
 from typing import Any
 
-import pytest
-
 from limenotch.lab import planning, scenario
+from limenotch.lab.fleet import comparing, drawing, weather
 from limenotch.lab.fleet.processes import Processes
 from limenotch.lab.fleet.stage import Outcome, Stage, together
 
 from .test_processes import TRAFFIC
 
-pytest.importorskip("limenotch.together")
-comparing = pytest.importorskip("limenotch.lab.fleet.comparing")
-drawing = pytest.importorskip("limenotch.lab.fleet.drawing")
-weather = pytest.importorskip("limenotch.lab.fleet.weather")
-
 MEMBERSHIP = {"period_ms": 400.0, "timeout_ms": 120.0}
 
 
