--- a/tests/fleet/test_store_thread.py
+++ b/tests/fleet/test_store_thread.py
@@ -4,8 +4,6 @@
 
 import errno
 import queue
-import subprocess
-import sys
 import threading
 from collections.abc import Callable
 
@@ -14,6 +12,7 @@
 from limenotch.store.records import Ballot, Held
 from limenotch.store.thread import StoreThread, size
 
+from ..helpers.processes import printed_by
 from .disks import Disk, entries
 
 WAIT_S = 10.0  # for what must happen; nothing waits so long unless it is broken
@@ -167,5 +166,4 @@
 def test_nothing_of_the_fleet_is_imported() -> None:
     code = ("import sys, limenotch.store.thread; "
             "print([name for name in sys.modules if name.startswith(('limenotch.fleet', 'tornado', 'asyncio'))])")
-    found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True, timeout=30)
-    assert found.stdout.strip() == "[]"
+    assert printed_by(code).strip() == "[]"
--- a/tests/lab/test_emulate.py
+++ b/tests/lab/test_emulate.py
@@ -7,9 +7,7 @@
 import os
 import signal
 import socket
-import subprocess
 import sys
-from collections.abc import Coroutine
 from math import inf
 from pathlib import Path
 from typing import Any
@@ -35,7 +33,8 @@
 from limenotch.lab.record import Record
 from limenotch.net import http1
 
-ROOT = Path(__file__).parents[2]
+from ..helpers.processes import begun, finished, run
+
 ONE = """
 name = "one"
 length_s = 2
@@ -67,10 +66,6 @@
 """
 
 
-def run(case: Coroutine[Any, Any, None]) -> None:
-    asyncio.run(asyncio.wait_for(case, 60))
-
-
 def plan(text: str = ONE, seed: int = 1) -> scenario.Plan:
     return scenario.plan(scenario.parse(text, "t"), seed)
 
@@ -360,22 +355,19 @@
 def test_ctrl_c_ends_everything(tmp_path: Path) -> None:
     path = tmp_path / "one.toml"
     path.write_text(ONE.replace("length_s = 2", "length_s = 600"))
-    process = subprocess.Popen([sys.executable, "-m", "limenotch", "lab", "emulate", str(path)], cwd=ROOT,
-                               stdout=subprocess.PIPE, stderr=subprocess.DEVNULL, text=True,
-                               env={**os.environ, "TMPDIR": str(tmp_path)})
-    assert process.stdout is not None
-    lines = []
-    while (line := process.stdout.readline().strip()) != "ready":
-        lines.append(line)
-    port = int(lines[0].rpartition(":")[2])
-    assert len(lines) == 4
-    code = subprocess.run([sys.executable, "-m", "limenotch", "lab", "load", *lines, "--scenario", str(path),
-                           "--seconds", "1", "--rate", "40", "--json", str(tmp_path / "l.json")], cwd=ROOT, check=False,
-                          stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL).returncode
-    figures = json.loads((tmp_path / "l.json").read_text())
-    assert code == 0 and figures["requests"]["served"] == figures["requests"]["asked"] > 10
-    process.send_signal(signal.SIGINT)
-    assert process.wait(30) == 0
+    with begun("limenotch", "lab", "emulate", str(path), env={**os.environ, "TMPDIR": str(tmp_path)}) as process:
+        assert process.stdout is not None
+        lines = []
+        while (line := process.stdout.readline().strip()) != "ready":
+            lines.append(line)
+        port = int(lines[0].rpartition(":")[2])
+        assert len(lines) == 4
+        done = finished([sys.executable, "-m", "limenotch", "lab", "load", *lines, "--scenario", str(path),
+                         "--seconds", "1", "--rate", "40", "--json", str(tmp_path / "l.json")])
+        figures = json.loads((tmp_path / "l.json").read_text())
+        assert done.returncode == 0 and figures["requests"]["served"] == figures["requests"]["asked"] > 10
+        process.send_signal(signal.SIGINT)
+        assert process.wait(30) == 0
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(("127.0.0.1", port), 5)
     assert not list(tmp_path.glob("limenotch-lab-*"))
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -22,21 +22,9 @@
 from switchthread import interface as face
 from switchthread.settings import read_settings
 
-from .test_operators import CLASSES, GET_HEALTH, conserved
-from .test_sidecar import (
-    LOOK,
-    SETTINGS,
-    Handler,
-    Reader,
-    Writer,
-    answer_from,
-    answering,
-    ask,
-    free_port,
-    run,
-    whole,
-    with_sidecar,
-)
+from .helpers.peers import GET_HEALTH, LOOK, SETTINGS, Handler, Reader, Writer, answer_from, answering, ask, whole
+from .helpers.processes import free_port, run, with_sidecar
+from .test_operators import CLASSES, conserved
 
 BODY = bytes(range(256)) * 2048  # 512 KiB
 POST = LOOK.replace(b"GET", b"POST").replace(b"look", b"deliver").replace(b"\r\n\r\n", b"\r\nIdempotency-Key: k\r\n")
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -23,9 +23,9 @@
 from switchthread import interface as face
 from switchthread.records import Server
 
-from .test_sidecar import DELIVER, LOOK, SETTINGS, answering, ask, free_port, run, whole, with_sidecar
+from .helpers.peers import DELIVER, GET_HEALTH, LOOK, SETTINGS, answering, ask, whole
+from .helpers.processes import free_port, run, with_sidecar
 
-GET_HEALTH = b"GET /healthcheck HTTP/1.1\r\nHost: o\r\n\r\n"
 GET_STATS = b"GET /stats HTTP/1.1\r\nHost: o\r\n\r\n"
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -5,8 +5,6 @@
 import json
 import logging
 import re
-import subprocess
-import sys
 from pathlib import Path
 
 import pytest
@@ -14,6 +12,8 @@
 from limenotch import logs, toml
 from limenotch.settings import Settings, effective, load_settings, parse
 
+from .helpers.processes import printed_by
+
 SHIPPED = Path(__file__).parent.parent / "deploy" / "limenotch.toml"
 
 
@@ -85,7 +85,5 @@
     code = ("import sys, limenotch.cli.serve, limenotch.program; "
             "print([m for m in sys.modules if m.split('.')[0] in ('numpy', 'scipy', 'rich', 'hdrh', 'matplotlib', "
             "'jinja2') or m.startswith('limenotch.lab')])")
-    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
-                          cwd=SHIPPED.parent.parent)
     # structlog looks for rich by itself where it is installed; the platform's own installation has none.
-    assert [m for m in eval(done.stdout) if not m.startswith(("rich", "pygments"))] == []
+    assert [m for m in eval(printed_by(code)) if not m.startswith(("rich", "pygments"))] == []
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -7,7 +7,6 @@
 import os
 import signal
 import socket
-from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from time import monotonic
 from typing import Any
@@ -27,110 +26,8 @@
 from limenotch.settings import Providers as ProviderTuning
 from switchthread.settings import read_settings
 
-Reader = asyncio.StreamReader
-Writer = asyncio.StreamWriter
-Handler = Callable[[Reader, Writer], Awaitable[None]]
-HEADERS = b"Host: s\r\nX-Call-Id: 1\r\nX-Caller: acme\r\nX-Budget: 20000m\r\n"
-LOOK = b"GET /api HTTP/1.1\r\nX-Call-Class: look\r\n" + HEADERS + b"\r\n"
-DELIVER = b"POST /api HTTP/1.1\r\nX-Call-Class: deliver\r\nIdempotency-Key: k\r\n" + HEADERS
-DELIVER += b"Content-Length: 3\r\n\r\ndoc"
-SETTINGS = {
-    "classes": [
-        {"name": "look", "effect": "idempotent", "target_ms": 9000.0, "hard_limit_ms": 20000.0},
-        {"name": "deliver", "effect": "deduplicated", "dedup_scope": "zone", "window_ms": 9000.0,
-         "target_ms": 9000.0, "hard_limit_ms": 20000.0, "late_worth": 0.5},
-    ],
-    "tenants": [{"name": "acme", "quota_per_s": 100.0}],
-    "permissions": {"cancel": True, "parallel_tries": True, "max_attempts": 2, "connect_timeout_ms": 9000.0},
-    "registry_mode": "ask",
-}
-
-
-def run(case: Coroutine[Any, Any, None]) -> None:
-    """A case that goes wrong may wait for what never comes; one that goes right is far from this limit."""
-    asyncio.run(asyncio.wait_for(case, 60))
-
-
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
-def answering(*answers: bytes) -> tuple[Handler, list[http1.Message]]:
-    """A provider that answers its requests with these in turn, the last again and again; b"" hangs up."""
-    seen: list[http1.Message] = []
-
-    async def handle(reader: Reader, writer: Writer) -> None:
-        parser = http1.RequestParser()
-        while data := await reader.read(65536):
-            parser.feed(data)
-            if (request := parser.take()) is not None:
-                answer = answers[min(len(seen), len(answers) - 1)]
-                seen.append(request)
-                writer.write(answer)
-                if not answer.endswith(b"!"):  # our whole answers end so
-                    break
-        writer.close()
-
-    return handle, seen
-
-
-def whole(status: int, *headers: tuple[bytes, bytes]) -> bytes:
-    return http1.write_response(status, list(headers), b"body!")
-
-
-async def answer_from(reader: Reader, parser: http1.ResponseParser) -> http1.Message:
-    """The next answer of a connection, which has to come whole before its end."""
-    while (message := parser.take()) is None:
-        data = await reader.read(65536)
-        assert data, "closed without an answer"
-        parser.feed(data)
-    return message
-
-
-async def ask(port: int, wire: bytes) -> http1.Message:
-    """One request on a connection of its own, up to the connection's end or a whole answer."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(wire)
-    message = await answer_from(reader, http1.ResponseParser())
-    writer.close()
-    return message
-
-
-async def with_sidecar(
-    handler: Handler, use: Callable[[int], Coroutine[Any, Any, None]], ends: bool = False,
-    tuning: Settings = Settings(),  # noqa: B008 (frozen)
-    more: dict[str, Any] | None = None, port: int = 0, environ: dict[str, str] | None = None,
-) -> None:
-    """Starts a provider and a sidecar that knows it by two names; ends them unless `use` has.
-
-    `more` is laid over the configuration.
-    """
-    provider = await asyncio.start_server(handler, "127.0.0.1", 0)
-    address = "127.0.0.1:%d" % provider.sockets[0].getsockname()[1]  # noqa: UP031
-    listed = [{"name": name, "address": address, "zone": "a", "status": "in_service"} for name in "ab"]
-    port = port or free_port()
-    raw = {"name": "n", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}", "seed": "1f",
-           "known": {"index": 3, "snapshot": True, "endpoints": listed}, "settings": SETTINGS, **(more or {})}
-    serving = asyncio.create_task(program.serve(config.parse(raw, environ or {}), tuning))
-    while True:
-        try:
-            ready = await ask(port, b"GET /up HTTP/1.1\r\n\r\n")
-            break
-        except OSError:
-            assert not serving.done()
-            await asyncio.sleep(0)
-    assert ready.status == 200  # with a list but no directory
-    try:
-        await use(port)
-    finally:
-        if not ends:
-            serving.cancel()
-        await asyncio.wait([serving])
-        provider.close()
-    assert serving.cancelled() or serving.exception() is None
-
+from .helpers.peers import DELIVER, LOOK, SETTINGS, Handler, Reader, Writer, answer_from, answering, ask, whole
+from .helpers.processes import free_port, run, with_sidecar
 
 REJECTED = whole(503, (b"X-Rejected", b"1"))
 
--- a/tests/test_successor.py
+++ b/tests/test_successor.py
@@ -6,10 +6,8 @@
 import contextlib
 import itertools
 import json
-import os
 import signal
 import socket
-import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -25,8 +23,9 @@
 from switchthread.knowledge import learn, told_by
 from switchthread.settings import read_settings
 
-from .test_operators import GET_HEALTH, GET_STATS, figures_of, post
-from .test_sidecar import LOOK, SETTINGS, Reader, Writer, answer_from, ask, free_port, run, whole
+from .helpers.peers import LOOK, SETTINGS, Reader, Writer, answer_from, ask, whole
+from .helpers.processes import Processes, free_port, run
+from .test_operators import GET_STATS, figures_of, post
 
 AT = ("127.0.0.1", 1)
 
@@ -142,7 +141,7 @@
         self.statuses: list[int] = []
         self.closing = 0
         self._ids = itertools.count()
-        self._all: list[asyncio.subprocess.Process] = []
+        self._processes = Processes(folder)
 
     async def provide(self) -> None:
         async def handler(reader: Reader, writer: Writer) -> None:
@@ -155,27 +154,12 @@
 
     async def start(self, known: bool = False, kept: bool = True) -> tuple[asyncio.subprocess.Process, int]:
         """A process and its second address; returns when it is ready."""
-        admin = free_port()
         listed = [{"name": n, "address": f"127.0.0.1:{self.provider}", "status": "in_service"} for n in "ab"]
         raw = {"name": "n", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{free_port()}",
-               "settings": SETTINGS, "admin_addr": f"127.0.0.1:{admin}"}
+               "settings": SETTINGS}
         if known:
             raw["known"] = {"index": 3, "snapshot": True, "endpoints": listed}
-        path = self.folder / f"{admin}.json"
-        path.write_text(json.dumps(raw))
-        environ = {**os.environ, "LB_CONFIG": str(path), "TMPDIR": str(self.folder)}
-        if not kept:
-            del environ["TMPDIR"]
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "limenotch", "serve", env=environ, stderr=asyncio.subprocess.DEVNULL
-        )
-        self._all.append(process)
-        while True:
-            assert process.returncode is None
-            with contextlib.suppress(OSError, AssertionError):
-                if (await ask(admin, GET_HEALTH)).status == 200:
-                    return process, admin
-            await asyncio.sleep(0.01)
+        return await self._processes.serve(raw, kept)
 
     def call(self) -> bytes:
         return LOOK.replace(b"Id: 1", b"Id: %d" % next(self._ids))
@@ -199,10 +183,8 @@
                 self.closing += 1
                 writer = None
 
-    def end(self) -> None:
-        for process in self._all:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
+    async def end(self) -> None:
+        await self._processes.end()
 
 
 def play(folder: Path, case: Callable[[Sidecars], Awaitable[None]]) -> None:
@@ -212,7 +194,7 @@
         try:
             await case(sidecars)
         finally:
-            sidecars.end()
+            await sidecars.end()
 
     run(whole_case())
 
@@ -386,7 +368,7 @@
             with contextlib.suppress(OSError):
                 if (await ask(sidecars.port, b"GET /up HTTP/1.1\r\nHost: s\r\n\r\n")).status == 503:
                     break
-        (process,) = sidecars._all
+        (process,) = sidecars._processes.all
         process.send_signal(signal.SIGTERM)
         assert await process.wait() == 0
         starting.cancel()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,17 +3,16 @@
 from __future__ import annotations
 
 import json
-import os
 import subprocess
 import sys
 import tomllib
-from pathlib import Path
 
 import pytest
 
 from switchthread.settings import read_settings
 
-ROOT = Path(__file__).parent.parent
+from .helpers.processes import ROOT, finished
+
 ENV = {
     "balancers": 3,
     "rank": 0,
@@ -40,9 +39,7 @@
     command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["sim"]
     if not (ROOT / ".venv" / "bin" / "python").exists():
         command = command.replace(".venv/bin/python", sys.executable)
-    return subprocess.run(
-        ["/bin/sh", "-c", command], input=text, capture_output=True, text=True, cwd=ROOT, env=dict(os.environ)
-    )
+    return finished(["/bin/sh", "-c", command], text)
 
 
 def batch(now: float, *lines: str) -> str:
