--- a/tests/fleet/test_fleet_off.py
+++ b/tests/fleet/test_fleet_off.py
@@ -16,9 +16,10 @@
 
 import pytest
 
+from limenotch.lab.emulate.sidecars import free_port
 from limenotch.net.sockets import OPERATORS, Sockets
 from limenotch.settings import Descriptors
-from tests.test_sidecar import LOOK, SETTINGS, answering, ask, free_port, whole
+from tests.helpers.peers import LOOK, SETTINGS, answering, ask, whole
 
 ROOT = Path(__file__).parent.parent.parent
 KEY = "sixteen bytes ok"
--- a/tests/fleet/test_together.py
+++ b/tests/fleet/test_together.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from tests.test_sidecar import LOOK, ask, free_port
+from limenotch.lab.emulate.sidecars import free_port
+from tests.helpers.peers import LOOK, ask
 
 from .test_fleet_off import Sidecar, of_the_fleet, serving
 
