--- /dev/null
+++ b/limenotch/fleet/agreement/votes.py
@@ -0,0 +1,187 @@
+"""Elections: how a group is founded, and how a voter that misses its leader comes to lead.
+
+- Founding: only when *all* voters that the settings name are blank does the first of them (by name) found the group:
+  the first line of epoch 1 names the voters with their births. A disk that was lost can't take part in this twice.
+- A voter that heard a leader within election_least_ms, or started within it, answers neither PreVote nor Vote, but
+  when the leader itself handed over. That is what the lease rests on (lease.py).
+- A yes to Vote leaves only when the ballot is on disk; a candidate counts its own vote from then on.
+- Who asks names the birth of the one asked by its own log: a voter too new to have read of its admission answers,
+  one on another disk than the log means does not.
+
+Source: Ongaro, Ousterhout (2014), section 5.2, 5.4.1; thesis, 9.6 (pre-vote), 4.2.3 (disruptive members).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ...store.records import Entry
+from . import messages as say
+from .log import VOTERS, Voters, pack
+from .node import Node
+from .states import Cause, Role
+
+
+class Elections:
+    def __init__(self, node: Node, won: Callable[[], None]) -> None:
+        self._node, self._won = node, won
+        self._yes: set[str] = set()
+        self._promise: tuple[int, str] | None = None  # a yes that waits for the disk: epoch, candidate
+        self._blanks: dict[str, str] = {}
+
+    # Founding
+
+    @property
+    def founder(self) -> bool:
+        node = self._node
+        return node.blank and node.on_disk is not None and bool(node.named) and node.name == min(node.named)
+
+    def found(self) -> None:
+        """Asks the others, at each heartbeat of one in search."""
+        node = self._node
+        for name in node.named:
+            if name != node.name:
+                node.tell(name, say.Found(node.named))
+        self._found()
+
+    def on_found(self, sender: str, message: say.Found) -> None:
+        node = self._node
+        if set(message.voters) != set(node.named):
+            node.count("found: other voters named")
+        elif node.blank and node.on_disk is not None and not node.ill:
+            node.tell(sender, say.Blank(node.named, node.birth))
+
+    def on_blank(self, sender: str, message: say.Blank) -> None:
+        if self.founder and set(message.voters) == set(self._node.named):
+            self._blanks[sender] = message.birth
+            self._found()
+
+    def _found(self) -> None:
+        node = self._node
+        births = {name: self._blanks.get(name, "") for name in node.named}
+        births[node.name] = node.birth
+        if self.founder and not node.ill and all(births.values()):
+            node.cast(1, node.name)
+            node.append((Entry(1, 1, VOTERS, pack(Voters(births))),))
+            node.become(Cause.FOUNDS)
+            self._won()
+
+    # Standing
+
+    def silence(self) -> None:
+        """The wait is over."""
+        node = self._node
+        node.wait()
+        if node.role is Role.LEADER or not node.standing or node.ill or node.on_disk is None:
+            return
+        node.become(Cause.SILENCE)
+        node.follow(None)
+        self._yes = {node.name}
+        self._ask(pre=True)
+        self._pre_count()
+
+    def told(self, epoch: int) -> None:
+        node = self._node
+        if epoch == node.epoch and node.role is Role.FOLLOWER and node.standing and not node.ill:
+            node.become(Cause.TOLD)
+            self._stand(handed=True)
+
+    def _stand(self, handed: bool) -> None:
+        node = self._node
+        node.cast(node.epoch + 1, node.name)
+        node.follow(None)
+        node.wait()
+        self._yes = set()
+        self._ask(pre=False, handed=handed)
+
+    def _ask(self, pre: bool, handed: bool = False) -> None:
+        node = self._node
+        log = node.log
+        for name, birth in log.voters.births.items():
+            if name == node.name:
+                continue
+            if pre:
+                node.tell(name, say.PreVote(node.epoch + 1, log.last, log.last_epoch, birth))
+            else:
+                node.tell(name, say.Vote(node.epoch, log.last, log.last_epoch, birth, handed))
+
+    def _pre_count(self) -> None:
+        node = self._node
+        if node.role is Role.PRE and len(self._yes & node.log.voters.births.keys()) >= node.log.voters.quorum:
+            node.become(Cause.WOULD)
+            self._stand(handed=False)
+
+    def _count(self) -> None:
+        node = self._node
+        if node.role is Role.CANDIDATE and len(self._yes & node.log.voters.births.keys()) >= node.log.voters.quorum:
+            node.become(Cause.ELECTED)
+            self._won()
+
+    # Answering
+
+    def _able(self, message: say.PreVote | say.Vote) -> bool:
+        """Whether this disk is the one meant, works, and lacks nothing that the asker has not."""
+        node = self._node
+        log = node.log
+        return (message.birth == node.birth and not node.ill and node.on_disk is not None
+                and (message.last_epoch, message.last) >= (log.last_epoch, log.last))
+
+    def _led(self) -> bool:
+        node = self._node
+        return node.leads or node.now - node.heard_at < node.tuning.election_least_ms
+
+    def on_pre(self, sender: str, message: say.PreVote) -> None:
+        node = self._node
+        yes = message.epoch > node.epoch and not self._led() and self._able(message)
+        node.tell(sender, say.PreVoted(message.epoch if yes else node.epoch, yes))
+
+    def on_vote(self, sender: str, message: say.Vote) -> None:
+        node = self._node
+        if message.epoch < node.epoch:
+            node.tell(sender, say.Voted(node.epoch, False))
+            return
+        if self._led() and not message.handed:
+            return
+        if message.epoch > node.epoch:
+            node.adopt(message.epoch)
+        elif node.role is Role.PRE:
+            node.become(Cause.EPOCH)
+        yes = node.vote in ("", sender) and node.role in (Role.FOLLOWER, Role.LEARNER) and self._able(message)
+        if not yes:
+            node.tell(sender, say.Voted(node.epoch, False))
+            return
+        if node.vote != sender:
+            node.cast(node.epoch, sender)
+        node.wait()
+        self._promise = (node.epoch, sender)
+        self.stored()
+
+    def on_prevoted(self, sender: str, message: say.PreVoted) -> None:
+        node = self._node
+        if message.epoch > node.epoch and not message.yes:
+            node.adopt(message.epoch)
+        elif message.yes and message.epoch == node.epoch + 1 and node.role is Role.PRE:
+            self._yes.add(sender)
+            self._pre_count()
+
+    def on_voted(self, sender: str, message: say.Voted) -> None:
+        node = self._node
+        if message.epoch > node.epoch:
+            node.adopt(message.epoch)
+        elif message.yes and message.epoch == node.epoch and node.role is Role.CANDIDATE:
+            self._yes.add(sender)
+            self._count()
+
+    def stored(self) -> None:
+        """Something came to disk: what waited for it may leave."""
+        node = self._node
+        if not node.ballot_stored:
+            return
+        if self._promise is not None:
+            epoch, candidate = self._promise
+            if (epoch, candidate) == node.on_disk:
+                node.tell(candidate, say.Voted(epoch, True))
+            self._promise = None
+        if node.role is Role.CANDIDATE and node.on_disk == (node.epoch, node.name):
+            self._yes.add(node.name)
+            self._count()
