--- a/limenotch/fleet/agreement/api.py
+++ b/limenotch/fleet/agreement/api.py
@@ -37,7 +37,7 @@
 class Compact(NamedTuple):
     """The answer to WantSnapshot: the state of the layers above right after `index`."""
 
-    index: int
+    index: int  # type: ignore[assignment]
     state: bytes
 
 
@@ -47,7 +47,7 @@
 class Agreed(NamedTuple):
     """In order, each once in a process's life, from the snapshot found at the start on."""
 
-    index: int
+    index: int  # type: ignore[assignment]
     epoch: int
     data: bytes
     id: str
@@ -56,7 +56,7 @@
 class Install(NamedTuple):
     """Forget what was Agreed: this is the state after `index`."""
 
-    index: int
+    index: int  # type: ignore[assignment]
     state: bytes
 
 
@@ -64,7 +64,7 @@
     """On a quorum's disks. For an id seen before: the index where it was agreed first."""
 
     ticket: int
-    index: int
+    index: int  # type: ignore[assignment]
 
 
 class Refused(NamedTuple):
@@ -81,7 +81,7 @@
     """Agreed up to `index` and beyond has been told here already."""
 
     ticket: int
-    index: int
+    index: int  # type: ignore[assignment]
 
 
 class LeaderChanged(NamedTuple):
@@ -92,4 +92,4 @@
 class WantSnapshot(NamedTuple):
     """Answer with Compact(index, state) of exactly this moment: what was Agreed up to `index`, nothing after."""
 
-    index: int
+    index: int  # type: ignore[assignment]
--- a/limenotch/fleet/agreement/follow.py
+++ b/limenotch/fleet/agreement/follow.py
@@ -152,5 +152,6 @@
 
     def on_leads(self, message: say.Leads) -> None:
         node = self._node
-        if message.epoch >= node.epoch and node.role is Role.LEARNER and node.leader is None:
+        lost = node.role in (Role.LEARNER, Role.PRE) and node.leader is None
+        if message.epoch >= node.epoch and lost and message.leader != node.name:
             node.tell(message.leader, say.Follow(node.birth, node.log.last))
--- a/limenotch/fleet/agreement/log.py
+++ b/limenotch/fleet/agreement/log.py
@@ -42,8 +42,8 @@
     voters: Voters
 
 
-_state = msgspec.msgpack.Decoder(State)
-_voters = msgspec.msgpack.Decoder(Voters)
+_state: msgspec.msgpack.Decoder[State] = msgspec.msgpack.Decoder(State)
+_voters: msgspec.msgpack.Decoder[Voters] = msgspec.msgpack.Decoder(Voters)
 pack = msgspec.msgpack.encode
 
 
--- a/limenotch/fleet/agreement/replicate.py
+++ b/limenotch/fleet/agreement/replicate.py
@@ -3,7 +3,7 @@
 | mode of a peer | sends | leaves it when |
 | --- | --- | --- |
 | probe | one append at a heartbeat, to find where the logs agree | an Ack says ok: stream |
-| stream | each new entry at once, within most_flight messages and most_flight_bytes | a refusal, or no progress for two heartbeats: probe |
+| stream | each new entry at once, in bounds (most_flight*) | a refusal, or two heartbeats without progress: probe |
 | snapshot | chunks (snapshots.py), since the log here begins later | it holds the snapshot: probe |
 
 - An entry is agreed when a quorum of the voters in force has it on disk *and* it is of this leader's epoch (figure 8);
--- a/limenotch/fleet/agreement/voters.py
+++ b/limenotch/fleet/agreement/voters.py
@@ -80,7 +80,7 @@
             self._asks.answer(asker, "promised", node.log.voters_at)
 
     def _returns(self, voters: Voters) -> None:
-        node, leading = self._node, self._leading
+        leading = self._leading
         for name, birth in voters.births.items():
             peer = leading.peers.get(name)
             if peer is not None and peer.birth not in (None, birth) and self._quorum_without(voters, name):
--- a/limenotch/fleet/agreement/votes.py
+++ b/limenotch/fleet/agreement/votes.py
@@ -134,6 +134,8 @@
         node = self._node
         yes = message.epoch > node.epoch and not self._led() and self._able(message)
         node.tell(sender, say.PreVoted(message.epoch if yes else node.epoch, yes))
+        if not yes and node.leader is not None:  # it may have been removed, and nobody told it
+            node.tell(sender, say.Leads(node.epoch, node.leader, tuple(node.log.voters.births)))
 
     def on_vote(self, sender: str, message: say.Vote) -> None:
         node = self._node
