--- a/limenotch/fleet/agreement/replicate.py
+++ b/limenotch/fleet/agreement/replicate.py
@@ -258,13 +258,18 @@
             peer.mode, peer.flying = Mode.STREAM, 0
             peer.flight.clear()
             peer.next = peer.held + 1
-        elif peer.mode is Mode.SNAPSHOT and peer.held >= node.log.base and peer.held > 0:
+        elif peer.mode is Mode.SNAPSHOT and self._has(sender, peer.held):
             self.outgoing.to.pop(sender, None)
             self._probe(peer, peer.held + 1)
         self.count()
         if node.leads:
             self._send(sender, peer, beat=False)
 
+    def _has(self, name: str, held: int) -> bool:
+        """Whether it needs no more of its transfer: what follows may be a newer snapshot, all the same."""
+        transfer = self.outgoing.to.get(name)
+        return held >= self._node.log.base or transfer is not None and held >= transfer.snapshot.index
+
     def on_chunk_ack(self, sender: str, message: say.ChunkAck) -> None:
         peer = self._current(sender, message.epoch)
         if peer is not None:
