--- a/limenotch/fleet/agreement/log.py
+++ b/limenotch/fleet/agreement/log.py
@@ -90,6 +90,10 @@
     def voters_as_of(self, index: int) -> Voters:
         return next(voters for at, voters in reversed(self._voters) if at <= index)
 
+    def voters_since(self, index: int) -> list[Voters]:
+        """Those in force at `index`, and all later ones."""
+        return [self.voters_as_of(index), *(voters for at, voters in self._voters if at > index)]
+
     def epoch_of(self, index: int) -> int | None:
         """None where the log does not reach, on either side."""
         if index == self.base:
--- a/limenotch/fleet/agreement/messages.py
+++ b/limenotch/fleet/agreement/messages.py
@@ -27,6 +27,7 @@
 class Blank(Message, frozen=True, array_like=True, tag="ag.blank"):
     voters: tuple[str, ...]
     birth: str
+    epoch: int = 0  # more than 0: a founder was heard that lost its disk before its first line was stored here
 
 
 class Follow(Message, frozen=True, array_like=True, tag="ag.follow"):
--- a/limenotch/fleet/agreement/node.py
+++ b/limenotch/fleet/agreement/node.py
@@ -49,13 +49,13 @@
         self.epoch, self.vote = held.ballot.epoch, vote
         self.on_disk: tuple[int, str] | None = None if self.newborn else (self.epoch, self.vote)
         self.snapped_on_disk = self.log.snapped
-        self.role = Role.FOLLOWER if self.standing else Role.LEARNER
         self.leader: str | None = None
         self.told: tuple[str | None, int] = (None, -1)
         self.now = 0.0
         self.heard_at = 0.0  # when a leader, or the start
         self.wait_until = NEVER  # for a leader
         self.commit = self.applied = self.log.snapped
+        self.role = Role.FOLLOWER if self.standing else Role.LEARNER
         self.ids: dict[str, int] = dict(unpack(held.snapshot).ids) if held.snapshot else {}
         self.frozen: tuple[int, int, list[tuple[str, int]], Voters] | None = None
         self.ill = ""
@@ -71,11 +71,12 @@
 
     @property
     def standing(self) -> bool:
-        return self.log.voters.births.get(self.name) == self.birth
+        """Whether any voters in force since what is agreed count it: one removed is needed until that is agreed."""
+        return any(voters.births.get(self.name) == self.birth for voters in self.log.voters_since(self.commit))
 
     @property
     def blank(self) -> bool:
-        return self.log.last == 0 and self.epoch == 0
+        return self.log.last == 0
 
     @property
     def leads(self) -> bool:
--- a/limenotch/fleet/agreement/voters.py
+++ b/limenotch/fleet/agreement/voters.py
@@ -59,6 +59,9 @@
         if not node.leads or not leading.sure or node.log.voters_at > node.commit:
             return
         if not node.standing:
+            if self._asked is not None and self._asked[1] in ("", *voters.births):
+                self._asks.answer(self._asked[0], "promised", node.log.voters_at)
+                self._asked = None
             leading.hand_over()
         elif self._asked is not None:
             self._step(voters, *self._asked)
--- a/limenotch/fleet/agreement/votes.py
+++ b/limenotch/fleet/agreement/votes.py
@@ -1,7 +1,7 @@
 """Elections: how a group is founded, and how a voter that misses its leader comes to lead.
 
 - Founding: only when *all* voters that the settings name are blank does the first of them (by name) found the group:
-  the first line of epoch 1 names the voters with their births. A disk that was lost can't take part in this twice.
+  its first line names the voters with their births. A disk that was lost can't take part in this twice.
 - A voter that heard a leader within election_least_ms, or started within it, answers neither PreVote nor Vote, but
   when the leader itself handed over. That is what the lease rests on (lease.py).
 - A yes to Vote leaves only when the ballot is on disk; a candidate counts its own vote from then on.
@@ -28,6 +28,7 @@
         self._yes: set[str] = set()
         self._promise: tuple[int, str] | None = None  # a yes that waits for the disk: epoch, candidate
         self._blanks: dict[str, str] = {}
+        self._latest = 0  # epoch of any blank one
 
     # Founding
 
@@ -49,11 +50,12 @@
         if set(message.voters) != set(node.named):
             node.count("found: other voters named")
         elif node.blank and node.on_disk is not None and not node.ill:
-            node.tell(sender, say.Blank(node.named, node.birth))
+            node.tell(sender, say.Blank(node.named, node.birth, node.epoch))
 
     def on_blank(self, sender: str, message: say.Blank) -> None:
         if self.founder and set(message.voters) == set(self._node.named):
             self._blanks[sender] = message.birth
+            self._latest = max(self._latest, message.epoch)
             self._found()
 
     def _found(self) -> None:
@@ -61,8 +63,8 @@
         births = {name: self._blanks.get(name, "") for name in node.named}
         births[node.name] = node.birth
         if self.founder and not node.ill and all(births.values()):
-            node.cast(1, node.name)
-            node.append((Entry(1, 1, VOTERS, pack(Voters(births))),))
+            node.cast(max(self._latest, node.epoch) + 1, node.name)
+            node.append((Entry(1, node.epoch, VOTERS, pack(Voters(births))),))
             node.become(Cause.FOUNDS)
             self._won()
 
--- a/limenotch/lab/fleet/checks_log.py
+++ b/limenotch/lab/fleet/checks_log.py
@@ -39,6 +39,7 @@
         self._last: dict[str, int] = {}
         self._asked: dict[tuple[str, int], str] = {}
         self._reads: dict[tuple[str, int], int] = {}
+        self._later: dict[int, set[str]] = {}  # voters by index, as a leader gave them to its disk
         self.promised: dict[int, str] = {}  # index: id
         self.answers: dict[str, int] = {}
 
@@ -82,6 +83,12 @@
         if self._votes.setdefault((node, birth, message.epoch), what.to) != what.to:
             self._wrong(f"{node} voted twice in {message.epoch}")
 
+    def _see_store(self, node: str, what: Any) -> None:
+        for record in what.records:
+            for entry in getattr(record, "entries", ()):
+                if entry.kind == "voters":
+                    self._later[entry.index] = _voters(entry)
+
     def _see_agreed(self, node: str, what: Any) -> None:
         entry = (what.epoch, what.data, what.id)
         if self._entries.setdefault(what.index, entry) != entry:
@@ -122,7 +129,8 @@
         self.answers[what] = self.answers.get(what, 0) + 1
 
     def _on_quorum(self, index: int, ident: str) -> bool:
-        """By the voters in force at the index on some disk, or by any later ones there."""
+        """By the voters in force at the index on some disk, or by any later ones: a leader counts by a change as soon
+        as it has made it, which is sound since quorums of two neighbours share a member (thesis, 4.1)."""
         disks = self._disks()
         having = {name for name, held in disks.items() if _holds(held, index, ident)}
         lost = sum(1 for held in self._lost_disks if _holds(held, index, ident))
@@ -132,10 +140,10 @@
                 if entry.kind == "voters":
                     if entry.index > index and _enough(having, lost, voters):
                         return True
-                    voters = set(msgspec.msgpack.decode(entry.data)[0])
+                    voters = _voters(entry)
             if _enough(having, lost, voters):
                 return True
-        return False
+        return any(at > index and _enough(having, lost, voters) for at, voters in self._later.items())
 
     def ended(self, up: list[str]) -> None:
         """All is healed and quiet: what was promised is everywhere."""
@@ -146,6 +154,10 @@
                 self._wrong(f"{node} lacks {len(missing)} promised, first {missing[0]}")
 
 
+def _voters(entry: Any) -> set[str]:
+    return set(msgspec.msgpack.decode(entry.data)[0])
+
+
 def _holds(held: Held, index: int, ident: str) -> bool:
     if held.snapshot is not None and held.snapshot.index >= index:
         return True
