--- a/tests/fleet/test_agreement.py
+++ b/tests/fleet/test_agreement.py
@@ -25,6 +25,7 @@
 from tests.fleet.log_bugs import PLANTED
 
 SEEN: set[tuple[states.Role, states.Cause]] = set()
+SHORT_MS = 1500.0
 FOUND = {  # planted bug: the first seed, from 0, at which the checker finds it
     "vote_not_persisted": 0,
     "acked_before_stored": 0,
@@ -42,7 +43,7 @@
 def test_storms_break_nothing(first: int, monkeypatch: pytest.MonkeyPatch) -> None:
     _watch(monkeypatch)
     for seed in range(first, first + 15):
-        assert storm(seed, 1500.0).checker.broken == [], seed
+        assert storm(seed, SHORT_MS).checker.broken == [], seed
 
 
 def _watch(patch: pytest.MonkeyPatch) -> None:
@@ -56,7 +57,7 @@
 def test_every_way_of_the_role_table_is_gone_and_no_other(monkeypatch: pytest.MonkeyPatch) -> None:
     _watch(monkeypatch)
     for seed in range(20):
-        storm(seed, 1500.0)
+        storm(seed, SHORT_MS)
     for role_before in ("leader", "pre-candidate", "candidate"):
         _fence(role_before)
     for role_before, message in (("leader", say.Ack(99, False, 0, 0, 0, "2")),
@@ -287,3 +288,8 @@
     assert storm(FOUND[name]).checker.broken != []
 
 
+def test_the_checker_finds_a_tail_that_is_not_cut(monkeypatch: pytest.MonkeyPatch) -> None:
+    PLANTED["not_cut_on_conflict"](monkeypatch)
+    assert "two entries agreed at 26" in storm(61, SHORT_MS).checker.broken
+
+
