--- a/tests/fleet/log_bugs.py
+++ b/tests/fleet/log_bugs.py
@@ -9,7 +9,7 @@
 import pytest
 
 from limenotch.fleet.agreement import lease, node, replicate, votes
-from limenotch.fleet.agreement.log import Log
+from limenotch.fleet.agreement.log import Log, pack
 from limenotch.store.records import Ballot
 
 Plant = Callable[[pytest.MonkeyPatch], None]
@@ -57,7 +57,7 @@
 
 
 def ids_not_in_snapshot(patch: pytest.MonkeyPatch) -> None:
-    real = node.pack
+    real = pack
     patch.setattr(node, "pack", lambda state: real(msgspec.structs.replace(state, ids=[])))
 
 
