A narrow state of the decisions, and a lease that the facade looks at with each event

Change: Settings.narrow binds every call to its first attempt that may have run, ends it as failed rather than rejected, and sends cold upstreams nothing; Settings.cold_parts divides their allowance by what was agreed instead of by the number of balancers. Facade.lease(until) compares one number with the clock at each event, so the first event after a pause is already narrow. Way not taken: other classes in force (at_most_once) while narrow: open calls keep the class they came under.

--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -156,12 +156,15 @@
         self._balancer = Balancer(settings, seed)
         self._clock = clock or Clock()
         self._processes = 1
+        self._until, self._refusing, self._cold_parts = math.inf, False, 0.0
         self._adopt(settings)
         self._zones = _Names({name: number for number, name in enumerate(zones)})
         self._kinds = _Names({name: number for number, name in enumerate(kinds)})
 
     def _adopt(self, settings: face.Settings) -> None:
-        self._settings = replace(settings, processes=self._processes)
+        self._settings = replace(
+            settings, processes=self._processes, narrow=self._clock() >= self._until, cold_parts=self._cold_parts
+        )
         self.classes = settings.classes
         self._classes = {cls.name: number for number, cls in enumerate(settings.classes)}
         self._tenants = {tenant.name: number for number, tenant in enumerate(settings.tenants)}
@@ -212,6 +215,27 @@
         self._adopt(self._settings)
         return self._handle(face.Retuned(self._settings))
 
+    def lease(self, until_ms: float, cold_parts: float = 0.0, refusing: bool = False) -> Orders:
+        """Of many that act as one: until when (by `now_ms`) this one has the others' word for its rules.
+
+        From then on it is narrow, or with `refusing` rejects all calls, until the next lease. That is looked at with
+        each event rather than by a timer: a process that wakes from a pause handles its sockets before its timers.
+        `cold_parts`: into how many the allowance of cold providers is divided; infinite: it has no part.
+        """
+        self._until, self._refusing, self._cold_parts = until_ms, refusing, cold_parts
+        before = self._settings
+        self._adopt(before)
+        return self._handle(face.Retuned(self._settings)) if self._settings != before else []
+
+    @property
+    def shut(self) -> bool:
+        """Whether all calls are rejected, as the lease has run out and the settings say so."""
+        return self._refusing and self._clock() >= self._until
+
+    @property
+    def narrow(self) -> bool:
+        return self._clock() >= self._until
+
     def knowledge(self) -> dict[str, Any]:
         """What was learnt, for the process that takes this one's place."""
         return {"module": told_by(self._balancer), "kinds": dict(self._kinds.index)}
@@ -291,8 +315,12 @@
         return self._handle(face.Membership(face.Listing.BROKEN))
 
     def _handle(self, event: face.Event) -> Orders:
-        now = self._clock()
-        return [_order(action, now) for action in self._balancer.handle(now, event)]
+        now, acts = self._clock(), []
+        if now >= self._until and not self._settings.narrow:
+            self._settings = replace(self._settings, narrow=True)
+            acts = self._balancer.handle(now, face.Retuned(self._settings))
+        acts += self._balancer.handle(now, event)
+        return [_order(action, now) for action in acts]
 
 
 def _order(action: face.Action, now: float) -> Order:
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -129,7 +129,7 @@
         end = math.inf if rest is not None else monotonic() + left / 1000.0
         call = Call(self._count, name, class_name, payload, end, left / 1000.0, answer, rest)
         self.figures.took()
-        if not room or len(self.open) >= self.max_open:
+        if not room or len(self.open) >= self.max_open or self.facade.shut:
             self._close(call, Final(Verdict.REJECTED, retry_after_ms=1000.0))
             return call
         self.open[call.number] = call
--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -137,7 +137,7 @@
 
     def _finish(self, now: float, call: Call, acts: list[Action]) -> None:
         """Final answer without success: a refusal where a repeat is harmless, else a failure."""
-        if any(t.ran for t in call.tries) and not call.cls.free:
+        if any(t.ran for t in call.tries) and (self.set.narrow or not call.cls.free):
             acts.append(face.Fail(call.name))
         else:
             acts.append(face.Refuse(call.name, min(self.set.max_retry_after_ms, self.window)))
--- a/switchthread/interface.py
+++ b/switchthread/interface.py
@@ -9,6 +9,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from math import inf
 from typing import NamedTuple, Union
 
 
@@ -132,6 +133,8 @@
     max_retry_after_ms: float = 0.0  # 0: clients take no advice on when to return
     crossing_cost: float = 0.0  # price of sending a call to another zone
     cold: ColdStart = field(default_factory=ColdStart)
+    narrow: bool = False  # without the others' word: nothing goes out again that may have run, and nothing to cold ones
+    cold_parts: float = 0.0  # by which cold upstreams' allowance is divided, where that is agreed on; 0: by `parts`
 
     def __post_init__(self) -> None:
         _need(len(self.classes) > 0, "classes", "at least one")
@@ -143,12 +146,18 @@
         _need(self.max_attempts >= 1, "max_attempts", "1 or more")
         _need(self.max_retry_after_ms >= 0, "max_retry_after_ms", "0 or more")
         _need(self.crossing_cost >= 0, "crossing_cost", "0 or more")
+        _need(self.cold_parts >= 0, "cold_parts", "0 or more")
 
     @property
     def parts(self) -> int:
         """Into how many what all may do together is divided."""
         return self.balancers * self.processes
 
+    @property
+    def shares_cold(self) -> float:
+        """The same for what all may send a cold upstream; infinite: this balancer has no part of it."""
+        return inf if self.narrow else (self.cold_parts or self.balancers) * self.processes
+
 
 class Upstream(NamedTuple):
     """One line of the list."""
--- a/switchthread/placement.py
+++ b/switchthread/placement.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from bisect import bisect
-from math import exp
+from math import exp, inf
 
 from .books import Books, Table, drawable
 from .interface import Effect, Scope
@@ -57,6 +57,8 @@
 
 def reach(books: Books, now: float, call: Call, home: bool = False) -> Table:
     bound = next((t for t in call.tries if t.ran), None)
+    if bound is not None and books.set.narrow:
+        return [], []
     if bound is None or call.cls.effect is Effect.IDEMPOTENT:
         return books.home if home else books.table
     if call.cls.effect is Effect.AT_MOST_ONCE or now - bound.sent >= call.cls.window_ms:
@@ -77,6 +79,8 @@
     """A cold upstream gets no more than this balancer's part of what all may send it."""
     if server.capacity(now, books.set.cold) >= 1.0:
         return True
+    if books.set.shares_cold == inf:
+        return False
     rate = books.room * server.share
     return server.earn(now, rate, 1.0 + rate * books.set.cold.fall_ms / 2) >= 1.0
 
--- a/switchthread/shares.py
+++ b/switchthread/shares.py
@@ -37,7 +37,7 @@
         distances(books, drawn, ready, able)
     whole = max(sum(s.share for s in drawn), 1e-9)
     # Where no reports tell what a tier can do, demand does, and not what is sent: a cold tier gets less.
-    part = able / books.set.parts
+    part = able / books.set.shares_cold
     if not books.tier.done:
         part = books.demand * sum(s.able for s in drawn) / max(sum(s.weight for s in drawn), 1e-9)
     books.room = HEADROOM * books.set.cold.fall_multiple * part / 1000 / whole
--- /dev/null
+++ b/tests/test_narrow.py
@@ -0,0 +1,138 @@
+"""A sidecar without the others' word: it does less, for open calls too, from its lease's end on whatever wakes it."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from math import inf
+
+import pytest
+
+from limenotch.facade import Ending, Facade, GiveUp, Invoke, Order, Provider, Reject, Status, Wake
+from switchthread.interface import Effect, Outcome, Refuse, Scope, TrafficClass
+
+from .referee import READ, WRITE, Referee, fleet, sends, settings
+
+KEYED = TrafficClass("keyed", Effect.DEDUPLICATED, 1000.0, 3000.0, 3.0, 0.0, Scope.ALL, 1500.0)
+MAY_HAVE_RUN = (Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT)
+
+
+@pytest.mark.parametrize("outcome", MAY_HAVE_RUN)
+@pytest.mark.parametrize("cls", [READ, KEYED, WRITE])
+def test_what_may_have_run_is_not_sent_again_and_not_said_to_be_harmless(cls: TrafficClass, outcome: Outcome) -> None:
+    given = settings(classes=(cls,))
+    referee = Referee(given, rows=fleet(7))
+    name, _ = referee.arrive(0)
+    referee.retune(replace(given, narrow=True))  # an open call as well
+    actions = referee.finish(name, 0, outcome)
+    assert not sends(actions) and referee.calls[name].over
+    assert not any(isinstance(act, Refuse) for act in actions)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.REFUSED, Outcome.CONNECT_FAILED, Outcome.NOT_SENT])
+def test_what_surely_never_ran_goes_on(outcome: Outcome) -> None:
+    referee = Referee(settings(narrow=True), rows=fleet(7))
+    name, _ = referee.arrive(0)
+    assert sends(referee.finish(name, 0, outcome))
+
+
+def test_no_copy_is_made() -> None:
+    """The same days as where copies are seen to be made at once or when overdue."""
+
+    def copies(narrow: bool) -> int:
+        referee = Referee(settings(narrow=narrow), rows=fleet(9))
+        twice = 0
+        for turn in range(300):
+            name, _ = referee.arrive(0)
+            referee.wait(100.0 if turn % 8 else 500.0)
+            twice += len(referee.calls[name].sent) > 1
+            for attempt in range(len(referee.calls[name].sent)):
+                referee.finish(name, attempt, Outcome.CANCELLED if referee.calls[name].over else Outcome.OK)
+        return twice
+
+    assert copies(False) and not copies(True)
+
+
+def test_cold_upstreams_get_nothing_from_who_has_no_part() -> None:
+    rows = tuple(row._replace(started_ms=999.0) for row in fleet(7))  # all: where else could a call go
+    for changes in ({"narrow": True}, {"cold_parts": inf}):
+        referee = Referee(settings(classes=(READ,), **changes), rows=rows)
+        for _ in range(100):
+            referee.arrive(0)
+            referee.wait(20.0)
+        assert not sends(referee.log)
+    referee = Referee(settings(classes=(READ,)), rows=rows)
+    for _ in range(100):
+        referee.arrive(0)
+        referee.wait(20.0)
+    assert sends(referee.log)
+
+
+def test_the_allowance_of_cold_upstreams_is_divided_by_the_parts_agreed_on() -> None:
+    rooms = []
+    for parts in (0.0, 4.0, 16.0):
+        referee = Referee(settings(balancers=2, processes=2), rows=fleet(7))
+        referee.balancer.tier.done = referee.balancer.tier.busy = 1.0  # reports tell what the tier can do
+        referee.retune(settings(balancers=2, processes=2, cold_parts=parts))
+        rooms.append(referee.balancer.room)
+    assert rooms[0] == pytest.approx(2 * rooms[1]) and rooms[1] == pytest.approx(4 * rooms[2])
+
+
+class Clock:
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def leased(refusing: bool = False) -> tuple[Facade, Clock]:
+    clock = Clock()
+    facade = Facade(settings(classes=(READ,)), 7, clock=clock)
+    facade.start()
+    facade.heard([Provider(f"p{n}", ("127.0.0.1", n), Status.IN_SERVICE) for n in range(5)], True)
+    facade.lease(1500.0, refusing=refusing)
+    return facade, clock
+
+
+def made(orders: list[Order]) -> list[Invoke]:
+    return [order for order in orders if isinstance(order, Invoke)]
+
+
+def test_the_first_event_after_a_pause_finds_the_lease_run_out() -> None:
+    """No timer runs here: SIGSTOP for 10 s, and the provider's answer is what the loop handles first."""
+    facade, clock = leased()
+    call, = made(facade.pick(1, "read", "", 900.0))[:1]
+    clock.now = 1499.0
+    assert made(facade.report(1, 0, call.provider, 5.0, Ending.ERROR, False)), "the lease holds: it is tried again"
+    facade, clock = leased()
+    call, = made(facade.pick(1, "read", "", 900.0))[:1]
+    clock.now = 1500.0
+    orders = facade.report(1, 0, call.provider, 5.0, Ending.ERROR, False)
+    assert not made(orders) and any(isinstance(order, GiveUp) for order in orders)
+    assert facade.narrow
+
+
+def test_a_new_lease_widens_again_and_settings_read_meanwhile_do_not() -> None:
+    facade, clock = leased()
+    clock.now = 5000.0
+    facade.retune(settings(classes=(READ,)))
+    call, = made(facade.pick(1, "read", "", 20000.0))[:1]
+    assert not made(facade.report(1, 0, call.provider, 5.0, Ending.RESET, False))
+    facade.lease(8000.0)
+    call, = made(facade.pick(2, "read", "", 20000.0))[:1]
+    assert made(facade.report(2, 0, call.provider, 5.0, Ending.RESET, False))
+
+
+def test_without_a_lease_all_is_rejected_where_the_settings_say_so() -> None:
+    facade, clock = leased(refusing=True)
+    assert not facade.shut
+    clock.now = 1500.0
+    assert facade.shut and not leased()[0].shut
+
+
+def test_one_that_is_alone_never_becomes_narrow() -> None:
+    clock = Clock()
+    facade = Facade(settings(classes=(READ,)), 7, clock=clock)
+    clock.now = 1e12
+    assert not facade.narrow and not facade.shut
+    assert not [order for order in facade.start() if not isinstance(order, (Wake, Reject))]
