--- a/limenotch/config.py
+++ b/limenotch/config.py
@@ -9,7 +9,7 @@
 import math
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from switchthread import interface as face
@@ -44,6 +44,7 @@
     memory_mb: float = DEFAULT_MEMORY_MB
     max_open: int = DEFAULT_MAX_OPEN
     shape: frozenset[str] = frozenset()  # the keys of the file, see shape_of
+    env: dict[str, Any] = field(default_factory=dict)  # `settings` as the file has them
     idle_ms: float = DEFAULT_IDLE_MS
     connect_ms: float = DEFAULT_CONNECT_MS
 
@@ -121,6 +122,7 @@
         zones=_names(env, "zones", "settings.zones"),
         kinds=_names(env, "skus", "settings.skus"),
         shape=shape_of(raw),
+        env=env,
         known=_object(raw, "known", "known"),
         admin=None if admin is None else address(admin, admin_key),
         kept=_kept(environ.get("TMPDIR"), address(listen, "listen")),
@@ -132,6 +134,30 @@
     )
 
 
+# Of each sidecar's own place: no rule that many agree on has them.
+OWN = ("balancers", "rank", "layer", "locality")
+
+
+def common(config: Config) -> dict[str, Any]:
+    """What many sidecars may agree on, as this one's file has it: settings, and the directory's address."""
+    settings = {key: value for key, value in config.env.items() if key not in OWN}
+    return {"settings": settings, "bans": {}, "directory": host_port(config.directory)}
+
+
+def agreed(config: Config, document: Mapping[str, Any]) -> Config:
+    """This sidecar's configuration with what was agreed on in place of its file's. Raises ConfigError."""
+    own = {key: config.env[key] for key in OWN if key in config.env}
+    env = {**_object(document, "settings", "settings"), **own}
+    at = document.get("directory", host_port(config.directory))
+    raw = {"listen": host_port(config.listen), "discovery": at, "settings": env, "limits": {
+        "memory_mb": config.memory_mb, "sockets": config.sockets}}
+    new = parse(raw, {})
+    return replace(
+        new, name=config.name, seed=config.seed, known=config.known, admin=config.admin, kept=config.kept,
+        shape=config.shape,
+    )
+
+
 # Of a start only, or free to come and go: a file read again may lack them.
 OF_THE_START = frozenset({"name", "listen", "admin_addr", "seed", "known"})
 
