--- a/limenotch/store/thread.py
+++ b/limenotch/store/thread.py
@@ -103,6 +103,7 @@
         """Writes what was submitted, closes the store; waits so long at most. False: the disk hangs.
 
         Blocks its caller. What a hung disk still writes later is told as it happens, if the loop still runs.
+        After True the files are the caller's to release (`RealFiles.release`); after False they are still written to.
         """
         with self._lock:
             self._ending = True
