Put the log behind the fleet's hub, its store on its own thread, and promises above it

The decisions and the store were there, but no process ran them. The hub carries what layers above the log ask and are told, each under its prefix; the program reads the store before it begins; operators' promises and changes of voters are asked at the operators' address.

--- a/limenotch/fleet/agreement/core.py
+++ b/limenotch/fleet/agreement/core.py
@@ -113,6 +113,13 @@
     def counts(self) -> dict[str, int]:
         return self._node.counts
 
+    def figures(self) -> dict[str, Any]:
+        """Of operators: indexes are those of the log's entries; `disk` is `ok` or why nothing is written."""
+        node, log = self._node, self._node.log
+        return {"role": node.role.value, "leader": node.leader, "epoch": node.epoch, "voters": sorted(self.voters),
+                "agreed": node.applied, "last": log.last, "on_disk": log.stored, "snapshot": log.snapped,
+                "disk": node.ill or "ok", "counts": dict(node.counts)}
+
     def leases(self, now: float) -> bool:
         """Whether it leads and no other can have been elected by `now`."""
         self._node.now = max(self._node.now, now)
--- a/limenotch/fleet/contract.py
+++ b/limenotch/fleet/contract.py
@@ -64,7 +64,10 @@
 
 
 class StoreFailed(NamedTuple):
-    """It is not, and nothing after it will be until the host says otherwise by a later Stored."""
+    """It is not, and nothing after it will be until the host says otherwise by a later Stored.
+
+    The host keeps nothing of what failed; the part writes again what is missing.
+    """
 
     ticket: int
     why: str  # `full`, `read-only`, `torn`, `slow`: the operators read it
--- a/limenotch/fleet/hub.py
+++ b/limenotch/fleet/hub.py
@@ -6,6 +6,12 @@
 - MemberChanged and Fenced, said by the first part (membership), go to the others in order, at their place among the
   actions: what a part does on them comes before what membership does next.
 - Started and Leave go to all, in order.
+- One part may be the log (`ag.`): what those after it propose, read and change goes there with their prefix, what is
+  agreed goes to whom it is of, what they asked for is answered to who asked, a new leader is told to all of them
+  (`above.py`). What they ask is told to the log when all that the event brought about is told: never in between.
+- A snapshot is made of the state of all of them. Where some entry is of a part that is not here, or is off, none is
+  made: its state would be lost. The log then grows until it refuses what is proposed.
+- Asked(part, event) is the host's own way to a part; actions of further types go to who `hears` them.
 
 A part that raises: where the host gave `faulty` it is told so and the part hears nothing more; if it was the first
 part, none does, as nobody would tell the others of a fence. Without `faulty` the exception goes through: in simulated
@@ -14,9 +20,12 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol, cast
 
+from . import above
+from .agreement import api
 from .contract import (
     Action,
     Address,
@@ -39,6 +48,9 @@
 from .wire import tag_of
 
 OFF = "fleet off: fault"  # the note's text
+LOG = "ag."
+ASKS = (api.Propose, api.ReadAt, api.ChangeVoters)
+ENDS = (api.Promised, api.Refused, api.Unknown, api.ReadReady)
 
 Faulty = Callable[[str, Any, Exception], None]  # the part's prefix, the event, what it raised
 
@@ -49,6 +61,13 @@
     def address_of(self, name: str) -> Address | None: ...
 
 
+class Asked(NamedTuple):
+    """An event for one part, from its host."""
+
+    part: str  # its prefix
+    event: Any
+
+
 class Hub:
     """A part made of parts."""
 
@@ -56,29 +75,52 @@
         self, parts: Sequence[tuple[str, Part]], names: Names | None = None, faulty: Faulty | None = None
     ) -> None:
         """`parts` with the prefix of their messages' tags, membership first. Raises ValueError on a prefix twice."""
-        self._parts = [part for _, part in parts]
-        self._prefixes = [prefix for prefix, _ in parts]
-        self._places = {prefix: number for number, prefix in enumerate(self._prefixes)}
-        if len(self._places) != len(parts):
-            raise ValueError("two parts with one prefix")
+        self._parts: list[Part] = []
+        self._prefixes: list[str] = []
+        self._places: dict[str, int] = {}
         self._names, self.faulty = names, faulty
         self._off: set[int] = set()
+        self._begun = False
+        self._asking: deque[tuple[int, Any]] = deque()  # what is still to be told: part, event
+        self._hears: dict[type, Callable[[Any], None]] = {}
+        self._whole = True  # every entry and every state so far was of a part that is here
+        for prefix, part in parts:
+            self.add(prefix, part)
         self.untold = 0  # messages to names without an address
         self.unheard = 0  # messages of no part, or of one that is off
 
+    def add(self, prefix: str, part: Part) -> None:
+        """Before Started alone: numbers of timers hang on how many parts there are."""
+        if self._begun or prefix in self._places:
+            raise ValueError(f"{prefix}: begun already, or two parts with one prefix")
+        self._places[prefix] = len(self._parts)
+        self._parts.append(part)
+        self._prefixes.append(prefix)
+
+    def hears(self, kind: type, told: Callable[[Any], None]) -> None:
+        """Actions of this type, of any part, are told to the host so, in order. `told` must not call `handle`."""
+        self._hears[kind] = told
+
+    def found(self, states: Iterable[str]) -> None:
+        """Prefixes of the states that the snapshot found at the start had."""
+        self._whole = self._whole and all(prefix in self._places for prefix in states)
+
     @property
     def off(self) -> tuple[str, ...]:
         """Prefixes of the parts stopped."""
         return tuple(self._prefixes[number] for number in sorted(self._off))
 
-    def handle(self, now: float, event: Event) -> list[Action]:
+    def handle(self, now: float, event: Event | Asked) -> list[Action]:
         """Send, SetTimer, Store and Note only: the rest stays in here. Raises TypeError on what is no event."""
         out: list[Action] = []
+        self._begun = self._begun or isinstance(event, Started)
         for number, inner in self._route(event):
             self._tell(now, number, inner, out)
+            while self._asking:
+                self._tell(now, *self._asking.popleft(), out)
         return out
 
-    def _route(self, event: Event) -> Iterable[tuple[int, Event]]:
+    def _route(self, event: Event | Asked) -> Iterable[tuple[int, Event]]:
         if isinstance(event, Heard):
             tag = tag_of(event.message)
             place = self._places.get(tag[: tag.find(".") + 1])
@@ -97,9 +139,11 @@
             return ((place, StoreFailed(ticket, event.why)),)
         if isinstance(event, (Started, Leave)):
             return [(place, event) for place in range(len(self._parts))]
+        if isinstance(event, Asked) and event.part in self._places:
+            return ((self._places[event.part], event.event),)
         raise TypeError(f"no event of the hub: {event!r}")
 
-    def _tell(self, now: float, number: int, event: Event, out: list[Action]) -> None:
+    def _tell(self, now: float, number: int, event: Any, out: list[Action]) -> None:
         """What the part answers, carried as far as it goes within the hub."""
         if number in self._off:
             return
@@ -127,14 +171,69 @@
         elif isinstance(action, (MemberChanged, Fenced)) and number == 0:
             for other in range(1, len(self._parts)):
                 self._tell(now, other, action, out)
+        elif type(action) in self._hears:
+            self._hears[type(action)](action)
+        elif number == self._places.get(LOG):
+            self._of_the_log(now, number, action, out)
+        elif isinstance(action, ASKS) and number:
+            self._to_the_log(number, action)
         else:
             raise TypeError(f"no action of {self._prefixes[number]}: {action!r}")
 
+    # The log
+
+    def _to_the_log(self, number: int, action: Any) -> None:
+        log = self._places.get(LOG)
+        if log is None or log in self._off or log > number:
+            why = "no log" if log is None or log > number else "the log is off"
+            self._asking.append((number, api.Refused(action.ticket, why, None)))
+            return
+        prefix, ticket = self._prefixes[number], self._forth(action.ticket, number)
+        if isinstance(action, api.Propose):
+            ident = prefix + action.id if action.id else ""
+            action = api.Propose(ticket, above.marked(prefix, action.data), ident)
+        else:
+            action = action._replace(ticket=ticket)
+        self._asking.append((log, action))
+
+    def _of_the_log(self, now: float, log: int, action: Any, out: list[Action]) -> None:
+        layers = range(log + 1, len(self._parts))
+        if isinstance(action, ENDS):
+            ticket, number = self._back(action.ticket)
+            self._tell(now, number, action._replace(ticket=ticket), out)
+        elif isinstance(action, api.Agreed):
+            prefix, data = above.unmarked(action.data)
+            number = self._places.get(prefix, log)
+            if number > log:
+                self._tell(now, number, action._replace(data=data, id=action.id.removeprefix(prefix)), out)
+            else:
+                self._whole = False
+        elif isinstance(action, api.Install):
+            states = above.parted(action.state)
+            self.found(states)
+            for number in layers:
+                if (state := states.get(self._prefixes[number])) is not None:
+                    self._tell(now, number, action._replace(state=state), out)
+        elif isinstance(action, api.LeaderChanged):
+            for number in layers:
+                self._tell(now, number, action, out)
+        elif isinstance(action, api.WantSnapshot):
+            if not self._whole or self._off:
+                out.append(Note("no snapshot: entries of a part that is not here"))
+                return
+            states = {self._prefixes[number]: cast(above.Above, self._parts[number]).state() for number in layers}
+            self._asking.append((log, api.Compact(action.index, above.joined(states))))
+        else:
+            raise TypeError(f"no action of {LOG}: {action!r}")
+
     def _stop(self, number: int, event: Any, error: Exception, out: list[Action]) -> None:
         assert self.faulty is not None
         self._off |= set(range(len(self._parts))) if number == 0 else {number}
         self.faulty(self._prefixes[number], event, error)
         out.append(Note(OFF, {"part": self._prefixes[number], "off": ", ".join(self.off)}))
+        if number == self._places.get(LOG):
+            layers = range(number + 1, len(self._parts))
+            self._asking.extend((layer, api.LeaderChanged(None, 0)) for layer in layers)
 
     # A number of a part's own, and the part, in one number: nothing has to be kept, whatever parts ask for
 
--- a/limenotch/fleet/membership/core.py
+++ b/limenotch/fleet/membership/core.py
@@ -91,6 +91,10 @@
         own = Seen(ground.name, State.ALIVE, ground.incarnation, ground.life, ground.at, self._since)
         return [own] * self.inside + [Seen(m.name, m.state, m.incarnation, m.life, m.at, m.since) for m in ground.table]
 
+    def address_of(self, name: str) -> Address | None:
+        """Where to send to: the settings' own address before what it advertises."""
+        return self.ground.at_of(name) if self.ground.table.get(name) is not None else None
+
     def figures(self) -> dict[str, Any]:
         """For operators: numbers of what is held, of what was not believed, and the own health (0 is well)."""
         ground = self.ground
--- a/limenotch/fleet/settings.py
+++ b/limenotch/fleet/settings.py
@@ -14,8 +14,9 @@
 from .. import settings as base
 from .. import toml
 from ..config import Address, ConfigError, address
+from .agreement import tuning as agreement
 from .membership.tuning import Tuning
-from .wire import LEAST_KEY, MOST_KEY, MOST_NAME
+from .wire import LEAST_KEY, MOST_FRAME, MOST_KEY, MOST_NAME
 
 Name = Annotated[str, Meta(min_length=1, max_length=MOST_NAME)]
 ANYWHERE = ("0.0.0.0", "::")  # what can be listened at, but not reached
@@ -27,8 +28,8 @@
     """As the part has it."""
 
 
-class Agreement(Struct, frozen=True, forbid_unknown_fields=True):
-    """No key yet."""
+class Agreement(agreement.Tuning, frozen=True, forbid_unknown_fields=True):
+    """As the part has it."""
 
 
 class Fleet(Struct, frozen=True, forbid_unknown_fields=True):
@@ -122,6 +123,9 @@
             yield f"fleet.{key}", f"expected a numeric host, not {host!r}: no name service is asked"
     if len(set(table.voters)) != len(table.voters):
         yield "fleet.voters", "a name stands twice"
+    for key in ("most_entry_bytes", "most_batch_bytes", "chunk_bytes"):
+        if getattr(table.agreement, key) > MOST_FRAME // 2:
+            yield f"fleet.agreement.{key}", f"more than {MOST_FRAME // 2}, what one message may have"
     try:
         read_key(table.key_file)
     except toml.FaultError as error:
--- /dev/null
+++ b/limenotch/net/kept.py
@@ -0,0 +1,132 @@
+"""What the log keeps: the store's thread as the peer module's disk, or memory where a learner has no folder.
+
+Imported only where a fleet has voters; the store's libraries only where there is a folder.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from .. import logs
+from ..store import missing
+from ..store.records import Append, Held, Record, Snapshot
+
+log = logs.get(__name__)
+
+CLOSE_S = 0.2  # for what was submitted; the loop waits for it, and a disk that hangs keeps no process from its end
+FIRST_WAIT_S, MOST_WAIT_S = 0.1, 2.0  # between two looks at a folder that another process holds
+TRIES = 20
+VOTERS = "voters"  # the kind of an entry that says who votes
+
+Done = Callable[[str | None], None]
+
+
+class UnreadableError(Exception):
+    """The text has the store's word, and file and offset where there are any."""
+
+
+class Memory:
+    """A learner without a folder. Never says yes to what would make it a voter: a vote is worth what is on a disk."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._refusing = False
+
+    def submit(self, ticket: int, records: tuple[Record, ...], done: Done) -> None:
+        for record in records:
+            if isinstance(record, Append):
+                for entry in record.entries:
+                    if entry.kind == VOTERS:
+                        self._refusing = self._name in msgspec.msgpack.decode(entry.data)[0]
+            elif isinstance(record, Snapshot):
+                self._refusing = self._name in record.voters
+        done("no folder" if self._refusing else None)
+
+    def state(self) -> str:
+        return "memory"
+
+    def close(self) -> None: ...
+
+
+class Folder:
+    """A store and its thread. `open` once, then as `others.Disk`."""
+
+    def __init__(self, folder: Path) -> None:
+        """Raises ImportError naming the library that is not there."""
+        if missing():
+            raise ImportError(", ".join(missing()))
+        self._folder = folder
+        self._thread: Any = None
+        self._files: Any = None
+
+    async def open(self) -> Held:
+        """Waits while another process holds the folder: the one before this one may. Raises UnreadableError."""
+        wait = FIRST_WAIT_S
+        for left in reversed(range(TRIES)):
+            try:
+                return await self._try()
+            except _TakenError as error:
+                if not left:
+                    raise UnreadableError(str(error)) from None
+                log.warning("fleet: the folder is held", folder=str(self._folder), wait_s=wait)
+            await asyncio.sleep(wait)
+            wait = min(2 * wait, MOST_WAIT_S)
+        raise AssertionError
+
+    async def _try(self) -> Held:
+        from ..store import files
+        from ..store.log import Store
+        from ..store.thread import StoreThread
+
+        loop = asyncio.get_running_loop()
+        try:
+            self._files = await loop.run_in_executor(None, files.RealFiles, self._folder)
+        except files.StoreError as error:
+            raise (_TakenError if error.why == "taken" else UnreadableError)(str(error)) from None
+        opened: asyncio.Future[Held] = loop.create_future()
+
+        def told(held: Held | None, error: files.StoreError | None) -> None:
+            if opened.done():  # nobody waits any more
+                return
+            if held is not None:
+                opened.set_result(held)
+            else:
+                opened.set_exception(UnreadableError(str(error)))
+
+        store = Store(self._files)
+        self._thread = StoreThread(store, loop.call_soon_threadsafe, told, self._slow)
+        try:
+            held = await opened
+        except BaseException:
+            self.close()
+            raise
+        if store.torn:
+            log.warning("fleet: a torn end of the log was cut off", what=store.torn)
+        return held
+
+    def _slow(self, seconds: float) -> None:
+        log.warning("fleet: the disk is slow", seconds=round(seconds, 3), folder=str(self._folder))
+
+    def submit(self, ticket: int, records: tuple[Record, ...], done: Done) -> None:
+        self._thread.submit(ticket, records, done)
+
+    def state(self) -> str:
+        return f"{self._folder}, {self._thread.waiting_bytes if self._thread is not None else 0} bytes wait"
+
+    def close(self) -> None:
+        thread, self._thread = self._thread, None
+        if thread is not None and not thread.close(CLOSE_S):
+            log.warning("fleet: the disk hangs", folder=str(self._folder))
+            return  # what it still writes is its: the folder is free when this process is gone
+        held, self._files = self._files, None
+        if held is not None:
+            held.release()
+
+
+class _TakenError(Exception):
+    """Another process holds the folder."""
--- a/limenotch/net/operators.py
+++ b/limenotch/net/operators.py
@@ -47,7 +47,7 @@
         self, ready: Callable[[], bool], stats: Callable[[], bytes], ban: Ban,
         extra: Mapping[str, Extra] = {},  # noqa: B006 (read only)
     ) -> None:
-        """`extra`: further paths, each with what answers any call for it."""
+        """`extra`: further paths, each with what answers any call for it; one that ends in `/` is for all below it."""
         self._ready, self._stats, self._ban, self._extra = ready, stats, ban, extra
         self._loop = IOLoop.current()
         self._listener: Listener | None = None
@@ -134,8 +134,8 @@
             if request.method == method:
                 name, _, action = path.removeprefix(ENDPOINTS).rpartition("/")
                 return await self._act(unquote(name), ACTIONS[action])
-        elif path in self._extra:
-            return await self._extra[path](request)
+        elif (extra := self._extra.get(path) or self._extra.get(path[: path.rfind("/") + 1])) is not None:
+            return await extra(request)
         else:
             return _says(404, "no such path")
         return http1.write_response(405, [(b"Allow", method)], b"", close=True)
--- a/limenotch/net/others.py
+++ b/limenotch/net/others.py
@@ -10,7 +10,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from functools import lru_cache
 from typing import Any, Protocol
 
@@ -33,7 +33,7 @@
     StoreFailed,
     TimerFired,
 )
-from ..fleet.hub import OFF, Hub
+from ..fleet.hub import OFF, Asked, Hub
 from ..fleet.wire import MOST_FRAME, Fault, Hello, Wire
 from .sockets import Listener
 from .streams import Streams, family
@@ -90,7 +90,7 @@
         self._timer = 0
         self._storing = 0
         self._now = 0.0
-        self._off = self._closed = False
+        self._off = self._closed = self._begun = False
         self.counts = dict.fromkeys(COUNTS, 0)
         hub.faulty = self._faulty
 
@@ -105,14 +105,15 @@
 
     # Life
 
-    def start(self) -> None:
-        """Listen as soon as the address can be had, and begin then.
+    def start(self, ready: Callable[[], Awaitable[Disk | None]] | None = None) -> None:
+        """Listen as soon as the address can be had, and begin then, after `ready`: the disk it gives is closed here.
 
         The process before this one has it until it leaves; a wrong one is told in the log. Serving waits for neither.
+        What others say before the beginning is dropped, as if this process were not there yet.
         """
-        self._opening = self._loop.create_task(self._open())
+        self._opening = self._loop.create_task(self._open(ready))
 
-    async def _open(self) -> None:
+    async def _open(self, ready: Callable[[], Awaitable[Disk | None]] | None) -> None:
         wait = FIRST_WAIT_S
         while True:
             try:
@@ -123,6 +124,14 @@
             await asyncio.sleep(wait)
             wait = min(2 * wait, MOST_WAIT_S)
         log.info("fleet: listening", listen=host_port(self._listen), life=self._life)
+        if ready is not None:
+            disk = await ready()
+            if self._closed:
+                if disk is not None:
+                    disk.close()
+                return
+            self._disk = disk or self._disk
+        self._begun = True
         self.tell(Started())
 
     def _bind(self) -> None:
@@ -150,8 +159,7 @@
 
     def leave(self) -> None:
         """The parts say that this process goes; what they answer is sent at once."""
-        if self._listener is not None:
-            self.tell(Leave())
+        self.tell(Leave())
 
     def close(self) -> None:
         """At once, without a word to others. May be called twice."""
@@ -179,9 +187,9 @@
 
     # Events
 
-    def tell(self, event: Event) -> None:
+    def tell(self, event: Event | Asked) -> None:
         """Raises nothing."""
-        if self._off or self._closed:
+        if self._off or self._closed or not self._begun:
             return
         self._now = self.now()
         if isinstance(event, TimerFired):
--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -1,6 +1,7 @@
 """The fleet's side of the program: parts, hub, wire and sockets put together. Imported only where `[fleet]` is set.
 
-Which parts there are is said in one place, `parts`; all else here is the same whatever they are.
+The log and what is above it are there only where `voters` are set, and join when the store has been read: until then,
+and for good where it can't be read, this process is a member without a log.
 """
 
 from __future__ import annotations
@@ -8,62 +9,42 @@
 import asyncio
 import os
 import time
-from collections.abc import Callable, Mapping, Sequence
-from typing import Any, NamedTuple, get_args
+from pathlib import Path
+from typing import Any, get_args
 
 import msgspec
 
-from . import logs
+from . import logs, toml
 from .config import Address, host_port
-from .fleet.contract import Message, Part
-from .fleet.hub import Hub, Names
+from .fleet import above
+from .fleet.agreement import Agreement
+from .fleet.agreement import messages as of_the_log
+from .fleet.contract import Message
+from .fleet.hub import LOG, Hub
 from .fleet.membership import Membership
 from .fleet.membership.messages import Spoken
+from .fleet.promises import LATE_MS, Answer, Promises
 from .fleet.settings import Fleet, Placed, place
 from .fleet.wire import Wire
 from .net import http1
+from .net.kept import Folder, Memory, UnreadableError
 from .net.operators import Extra
 from .net.others import Disk, Others
+from .net.promised import PREFIX, Promised, no_log
+from .store.records import Held
 
 log = logs.get(__name__)
 
 LEAVE_S = 0.5  # from the word that this process goes to the end of its sockets
 PATH = "/fleet"
+SPARE_S = 1.0  # for an answer that comes by the log's own bounds
 
 
-class Built(NamedTuple):
-    """What a factory of parts gives."""
-
-    messages: Sequence[type[Message]]  # of all parts
-    parts: Sequence[tuple[str, Part]]  # with the prefix of their messages' tags, membership first
-    names: Names | None = None
-    members: Callable[[float], list[dict[str, Any]]] = lambda now: []  # for operators, as JSON
-    figures: Mapping[str, Callable[[], Any]] = {}  # by part, as JSON too
-    disk: Disk | None = None
-
-
-Parts = Callable[[Placed, int, int], Built]  # settings, life, seed
-
-
-def parts(placed: Placed, life: int, seed: int) -> Built:
-    """The parts that this program has."""
-    membership = Membership(
-        placed.name, placed.at, life, placed.seeds, placed.table.membership, seed, placed.addresses
-    )
-    return Built(
-        get_args(Spoken), [("mb.", membership)], _Known(membership), lambda now: members(membership, now),
-        {"membership": membership.figures},
-    )
-
-
-class _Known:
-    """Addresses as membership knows them, the settings' own first."""
-
-    def __init__(self, membership: Membership) -> None:
-        self._ground = membership.ground
-
-    def address_of(self, name: str) -> Address | None:
-        return self._ground.at_of(name) if self._ground.table.get(name) is not None else None
+def messages() -> tuple[type[Message], ...]:
+    """Of all parts."""
+    found = [kind for kind in vars(of_the_log).values()
+             if isinstance(kind, type) and issubclass(kind, Message) and kind is not Message]
+    return (*get_args(Spoken), *found)
 
 
 def members(membership: Membership, now: float) -> list[dict[str, Any]]:
@@ -77,26 +58,52 @@
 class Together:
     """One process among others. Made on the loop's thread."""
 
-    def __init__(self, table: Fleet, sidecar: str, parts: Parts = parts) -> None:
+    def __init__(self, table: Fleet, sidecar: str) -> None:
         """Raises toml.FaultError on settings that can't be used."""
-        placed = place(table, sidecar)
+        self._placed = placed = place(table, sidecar)
         self.name, self.group = placed.name, placed.group
         # Of two processes of one name the later has the higher one, unless the wall clock was set back in between:
         # the only use of that clock here, and to membership it is just a number.
         self.life = time.time_ns() // 1000
-        self._built = parts(placed, self.life, int.from_bytes(os.urandom(8), "big"))
-        hub = Hub(self._built.parts, self._built.names)
-        wire = Wire(placed.key, placed.group, self._built.messages)
-        self._others = Others(
-            placed.listen, placed.name, self.life, hub, wire, table.streams, self._built.disk, placed.at
-        )
-        self._at = placed.at
+        self._membership = Membership(
+            placed.name, placed.at, self.life, placed.seeds, table.membership, _seed(), placed.addresses)
+        self._hub = Hub([("mb.", self._membership)], self._membership)
+        wire = Wire(placed.key, placed.group, messages())
+        self._others = Others(placed.listen, placed.name, self.life, self._hub, wire, table.streams, at=placed.at)
+        self._disk = _disk(placed)
+        self._agreement: Agreement | None = None
+        self._promises = Promises()
+        self._why = "the log is not read yet" if self._disk is not None else ""
+        self._promised = Promised(self._others.tell, (table.agreement.ask_ms + LATE_MS) / 1000.0 + SPARE_S)
+        self._hub.hears(Answer, self._promised.heed)
         self._end: asyncio.TimerHandle | None = None
         self.descriptors = table.descriptors
         self.paths: dict[str, Extra] = {PATH: self._answer}
+        if self._disk is not None:
+            self.paths |= {path: self._through(path) for path in self._promised.paths}
 
     def start(self) -> None:
-        self._others.start()
+        self._others.start(self._found if self._disk is not None else None)
+
+    async def _found(self) -> Disk | None:
+        """The log and the layers above it, from what the disk has. A disk that can't be read costs the log alone."""
+        disk, placed = self._disk, self._placed
+        assert disk is not None
+        try:
+            held = await disk.open() if isinstance(disk, Folder) else Held(entries=[])
+            agreement = Agreement(placed.name, placed.table.voters, held, placed.table.agreement, _seed())
+            states = above.parted(agreement.state)
+            promises = Promises(states.get(PREFIX), agreement.index)
+        except (UnreadableError, msgspec.DecodeError) as error:
+            self._why = f"no log: {error}"
+            log.error("fleet: goes on without the log", folder=placed.table.folder, error=str(error))
+            disk.close()
+            return None
+        self._hub.add(LOG, agreement)
+        self._hub.add(PREFIX, promises)
+        self._hub.found(states)
+        self._agreement, self._promises, self._why = agreement, promises, ""
+        return disk
 
     def leave(self) -> None:
         """Tell the others. A little later the address is free: the next process of this sidecar may wait for it."""
@@ -109,20 +116,55 @@
             self._end.cancel()
         self._others.close()
 
+    # For operators
+
     def state(self) -> dict[str, Any]:
-        at: Address = self._at
+        at: Address = self._placed.at
+        parts: dict[str, Any] = {"membership": self._membership.figures()}
+        if self._disk is not None:
+            parts["agreement"] = self._log_state()
+            parts["promises"] = {"kept": len(self._promises), "unreadable": self._promises.bad}
         return {
             "name": self.name,
             "group": self.group,
             "life": self.life,
             "at": host_port(at),
-            "members": self._built.members(self._others.now()),
+            "members": members(self._membership, self._others.now()),
             **self._others.state(),
-            "parts": {name: figures() for name, figures in self._built.figures.items()},
+            "parts": parts,
         }
 
+    def _log_state(self) -> dict[str, Any]:
+        if self._agreement is None:
+            return {"role": "none", "why": self._why}
+        return {**self._agreement.figures(), "store": self._disk.state() if self._disk is not None else ""}
+
+    def _through(self, path: str) -> Extra:
+        async def answer(request: http1.Message) -> bytes:
+            return await (no_log(self._why) if self._why else self._promised.paths)[path](request)
+
+        return answer
+
     async def _answer(self, request: http1.Message) -> bytes:
         if request.method != b"GET":
             return http1.write_response(405, [(b"Allow", b"GET")], b"", close=True)
         body = msgspec.json.format(msgspec.json.encode(self.state()), indent=1) + b"\n"
         return http1.write_response(200, [(b"Content-Type", b"application/json")], body, close=True)
+
+
+def _seed() -> int:
+    return int.from_bytes(os.urandom(8), "big")
+
+
+def _disk(placed: Placed) -> Folder | Memory | None:
+    """None: no voters, so no log. Raises toml.FaultError where a library is not there."""
+    table = placed.table
+    if not table.voters:
+        return None
+    if table.folder is None:
+        log.info("fleet: no folder, what is agreed is held in memory only")
+        return Memory(placed.name)
+    try:
+        return Folder(Path(table.folder))
+    except ImportError as error:
+        raise toml.FaultError(f"fleet.folder: needs the library {error}: pip install 'limenotch[fleet]'") from None
--- a/tests/fleet/test_fleet_off.py
+++ b/tests/fleet/test_fleet_off.py
@@ -33,7 +33,8 @@
 finally:
     print(json.dumps(sorted(sys.modules)))
 """
-FLEET = ("limenotch.fleet", "limenotch.store", "limenotch.net.others", "limenotch.net.streams", "limenotch.together")
+FLEET = ("limenotch.fleet", "limenotch.store", "limenotch.net.others", "limenotch.net.streams", "limenotch.net.kept",
+         "limenotch.net.promised", "limenotch.together")
 
 
 def of_the_fleet(modules: list[str]) -> list[str]:
