--- /dev/null
+++ b/tests/fleet/test_log_processes.py
@@ -0,0 +1,237 @@
+"""The log on processes: operators promise and read throughout, consumers call, and faults come between.
+
+Of each run three verdicts: what operators were told and find at the end (`helpers/promised.py`), the rules for calls,
+and that nothing crashed. `a` leads when a drawing begins: it founds the group as the first voter by name. Words of
+`ask`: `keep X` (told 200), `no X` (not told 200), `in time X` (asked until told 200), `read X` (found), `leads` (a
+leader is known here), `tear` (bytes of a record without its end are put behind the log of a process that is gone),
+`put X for Y` (X votes instead of Y).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from limenotch.lab import planning, scenario
+from limenotch.lab.fleet import drawing, weather
+from limenotch.lab.fleet.processes import NodeProcess, Processes
+from limenotch.lab.fleet.stage import Outcome, Stage, together
+from tests.helpers.promised import Operators, call
+
+from .test_processes import TRAFFIC
+
+MEMBERSHIP = {"period_ms": 400.0, "timeout_ms": 120.0}
+AGREEMENT = {"heartbeat_ms": 80.0, "election_least_ms": 500.0, "election_most_ms": 900.0, "learner_ms": 300.0,
+             "retry_ms": 100.0, "ask_ms": 2000.0, "snapshot_entries": 40, "tail_entries": 10}
+
+
+class Played:
+    def __init__(self, outcome: Outcome, operators: Operators, states: dict[str, dict[str, Any]]) -> None:
+        self.outcome, self.operators, self.states = outcome, operators, states
+
+    def notes(self, node: str) -> list[str]:
+        return [text for at, name, text in self.outcome.seen if name == node and at >= 0]
+
+
+def play(text: str, folder: Path, voters: str = "abc", end: Callable[[Operators], Any] | None = None) -> Played:
+    drawn = drawing.read(text)
+    traffic = TRAFFIC.replace("length_s = 3", f"length_s = {drawn.ends / 1000.0}")
+    traffic = traffic.replace("count = 3", f"count = {len(drawn.nodes)}")
+    plan = planning.plan(scenario.parse(traffic, "log"), 3)
+    key = folder / "key"
+    key.write_text("a key for tests, of 16 bytes or more")
+
+    async def case() -> Played:
+        async def ask(node: NodeProcess, words: str) -> None:
+            await asked(operators, node, words)
+
+        stage = Stage(plan, folder, drawn, weather.Weather(drawn.seed), ask=ask, spoils=True,
+                      fleet=together(drawn.nodes, key, tuple(voters), membership=MEMBERSHIP, agreement=AGREEMENT))
+        operators = Operators(stage.processes)
+
+        async def settled(processes: Processes) -> None:
+            there = [name for name in drawn.nodes if name not in drawn.later]
+            await processes.until_all(lambda name, state: leader(state) == "a", 20, "a leads", there)
+            operators.begin(drawn.nodes)
+
+        try:
+            outcome = await stage.perform(settled)
+            await operators.end()
+            await operators.check(drawn.nodes)
+            states = {name: await node.state() or {} for name, node in stage.processes.nodes.items()}
+            return Played(outcome, operators, states)
+        finally:
+            await operators.end()
+            await stage.close()
+
+    played = asyncio.run(asyncio.wait_for(case(), 120))
+    played.outcome.check()
+    counts = played.operators.count()
+    print(counts, played.operators.count("GET"), played.outcome.calls)
+    assert counts[200] > 20 and counts[409] == 0
+    return played
+
+
+def leader(state: dict[str, Any]) -> Any:
+    return state["parts"]["agreement"].get("leader")
+
+
+async def asked(operators: Operators, node: NodeProcess, words: str) -> None:
+    word, _, rest = words.partition(" ")
+    if word == "keep":
+        told = await operators.keep(node.name, rest)
+        assert told.status == 200, told
+    elif word == "no":
+        told = await operators.keep(node.name, rest)
+        assert told.status in (503, 504), told
+    elif word == "in":
+        await operators.kept(node.name, rest.removeprefix("time "))
+    elif word == "read":
+        told = await operators.read(node.name, rest)
+        assert (told.status, told.body) == (200, f"why {rest}".encode()), told
+    elif word == "leads":
+        await operators.processes.until_all(lambda name, state: leader(state) is not None, 15, "a leader", [node.name])
+    elif word == "tear":
+        last = max(node.data.glob("log-*"))
+        with last.open("ab") as file:
+            file.write(last.read_bytes()[-60:-7])
+    elif word == "put":
+        comes, _, goes = rest.partition(" for ")
+        body = json.dumps({"add": comes, "remove": goes}).encode()
+        answer = await call(node, "POST", "/fleet/voters", body)
+        assert answer is not None and answer.status in (200, 504), answer
+
+        def votes(name: str, state: dict[str, Any]) -> bool:
+            voters = state["parts"]["agreement"]["voters"]
+            return comes in voters and goes not in voters
+
+        await operators.processes.until_all(votes, 15, f"{comes} votes", [node.name])
+    else:
+        raise AssertionError(words)
+
+
+def test_the_leader_and_its_disk_are_lost_right_after_a_yes_and_it_comes_back_empty(tmp_path: Path) -> None:
+    played = play("""
+nodes: a b c
+
+ms     faults
+300    ask a keep x
+301    wipe a
+302    ask b leads
+303    ask b in time y
+304    ask b read x, ask c read x
+1500   start a
+3500
+""", tmp_path)
+    voters = {tuple(state["parts"]["agreement"]["voters"]) for state in played.states.values()}
+    assert voters == {("a", "b", "c")}
+
+
+def test_the_leader_is_stopped_for_three_seconds_and_goes_on_in_mid_sentence(tmp_path: Path) -> None:
+    played = play("""
+nodes: a b c
+
+ms     faults
+300    ask a keep x
+301    pause a
+1500   ask b in time y
+1600   ask c read x
+3301   wake a
+4200   ask a in time z
+5000
+""", tmp_path)
+    assert "no leader" in played.notes("a") or any(note.startswith("follows") for note in played.notes("a"))
+
+
+def test_cut_off_the_leader_promises_nothing_and_the_others_do(tmp_path: Path) -> None:
+    play("""
+nodes: a b c
+
+ms     faults
+300    cut a | b c
+301    ask a no x
+302    ask b in time y
+303    ask c read y
+2800   heal
+2801   ask a in time z
+4500
+""", tmp_path)
+
+
+def test_a_leader_that_nobody_hears_and_one_that_hears_nobody(tmp_path: Path) -> None:
+    play("""
+nodes: a b c
+
+ms     faults
+300    cut a > b c
+301    ask b in time x
+302    ask c read x
+2200   heal
+2201   ask a in time y
+2300   cut b c > a
+2301   ask c in time z
+4500   heal
+5500
+""", tmp_path)
+
+
+def test_all_voters_are_killed_and_started_at_once_one_with_a_torn_end(tmp_path: Path) -> None:
+    played = play("""
+nodes: a b c
+
+ms     faults
+300    ask c keep x
+301    kill a b c
+302    ask b tear
+400    start a b c
+2500   ask b in time y
+2501   ask a read x, ask c read x
+3500
+""", tmp_path)
+    log = (tmp_path / "b" / "b.log").read_text()
+    assert log.count("a torn end of the log was cut off") == 1
+    assert played.operators.count()[None] > 0
+
+
+def test_a_full_disk_is_a_clear_refusal_and_serving_goes_on(tmp_path: Path) -> None:
+    played = play("""
+nodes: a b c
+
+ms     faults
+200    disk b full
+201    ask c keep x
+900    ask b in time u
+1000   disk b ok
+1500   disk a full
+1501   ask b in time y
+2200   disk b full, disk c full
+2201   ask a no z
+2202   ask b no z, ask c no z
+3000   disk a ok, disk b ok, disk c ok
+3001   ask a in time w
+4000
+""", tmp_path)
+    for node in "abc":
+        assert {"disk full", "disk full no more"} <= set(played.notes(node))
+    refused = [told for told in played.operators.told if told.ident == "z"]
+    assert any(b"disk full" in told.body for told in refused) and {told.status for told in refused} <= {503, 504}
+
+
+def test_one_of_five_is_replaced_while_promises_are_made_and_a_sixth_follows_in_memory(tmp_path: Path) -> None:
+    played = play("""
+nodes: a b c d
+
+ms     faults
+300    ask b keep x
+301    ask b put d for c
+302    kill c
+303    ask d keep y
+1500   start c
+2500   ask c in time z
+3500
+""", tmp_path)
+    voters = {tuple(state["parts"]["agreement"]["voters"]) for state in played.states.values()}
+    assert voters == {("a", "b", "d")}
