Rules that sidecars agree on: kinds, book, leases and the part over the log

Layer 3's decisions: what a change of each key does, versions in the log's order, leases on monotonic clocks with a bound of drift, changes looked at by every voter in reach, bans told before they are agreed.

--- /dev/null
+++ b/limenotch/fleet/rules/core.py
@@ -0,0 +1,384 @@
+"""Rules as a part: the book in the log's order, leases, changes, bans.
+
+| state | acts on | till |
+| --- | --- | --- |
+| narrow | the narrow rules (or refuses): no lease | a grant |
+| leased | the narrowest of active and all newer versions heard | its lease's end, being fenced, its process's end |
+
+Rules
+- What narrows acts in the same event that tells it: each change of what is in force is one InForce.
+- The leader answers an ask for a lease only after the log has said that it leads yet (ReadAt), and only to who holds
+  the newest version and knows the newest activation. So from a version's agreement on, nobody's lease outlives
+  lease_ms without that version; lease_ms x (1 + drift) on any other clock.
+- `Activate n` is proposed once each lease of the record is of a holder of n; by a new leader, after one lease's time.
+- A ban acts where it is heard and is told on until a version holds it.
+- Without a leader, or with nothing but silence, all that ends is leases.
+
+Source: docs/fleet/rules-design.md. Messages: messages.py. Operators' page: docs/fleet/rules.md.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from .. import contract
+from ..agreement import api as log
+from ..contract import Carrier, Note, SetTimer, Tell
+from . import entries
+from . import messages as say
+from .api import Answer, Ask, InForce, Narrow, Voters
+from .book import Book
+from .changes import Changes, Check, suggest_of, upstream_of, whole_number
+from .document import Document
+from .leases import NEVER, Granter, Holder
+from .tuning import Tuning
+
+GONE = frozenset({"dead", "left"})
+
+
+class Rules:
+    """`first` is version 1, the same for the whole group. `state`: of the log's snapshot found at the start, if any."""
+
+    def __init__(self, name: str, life: int, voters: tuple[str, ...], first: Document, check: Check,
+                 tuning: Tuning | None = None, state: bytes | None = None) -> None:
+        """Raises ValueError on a first document or a state that can't be."""
+        self.name, self.life, self.tuning = name, life, tuning or Tuning()
+        self.book = Book(first, self.tuning.most_versions, self.tuning.most_document_bytes)
+        if state is not None:
+            self.book.install(state)
+        self.holder, self.granter = Holder(self.tuning), Granter(self.tuning)
+        self.leader: str | None = None
+        self.epoch = 0
+        self.counts: dict[str, int] = {}
+        self._members: dict[str, str] = {}
+        self._out: list[Any] = []
+        self._now = -NEVER
+        self._armed = NEVER
+        self._ticket = 0
+        self._tickets: dict[int, tuple[str, str]] = {}  # ticket: what for, id
+        self._waiting: dict[tuple[str, int], say.AskLease] = {}  # asks for a lease, until the log says it leads
+        self._reads: dict[int, tuple[int, dict[tuple[str, int], say.AskLease]]] = {}  # ticket: epoch, the asks before
+        self._ask_at = NEVER
+        self._bans_at = NEVER
+        self._activating = 0
+        self._acts: tuple[Document, Document] | None = None  # as last told
+        self._last: tuple[Document, Document] | None = None
+        self._number = 0  # of the pair last made
+        self._told: tuple[int, float, int, int] | None = None
+        self._leased = False
+        self._noted = 0
+        self._begun = False
+        self.changes = Changes(name, self.book, check, self.tuning, self._reach, tuple(voters), self._propose)
+        self._events: dict[type, Callable[[Any], None]] = {
+            contract.Started: self._started, contract.Heard: self._heard, contract.TimerFired: self._fired,
+            contract.Leave: lambda event: None, contract.MemberChanged: self._member,
+            contract.Fenced: lambda event: self._fenced(), Ask: self._ask, Voters: self._voters,
+            log.Agreed: self._agreed, log.Install: self._install, log.LeaderChanged: self._led,
+            log.Promised: lambda event: self._ended(event.ticket, None),
+            log.Refused: lambda event: self._ended(event.ticket, event.why),
+            log.Unknown: lambda event: self._ended(event.ticket, "unknown"), log.ReadReady: self._ready,
+        }
+        self._messages: dict[type, Callable[[str, Any], None]] = {
+            say.AskLease: self._asked, say.Grant: self._granted, say.Behind: self._behind,
+            say.Told: lambda sender, told: self._bans(((told.upstream, told.after),)),
+            say.Suggest: lambda sender, suggest: self.changes.suggested(self._now, sender, suggest),
+            say.Look: self.changes.look, say.Looked: self.changes.looked,
+            say.Verdict: lambda sender, no: self.changes.answer(no.id, False, no.why, no.version),
+        }
+
+    @property
+    def leads(self) -> bool:
+        return self.leader == self.name
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        if now < self._now:
+            raise ValueError(f"time runs back from {self._now} to {now}")
+        do = self._events.get(type(event))
+        if do is None:
+            raise TypeError(f"no event of rules: {event!r}")
+        self._now = now
+        self._out = self.changes.out = []
+        do(event)
+        self._tick()
+        self._tell()
+        self._arm()
+        return self._out
+
+    # Events
+
+    def _started(self, event: contract.Started) -> None:
+        self._begun = True
+
+    def _fired(self, event: contract.TimerFired) -> None:
+        if self._now >= self._armed:
+            self._armed = NEVER
+
+    def _heard(self, event: contract.Heard) -> None:
+        do = self._messages.get(type(event.message))
+        if do is None:
+            self._count("no message of rules")
+        else:
+            do(event.sender, event.message)
+
+    def _member(self, event: contract.MemberChanged) -> None:
+        if event.name in self._members or len(self._members) < self.tuning.most_holders:
+            self._members[event.name] = event.state
+
+    def _voters(self, event: Voters) -> None:
+        self.changes.voters = event.names
+
+    def _fenced(self) -> None:
+        self.holder.drop()
+        self._reads.clear()
+        self._waiting.clear()
+        self._ask_at = self._now
+
+    # The log
+
+    def _propose(self, entry: entries.Entry, ident: str, base: int) -> None:
+        """The log counts an id once; made again on another base it is another change."""
+        self._ticket += 1
+        self._tickets[self._ticket] = (type(entry).__name__, ident)
+        self._out.append(log.Propose(self._ticket, entries.encode(entry), f"{type(entry).__name__} {ident} {base}"))
+
+    def _ended(self, ticket: int, why: str | None) -> None:
+        what, ident = self._tickets.pop(ticket, ("", ""))
+        epoch, asks = self._reads.pop(ticket, (0, {}))
+        if what == "Activate":
+            self._activating = 0
+        elif what in ("Put", "Try") and why is not None and why != "unknown":
+            self.changes.refused(ident, why)
+
+    def _agreed(self, event: log.Agreed) -> None:
+        entry = entries.decode(event.data)
+        if entry is None:
+            self._count("no entry of rules")
+            return
+        active, newest = self.book.active, self.book.newest
+        applied = self.book.apply(entry)
+        self._acts = None
+        if self.book.newest != newest:
+            self._out.append(Note(f"holds {self.book.newest}"))
+        self.changes.applied(applied)
+        if isinstance(entry, entries.Try) and applied.ok:
+            self._out.append(Note(f"canary {entry.id}"))
+        if isinstance(entry, entries.EndTry) and applied.ok:
+            self._out.append(Note(f"canary {entry.id} {'kept' if entry.keep else 'back'}"))
+        if self.book.newest != newest or self.book.active != active:
+            self._ask_at = min(self._ask_at, self._now)
+
+    def _install(self, event: log.Install) -> None:
+        newest = self.book.newest
+        self.book.install(event.state)
+        self._acts = None
+        if self.book.newest != newest:
+            self._out.append(Note(f"holds {self.book.newest}"))
+        self._ask_at = min(self._ask_at, self._now)
+
+    def state(self) -> bytes:
+        """For the log's snapshot, of exactly this moment."""
+        return self.book.state()
+
+    def _led(self, event: log.LeaderChanged) -> None:
+        if (event.name, event.epoch) == (self.leader, self.epoch):
+            return
+        self.leader, self.epoch = event.name, event.epoch
+        self._waiting.clear()
+        self._reads.clear()
+        self._activating = 0
+        self.changes.lost()
+        self.changes.leads = self.leads
+        if self.leads:
+            self.granter.begin(self._now)
+        else:
+            self.granter.end()
+        self._ask_at = self._now if event.name is not None else NEVER
+
+    # Leases: the holder
+
+    def _ask_lease(self) -> None:
+        if self.leader is None:
+            self._ask_at = NEVER
+            return
+        holder = self.holder
+        serial = holder.ask(self._now)
+        parts = holder.parts if holder.holds(self._now) else 0
+        ask = say.AskLease(serial, self.life, self.book.newest, self.book.active, parts, holder.granted, self._riding())
+        self._ask_at = self._now + self.tuning.lease_ms / 3
+        if self.leads:
+            self._asked(self.name, ask)
+        else:
+            self._out.append(Tell(self.leader, ask, Carrier.DATAGRAM))
+
+    def _granted(self, sender: str, grant: say.Grant) -> None:
+        self._bans(grant.bans)
+        if not self.holder.grant(self._now, grant):
+            self._count("late grant")
+
+    def _behind(self, sender: str, behind: say.Behind) -> None:
+        """Its answer comes when the version does: applying it asks anew."""
+        self._count("behind")
+
+    # Leases: the leader
+
+    def _asked(self, sender: str, ask: say.AskLease) -> None:
+        self._bans(ask.bans)
+        if not self.leads:
+            return
+        key = (sender, ask.life)
+        known = self._waiting.get(key)
+        if len(self._waiting) < self.tuning.most_holders and (known is None or known.serial < ask.serial):
+            self._waiting[key] = ask
+
+    def _ready(self, event: log.ReadReady) -> None:
+        epoch, asks = self._reads.pop(event.ticket, (0, {}))
+        if not self.leads or epoch != self.epoch:
+            return
+        for (name, _), ask in asks.items():
+            self._grant(name, ask)
+
+    def _grant(self, name: str, ask: say.AskLease) -> None:
+        book = self.book
+        answer: say.Grant | say.Behind | None = None
+        if ask.version == book.newest and ask.active == book.active:
+            grant = self.granter.grant(self._now, name, ask, book.newest)
+            if grant is not None:
+                answer = say.Grant(grant.serial, grant.lease_ms, grant.parts, self._riding())
+        else:
+            answer = say.Behind(ask.serial, book.newest, book.active)
+        if name == self.name:
+            if isinstance(answer, say.Grant):
+                self._granted(name, answer)
+        elif answer is not None:
+            self._out.append(Tell(name, answer, Carrier.DATAGRAM))
+
+    def _activate(self) -> None:
+        book = self.book
+        if self.leads and not self._activating and book.newest > book.active:
+            if self.granter.may_activate(book.newest, self._now):
+                self._activating = book.newest
+                self._propose(entries.Activate(book.newest), "", book.newest)
+
+    # Bans
+
+    def _riding(self) -> tuple[tuple[str, int], ...]:
+        return tuple(list(self.book.told.items())[-say.MOST_BANS:])
+
+    def _bans(self, bans: tuple[tuple[str, int], ...]) -> None:
+        """Heard from anyone: acts at once. A version that holds it, or a later return, makes it no news."""
+        for upstream, after in bans:
+            if len(upstream) > say.MOST_NAME or after < 0:
+                self._count("bad ban")
+                continue
+            held = self.book.flat(self.book.newest).get(("bans", upstream), (False, 0.0))
+            if held[0] or after < self.book.returned(upstream):
+                continue
+            if self.book.tell_ban(upstream, after, self.tuning.most_bans):
+                self._acts = None
+                self._out.append(Note(f"heard ban {upstream}"))
+
+    def _spread(self) -> None:
+        """Own told bans again: to all members, and to the log."""
+        self._bans_at = NEVER
+        for upstream, after in list(self.book.told.items())[-say.MOST_BANS:]:
+            ident = f"ban {upstream}"
+            if all(ident != other for _, other in self._tickets.values()) and self.leader is not None:
+                self._propose(entries.Out(ident, upstream), ident, after)
+            for name, state in self._members.items():
+                if name != self.name and state not in GONE:
+                    self._out.append(Tell(name, say.Told(upstream, after), Carrier.DATAGRAM))
+            self._bans_at = self._now + self.tuning.lease_ms
+
+    # Operators
+
+    def _ask(self, ask: Ask) -> None:
+        ident = ask.id or f"{self.name}.{self.life}.{ask.ticket}"
+        try:
+            if ask.what == "ban":
+                self._ask_ban(ask, upstream_of(ask.document))
+            elif ask.what in ("propose", "back", "return"):
+                suggest = suggest_of(ask, ident, self.book.newest, self.tuning.most_document_bytes)
+                self.changes.ask(self._now, ask, ident, suggest, self.leader)
+            elif ask.what == "diff":
+                changed = self.book.diff(whole_number(ask.document, "one"), whole_number(ask.document, "two"))
+                self._answer(ask, True, ", ".join(f"{key} {word}" for key, word in changed))
+            elif ask.what == "status":
+                self._answer(ask, True, "leased" if self.holder.holds(self._now) else "narrow")
+            else:
+                raise ValueError(f"{ask.what}: none of propose, back, ban, return, diff, status")
+        except ValueError as error:
+            self._answer(ask, False, str(error))
+
+    def _answer(self, ask: Ask, ok: bool, text: str) -> None:
+        self._out.append(Answer(ask.ticket, ok, text, self.book.newest))
+
+    def _ask_ban(self, ask: Ask, upstream: str) -> None:
+        held = self.book.flat(self.book.newest).get(("bans", upstream), (False, 0.0))
+        if held[0]:
+            self._answer(ask, True, "")
+            return
+        if self.book.tell_ban(upstream, self.book.newest, self.tuning.most_bans):
+            self._acts = None
+        self.changes.ask(self._now, ask, f"ban {upstream}", None, self.leader)
+        self._spread()
+
+    # After each event
+
+    def _reach(self) -> list[str]:
+        return [name for name in self.changes.voters if name != self.name and self._members.get(name) not in GONE]
+
+    def _tick(self) -> None:
+        now = self._now
+        self.changes.tick(now)
+        if now >= self._ask_at:
+            self._ask_lease()
+        if now >= self._bans_at:
+            self._spread()
+        if self._waiting and len(self._reads) < 2:
+            self._ticket += 1
+            self._reads[self._ticket] = (self.epoch, self._waiting)
+            self._waiting = {}
+            self._out.append(log.ReadAt(self._ticket))
+        self._activate()
+
+    def _tell(self) -> None:
+        """InForce or Narrow, if what acts here is not what was told last."""
+        if not self._begun:
+            return
+        book, holder = self.book, self.holder
+        if self._acts is None:
+            acts = (book.written(book.acting(self.name), True), book.written(book.narrow(), False))
+            # The same object where nothing changed: the host looks at that alone.
+            if self._last is None or acts != self._last:
+                self._last, self._number = acts, self._number + 1
+            self._acts = self._last
+        document, narrow = self._acts
+        leased = holder.holds(self._now)
+        told = (self._number, holder.until, holder.parts, book.active) if leased else (self._number, 0.0, 0, 0)
+        if told == self._told:
+            return
+        self._told = told
+        if leased:
+            self._out.append(InForce(document, holder.until, holder.parts, narrow, book.newest, book.active))
+            if not self._leased or self._noted != book.active:
+                self._out.append(Note(f"rules {book.active}", {"newest": book.newest}))
+        else:
+            self._out.append(Narrow(narrow, self.tuning.without_lease == "refuse", book.newest))
+            if self._leased or not self._noted:
+                self._out.append(Note("narrow"))
+        self._leased, self._noted = leased, book.active
+
+    def _arm(self) -> None:
+        due = min(self._ask_at, self._bans_at, self.changes.due())
+        if self.holder.holds(self._now):
+            due = min(due, self.holder.until)
+        if self.leads and not self._activating and self.book.newest > self.book.active:
+            due = min(due, max(self._now, self.granter.due(self.book.newest, self._now)))
+        if due < self._armed:
+            self._armed = due
+            self._out.append(SetTimer(due, 1))
+
+    def _count(self, why: str) -> None:
+        self.counts[why] = self.counts.get(why, 0) + 1
+
