--- a/limenotch/fleet/rules/book.py
+++ b/limenotch/fleet/rules/book.py
@@ -148,7 +148,7 @@
         whole = self.document(self.newest)
         whole["bans"] = {**whole.get("bans", {}), entry.upstream: {"out": True, "at_ms": 0.0}}
         number = self.newest
-        self._add(Version(number + 1, entry.id, number, doc.encode(whole), ban=True))
+        self._add(Version(number + 1, "", number, doc.encode(whole), ban=True))
         # One ban after another while nothing can be active: the later is narrower in every key, the earlier may go.
         if self.versions[number].ban and number > self.active:
             self._drop(number)
--- a/limenotch/fleet/rules/changes.py
+++ b/limenotch/fleet/rules/changes.py
@@ -201,9 +201,9 @@
 def whole_number(document: Mapping[str, Any], key: str, usual: int | None = None) -> int:
     """ValueError names the key."""
     value = document.get(key, usual)
-    if isinstance(value, bool) or not isinstance(value, int):
+    if not isinstance(value, int) or isinstance(value, bool):
         raise ValueError(f"{key}: expected the number of a version")
-    return value
+    return int(value)
 
 
 def upstream_of(document: Mapping[str, Any]) -> str:
--- a/limenotch/fleet/rules/core.py
+++ b/limenotch/fleet/rules/core.py
@@ -62,10 +62,11 @@
         self._ask_at = NEVER
         self._bans_at = NEVER
         self._activating = 0
+        self._activate_at = -NEVER
         self._acts: tuple[Document, Document] | None = None  # as last told
         self._last: tuple[Document, Document] | None = None
         self._number = 0  # of the pair last made
-        self._told: tuple[int, float, int, int] | None = None
+        self._told: tuple[int, int, float, int, int] | None = None
         self._leased = False
         self._noted = 0
         self._begun = False
@@ -147,6 +148,8 @@
         epoch, asks = self._reads.pop(ticket, (0, {}))
         if what == "Activate":
             self._activating = 0
+            if why is not None:  # not at once: a log that refuses would be asked without end
+                self._activate_at = self._now + self.tuning.lease_ms / 3
         elif what in ("Put", "Try") and why is not None and why != "unknown":
             self.changes.refused(ident, why)
 
@@ -255,7 +258,7 @@
 
     def _activate(self) -> None:
         book = self.book
-        if self.leads and not self._activating and book.newest > book.active:
+        if self.leads and not self._activating and book.newest > book.active and self._now >= self._activate_at:
             if self.granter.may_activate(book.newest, self._now):
                 self._activating = book.newest
                 self._propose(entries.Activate(book.newest), "", book.newest)
@@ -355,7 +358,7 @@
             self._acts = self._last
         document, narrow = self._acts
         leased = holder.holds(self._now)
-        told = (self._number, holder.until, holder.parts, book.active) if leased else (self._number, 0.0, 0, 0)
+        told = (self._number, book.newest, holder.until if leased else -NEVER, holder.parts, book.active)
         if told == self._told:
             return
         self._told = told
@@ -374,7 +377,7 @@
         if self.holder.holds(self._now):
             due = min(due, self.holder.until)
         if self.leads and not self._activating and self.book.newest > self.book.active:
-            due = min(due, max(self._now, self.granter.due(self.book.newest, self._now)))
+            due = min(due, max(self._now, self._activate_at, self.granter.due(self.book.newest, self._now)))
         if due < self._armed:
             self._armed = due
             self._out.append(SetTimer(due, 1))
