--- a/limenotch/fleet/rules/core.py
+++ b/limenotch/fleet/rules/core.py
@@ -141,15 +141,16 @@
         """The log counts an id once; made again on another base it is another change."""
         self._ticket += 1
         self._tickets[self._ticket] = (type(entry).__name__, ident)
-        self._out.append(log.Propose(self._ticket, entries.encode(entry), f"{type(entry).__name__} {ident} {base}"))
+        once = f"{type(entry).__name__} {ident} {base}" if ident else ""
+        self._out.append(log.Propose(self._ticket, entries.encode(entry), once))
 
     def _ended(self, ticket: int, why: str | None) -> None:
         what, ident = self._tickets.pop(ticket, ("", ""))
         epoch, asks = self._reads.pop(ticket, (0, {}))
         if what == "Activate":
             self._activating = 0
-            if why is not None:  # not at once: a log that refuses would be asked without end
-                self._activate_at = self._now + self.tuning.lease_ms / 3
+            # Not again at once: a log that refuses would be asked without end.
+            self._activate_at = self._now + self.tuning.lease_ms / 3
         elif what in ("Put", "Try") and why is not None and why != "unknown":
             self.changes.refused(ident, why)
 
@@ -162,6 +163,7 @@
         applied = self.book.apply(entry)
         self._acts = None
         if self.book.newest != newest:
+            self._activate_at = -NEVER
             self._out.append(Note(f"holds {self.book.newest}"))
         self.changes.applied(applied)
         if isinstance(entry, entries.Try) and applied.ok:
--- a/limenotch/lab/fleet/checks_rules.py
+++ b/limenotch/lab/fleet/checks_rules.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -93,11 +93,11 @@
         if self.versions.setdefault(number, document) != document:
             raise AssertionError(f"version {number} has two bodies")
 
-    def acted(self, at_ms: float, node: str, action: Any, world_ms: Callable[[float], float]) -> None:
-        """An InForce or a Narrow; `world_ms` turns the node's clock into the world's."""
+    def acted(self, at_ms: float, node: str, action: Any, ahead: float, rate: float) -> None:
+        """An InForce or a Narrow. The node's clock shows `ahead` + the world's time x `rate`."""
         leased = hasattr(action, "lease_until_ms")
         self.acts.setdefault(node, []).append(Act(
-            at_ms, world_ms(action.lease_until_ms) if leased else -math.inf, action.document,
+            at_ms, (action.lease_until_ms - ahead) / rate if leased else -math.inf, action.document,
             action.narrow if leased else action.document, action.version, action.active if leased else 0,
             action.parts if leased else 0))
 
@@ -122,7 +122,7 @@
                     now[node] = moment
             self._at(begin, end, now, since)
         if self.longest > bound_ms:
-            raise AssertionError(f"contradiction of {self.longest:.1f} ms, the stated time is {bound_ms:.1f}: {self.what}")
+            raise AssertionError(f"contradiction of {self.longest:.1f} ms, stated are {bound_ms:.1f}: {self.what}")
         return self.longest
 
     def _moment(self, act: Act, at: float) -> Moment | None:
--- a/limenotch/lab/fleet/rules_run.py
+++ b/limenotch/lab/fleet/rules_run.py
@@ -1,7 +1,7 @@
 """Rules over the log in simulated time: each member is the log's part and the rules' part, put together by hand.
 
-`storm(seed)` is one run under cuts, pauses, kills, leader changes and clocks that drift as far as the settings allow, with
-operators who change the rules everywhere; what came in force is held against checks_rules.Checker.
+`storm(seed)` is one run under cuts, pauses, kills, leader changes and clocks that drift as far as the settings allow,
+with operators who change the rules everywhere; what came in force is held against checks_rules.Checker.
 """
 
 from __future__ import annotations
@@ -94,13 +94,16 @@
         out: list[Any] = []
         run = self.run
         book = self.rules.book
-        run.checker.agreed(book.newest, book.document(book.newest))
+        if run.hosted:
+            run.checker.agreed(book.newest, book.document(book.newest))
         for action in actions:
             if isinstance(action, (api.InForce, api.Narrow)):
-                node = run.world.nodes[self.name]
-                run.checker.acted(run.world.now, self.name, action, lambda at, n=node: (at - n.ahead) / n.rate)
+                if run.hosted:
+                    node = run.world.nodes[self.name]
+                    run.checker.acted(run.world.now, self.name, action, node.ahead, node.rate)
             elif isinstance(action, api.Answer):
-                run.answers.append((run.world.now, self.name, action))
+                if run.hosted:
+                    run.answers.append((run.world.now, self.name, action))
                 if action.ok:
                     out.append(Note(f"yes {action.version}" + (f": {action.text}" if action.text else "")))
                 else:
@@ -117,16 +120,18 @@
 
 
 class Run:
-    def __init__(self, nodes: Iterable[str], voters: tuple[str, ...], seed: int = 0, *, tuning: Tuning = QUICK,
-                 log_tuning: agreement.Tuning = LOG, checks: dict[str, Check] | None = None, world: bool = True,
+    def __init__(self, nodes: Iterable[str], voters: tuple[str, ...], seed: int | None = 0, *, tuning: Tuning = QUICK,
+                 log_tuning: agreement.Tuning = LOG, checks: dict[str, Check] | None = None,
                  **weather: Any) -> None:
+        """Without a `seed` it has no world and no checker: its members are hosted by a drawing's."""
         self.names, self.voters = list(nodes), voters
         self.tuning, self.log = tuning, log_tuning
         self.checks = checks or {}
         self.checker = Checker()
         self.answers: list[tuple[float, str, api.Answer]] = []
         self.ticket = 0
-        if world:
+        self.hosted = seed is not None
+        if seed is not None:
             self.world = World(self.names, self.make, seed, **weather)
 
     def make(self, name: str, seed: int, life: int, held: Held) -> Member:
@@ -144,6 +149,9 @@
     def answer(self, ticket: int) -> api.Answer | None:
         return next((answer for _, _, answer in self.answers if answer.ticket == ticket), None)
 
+    def _clock(self, name: str) -> float:
+        return self.world.nodes[name].clock(self.world.now)
+
     def kill(self, name: str) -> None:
         self.world.kill(name)
         self.checker.ended(self.world.now, name)
@@ -158,13 +166,12 @@
         while True:
             held = [rules for name in self.names if (rules := self.rules(name)) is not None]
             newest = max((rules.book.newest for rules in held), default=0)
-            if len(held) == len(self.names) and all(
-                    rules.book.active == newest and rules.holder.holds(self.world.nodes[rules.name].clock(self.world.now))
-                    and rules.holder.parts for rules in held):
+            if len(held) == len(self.names) and all(rules.book.active == newest and rules.holder.parts and
+                                                    rules.holder.holds(self._clock(rules.name)) for rules in held):
                 return
             if self.world.now >= until:
                 raise AssertionError(f"not within {most_ms:g} ms: " + ", ".join(
-                    f"{rules.name} {rules.book.active}/{rules.book.newest} parts {rules.holder.parts}" for rules in held))
+                    f"{one.name} {one.book.active}/{one.book.newest} parts {one.holder.parts}" for one in held))
             self.world.run(self.world.now + 10)
 
 
@@ -173,8 +180,8 @@
     if kind == 0:
         return {"settings": {"permissions": {"max_attempts": random.randint(1, 6)}}}
     if kind == 1:
-        return {"settings": {"classes": {"pay": {"effect": random.choice(("at_most_once", "deduplicated", "idempotent")),
-                                                 "window_ms": random.choice((0, 1000, 9000))}}}}
+        effect = random.choice(("at_most_once", "deduplicated", "idempotent"))
+        return {"settings": {"classes": {"pay": {"effect": effect, "window_ms": random.choice((0, 1000, 9000))}}}}
     if kind == 2:
         return {"settings": {"tenants": {"t1": {"quota_per_s": random.choice((0, 10, 50, 200))}}}}
     if kind == 3:
