--- a/limenotch/acting.py
+++ b/limenotch/acting.py
@@ -35,9 +35,9 @@
 class Acting:
     """Owns what is in force of the agreed rules. `held` is the configuration of this sidecar's own file."""
 
-    def __init__(self, held: Config, parts: Parts, refusing: bool = False) -> None:
-        """`refusing`: without a lease no call is taken, rather than taken under the narrow rules."""
-        self._held, self._parts, self._refusing = held, parts, refusing
+    def __init__(self, held: Config, parts: Parts) -> None:
+        self._held, self._parts = held, parts
+        self._refusing = False  # without a lease no call is taken, rather than taken under the narrow rules
         self._document: Document | None = None  # as put in force last
         self._out: dict[str, float] = {}  # banned by the rules, and when they were
         self.version = 0
@@ -54,6 +54,14 @@
             return str(error)
         return None
 
+    def alone(self, refuse: bool) -> None:
+        """At the start: nothing is agreed on with anybody yet, so the file's own rules are held narrowly.
+
+        `refuse`: now and whenever a lease runs out, no call is taken at all.
+        """
+        self._refusing = refuse
+        self._parts.lease(NEVER, math.inf, refuse)
+
     def in_force(self, document: Document, until_ms: float, parts: int, version: int) -> None:
         """Act on `document` until then. `parts` 0: no part of what cold providers may be sent."""
         if not self._put(document, version):
--- a/limenotch/fleet/settings.py
+++ b/limenotch/fleet/settings.py
@@ -16,6 +16,7 @@
 from ..config import Address, ConfigError, address
 from .agreement import tuning as agreement
 from .membership.tuning import Tuning
+from .rules import tuning as rules
 from .wire import LEAST_KEY, MOST_FRAME, MOST_KEY, MOST_NAME
 
 Name = Annotated[str, Meta(min_length=1, max_length=MOST_NAME)]
@@ -32,6 +33,10 @@
     """As the part has it."""
 
 
+class Rules(rules.Tuning, frozen=True, forbid_unknown_fields=True):
+    """As the part has it."""
+
+
 class Fleet(Struct, frozen=True, forbid_unknown_fields=True):
     group: Name
     listen: str
@@ -44,6 +49,7 @@
     addresses: dict[Name, str] = {}
     membership: Membership = Membership()
     agreement: Agreement = Agreement()
+    rules: Rules | None = None  # None: each sidecar has the rules of its own file
 
     @property
     def descriptors(self) -> int:
@@ -121,6 +127,8 @@
             yield f"fleet.{key}", str(error).removeprefix("fleet: ")
         except ValueError:
             yield f"fleet.{key}", f"expected a numeric host, not {host!r}: no name service is asked"
+    if table.rules is not None and not table.voters:
+        yield "fleet.rules", "rules are agreed on by voters, and fleet.voters has none"
     if len(set(table.voters)) != len(table.voters):
         yield "fleet.voters", "a name stands twice"
     for key in ("most_entry_bytes", "most_batch_bytes", "chunk_bytes"):
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import signal
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
 from tornado.ioloop import PeriodicCallback
@@ -26,6 +27,7 @@
 from .settings import Settings
 
 if TYPE_CHECKING:
+    from .acting import Acting
     from .together import Together
 
 log = logs.get(__name__)
@@ -92,6 +94,9 @@
 
     successor = Successor(config.kept, config.listen, tell, together)
 
+    parts = Following(figures, providers, calls, facade, directory, banned)
+    acting = follow(others, config, parts) if others is not None else None
+
     def reload() -> None:
         """All of a sound file or nothing; addresses to listen on, names and the seed wait for the next start."""
         nonlocal held
@@ -105,12 +110,11 @@
         held = new
         names = [cls.name for cls in new.settings.classes]
         log.info("reload", directory=host_port(new.directory), sockets=new.sockets, classes=names)
-        figures.know(names)
-        providers.tune(new.connect_ms, new.idle_ms)
         limit(successor.processes)
-        calls.max_open = new.max_open
-        calls.carry_out(facade.retune(new.settings, new.zones, new.kinds))
-        directory.move(new.directory)
+        if acting is not None:
+            acting.renewed(new)
+        else:
+            parts.adopt(new)
 
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
@@ -158,6 +162,40 @@
     return Together(settings.fleet, config.name)
 
 
+class Following:
+    """The parts that follow settings, be it those of the file or those that many agreed on."""
+
+    def __init__(self, figures: Figures, providers: Providers, calls: Calls, facade: Facade, directory: Directory,
+                 banned: Callable[[str, bool, float], None]) -> None:
+        self._figures, self._providers, self._calls = figures, providers, calls
+        self._facade, self._directory, self.ban = facade, directory, banned
+        self.now: Callable[[], float] = lambda: 0.0  # the clock of leases, in ms
+
+    def adopt(self, config: Config) -> None:
+        """For what comes from now on; open calls go on under what they were taken with."""
+        self._figures.know(cls.name for cls in config.settings.classes)
+        self._providers.tune(config.connect_ms, config.idle_ms)
+        self._calls.max_open = config.max_open
+        self._calls.carry_out(self._facade.retune(config.settings, config.zones, config.kinds))
+        self._directory.move(config.directory)
+
+    def lease(self, until_ms: float, cold_parts: float, refusing: bool) -> None:
+        until = self._facade.now_ms() + (until_ms - self.now())
+        self._calls.carry_out(self._facade.lease(until, cold_parts, refusing))
+
+
+def follow(others: Together, config: Config, parts: Following) -> Acting | None:
+    """Where `[fleet.rules]` is set, what is agreed on takes the place of the file's rules."""
+    if not others.ruled:
+        return None
+    from .acting import Acting
+
+    parts.now = others.now
+    acting = Acting(config, parts)
+    others.follow(acting)
+    return acting
+
+
 def buffered(memory_mb: float, processes: int) -> int:
     """Bytes of long bodies that one process may hold: an eighth, as much again is in connections' own buffers."""
     return int(memory_mb * 1e6 / 8 / processes)
--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from . import logs, toml
+from .acting import Acting
 from .config import Address, host_port
 from .fleet import above
 from .fleet.agreement import Agreement
@@ -24,6 +25,10 @@
 from .fleet.membership import Membership
 from .fleet.membership.messages import Spoken
 from .fleet.promises import LATE_MS, Answer, Promises
+from .fleet.rules import Rules
+from .fleet.rules import messages as of_the_rules
+from .fleet.rules.api import Answer as RulesAnswer
+from .fleet.rules.api import InForce, Narrow
 from .fleet.settings import Fleet, Placed, place
 from .fleet.wire import Wire
 from .net import http1
@@ -31,6 +36,8 @@
 from .net.operators import Extra
 from .net.others import Disk, Others
 from .net.promised import PREFIX, Promised, no_log
+from .net.ruled import PREFIX as OF_RULES
+from .net.ruled import RULES, Ruled, no_rules
 from .store.records import Held
 
 log = logs.get(__name__)
@@ -42,7 +49,7 @@
 
 def messages() -> tuple[type[Message], ...]:
     """Of all parts."""
-    found = [kind for kind in vars(of_the_log).values()
+    found = [kind for kind in (*vars(of_the_log).values(), *vars(of_the_rules).values())
              if isinstance(kind, type) and issubclass(kind, Message) and kind is not Message]
     return (*get_args(Spoken), *found)
 
@@ -76,11 +83,44 @@
         self._why = "the log is not read yet" if self._disk is not None else ""
         self._promised = Promised(self._others.tell, (table.agreement.ask_ms + LATE_MS) / 1000.0 + SPARE_S)
         self._hub.hears(Answer, self._promised.heed)
+        self._acting: Acting | None = None
+        self._rules: Rules | None = None
+        ask_s = (table.rules.ask_ms if table.rules is not None else 0.0) / 1000.0 + SPARE_S
+        self._ruled = Ruled(self._others.tell, ask_s, self._rules_state)
+        self._hub.hears(RulesAnswer, self._ruled.heed)
+        self._hub.hears(InForce, self._in_force)
+        self._hub.hears(Narrow, self._narrow)
         self._end: asyncio.TimerHandle | None = None
         self.descriptors = table.descriptors
         self.paths: dict[str, Extra] = {PATH: self._answer}
         if self._disk is not None:
             self.paths |= {path: self._through(path) for path in self._promised.paths}
+        if table.rules is not None:
+            self.paths[RULES] = self._through_rules
+
+    @property
+    def ruled(self) -> bool:
+        """Whether this sidecar's rules are those that many agree on."""
+        return self._placed.table.rules is not None
+
+    def now(self) -> float:
+        """The clock that leases are counted on, in ms."""
+        return self._others.now()
+
+    def follow(self, acting: Acting) -> None:
+        """Put what is agreed on in force there. To be called before `start`; without `[fleet.rules]` nothing is."""
+        tuning = self._placed.table.rules
+        if tuning is not None:
+            self._acting = acting
+            acting.alone(tuning.without_lease == "refuse")
+
+    def _in_force(self, said: InForce) -> None:
+        if self._acting is not None:
+            self._acting.in_force(said.document, said.lease_until_ms, said.parts, said.version)
+
+    def _narrow(self, said: Narrow) -> None:
+        if self._acting is not None:
+            self._acting.narrow(said.document, said.refuse, said.version)
 
     def start(self) -> None:
         self._others.start(self._found if self._disk is not None else None)
@@ -94,17 +134,27 @@
             agreement = Agreement(placed.name, placed.table.voters, held, placed.table.agreement, _seed())
             states = above.parted(agreement.state)
             promises = Promises(states.get(PREFIX), agreement.index)
-        except (UnreadableError, msgspec.DecodeError) as error:
+            rules = self._with_rules(states.get(OF_RULES))
+        except (UnreadableError, msgspec.DecodeError, ValueError) as error:
             self._why = f"no log: {error}"
             log.error("fleet: goes on without the log", folder=placed.table.folder, error=str(error))
             disk.close()
             return None
         self._hub.add(LOG, agreement)
         self._hub.add(PREFIX, promises)
+        if rules is not None:
+            self._hub.add(OF_RULES, rules)
+            self._rules = rules
         self._hub.found(states)
         self._agreement, self._promises, self._why = agreement, promises, ""
         return disk
 
+    def _with_rules(self, state: bytes | None) -> Rules | None:
+        table, acting = self._placed.table, self._acting
+        if table.rules is None or acting is None:
+            return None
+        return Rules(self.name, self.life, table.voters, acting.first(), acting.check, table.rules, state)
+
     def leave(self) -> None:
         """Tell the others. A little later the address is free: the next process of this sidecar may wait for it."""
         if self._end is None:
@@ -123,6 +173,8 @@
         parts: dict[str, Any] = {"membership": self._membership.figures()}
         if self._disk is not None:
             parts["agreement"] = self._log_state()
+            if self._placed.table.rules is not None:
+                parts["rules"] = self._rules_state()
             parts["promises"] = {"kept": len(self._promises), "unreadable": self._promises.bad}
         return {
             "name": self.name,
@@ -145,6 +197,21 @@
 
         return answer
 
+    def _rules_state(self) -> dict[str, Any]:
+        rules = self._rules
+        if rules is None:
+            return {"state": "none", "why": self._why}
+        book, holder, now = rules.book, rules.holder, self._others.now()
+        left = max(holder.until - now, 0.0) if holder.holds(now) else 0.0
+        return {
+            "state": "leased" if left else "narrow", "newest": book.newest, "active": book.active,
+            "lease_left_ms": round(left), "parts": holder.parts, "contradiction_ms": rules.tuning.contradiction_ms,
+            "leader": rules.leader, "counts": dict(rules.counts),
+        }
+
+    async def _through_rules(self, request: http1.Message) -> bytes:
+        return await (no_rules(self._why) if self._why else self._ruled.answer)(request)
+
     async def _answer(self, request: http1.Message) -> bytes:
         if request.method != b"GET":
             return http1.write_response(405, [(b"Allow", b"GET")], b"", close=True)
--- a/tests/test_acting.py
+++ b/tests/test_acting.py
@@ -37,9 +37,9 @@
         return done
 
 
-def acting(refusing: bool = False) -> tuple[Acting, Deeds, dict[str, Any]]:
+def acting() -> tuple[Acting, Deeds, dict[str, Any]]:
     deeds = Deeds()
-    made = Acting(parse(RAW, {}), deeds, refusing)
+    made = Acting(parse(RAW, {}), deeds)
     return made, deeds, made.first()
 
 
