Let the door see that nothing is out: its mean of what is held moves with each call

The mean moved with answers and time-outs only, and a shut door has none: it stayed shut until a rest of 6 s ended. Now it moves with each call that comes. The test fails without it (60 calls at 40 a second refused with nothing out).

--- a/switchthread/books.py
+++ b/switchthread/books.py
@@ -108,6 +108,8 @@
         call = Call(event.call, cls, usual, most, now + useful, aim, once=event.once)
         self.calls[call.name] = call
         self.came, self.arrived = self.came + 1, self.arrived + 1
+        # With each call and not with answers: a shut door has none, and would not see that nothing is out.
+        self.held += (self.out - self.held) / 20
         return call
 
     def over_quota(self, now: float, tenant: face.Tenant) -> bool:
@@ -186,4 +188,3 @@
             server.ratios, server.count = server.ratios + ratio, server.count + 1
             for mean in (server.like, self.tier):
                 mean.add(ratio)
-        self.held += (self.out - self.held) / 20
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -11,6 +11,8 @@
 
 from switchthread import interface as face
 from switchthread.entry import FEW, Entry
+from tests.referee import READ, Referee, fleet, settings
+from tests.test_rules import steady
 from tests.test_zones import Desk
 
 
@@ -150,3 +152,18 @@
             choked(desk, name)
         most = max(most, sum(desk.now < s.rests for s in desk.balancer.roster.servers.values()))
     assert most == 2
+
+
+def test_a_door_that_nothing_comes_out_of_opens_again() -> None:
+    """Its mean of what is held moved with answers alone: with nothing out it refused 40 calls a second for 3 s."""
+    referee = Referee(settings(classes=(READ,)), rows=fleet(4))
+    balancer = referee.balancer
+    steady(referee, 40, face.Outcome.OK)
+    balancer.held = 10 * balancer.entry.limit  # a jam has just ended: every call of it is over
+    assert not balancer.out
+    for _ in range(60):
+        referee.wait(25.0)
+        _, acts = referee.arrive(0)
+        if not any(isinstance(act, face.Refuse) for act in acts):
+            return
+    raise AssertionError("shut for 1.5 s with nothing out")
