--- a/switchthread/entry.py
+++ b/switchthread/entry.py
@@ -1,8 +1,9 @@
 """Which calls are turned away at the door: only the first tier asks, the others' calls are paid for.
 
 By Little's law the calls that may be held are the pace shown (answers in time a ms) times the wait that still
-ends in time. That bound is tight while clearly more calls come than are answered in time, and wide else: with
-few calls chance alone passes it. No I/O and no clock: the time comes with each call. Times in ms, rates a ms.
+ends in time. Of so many some square root more or less are held by chance, so all room around that bound is counted
+in roots of it: a few while what comes is answered in time, half a one while clearly more comes, and the classes lie
+apart by roots too. No I/O and no clock: the time comes with each call. Times in ms, rates a ms.
 """
 
 from __future__ import annotations
@@ -17,11 +18,13 @@
 if TYPE_CHECKING:
     from .books import Books
 
-FEW = 12.0  # calls that may always be held: below that, chance alone passes what the pace asks for
+FEW = 3.0  # the least bound: a pace not shown yet, or by a call in a while, must leave room for calls at once
 FILL = 0.3  # of the time between an idle answer and the shortest aim that the wait may use
 SLOWED = 1.2  # times the answers' present latency that the wait may take while everything is slow ...
 WHILE = 0.7  # ... but no more than this part of the aim: a slower tier is not starved as a jammed one
-WIDE = 1.3  # times the bound that may be held while what comes is answered in time
+WIDE = 2.5  # roots above the bound while what comes is answered in time: chance passes them once in a hundred
+NARROW = 0.5  # and while more comes: the mean of what is held is half smoothed, so chance shows less
+APART = 1.25  # roots more for the class worth most for its work, and fewer for the one worth least
 CALM = 1.1  # calls that come for each one answered in time, up to which the bound is wide ...
 RUSH = 1.4  # ... and from which it is tight
 
@@ -42,14 +45,15 @@
         """Whether a call of this worth for its work is turned away, with `held` calls held.
 
         `live` is the part of what the tier can do that is not at rest. The least worth goes first: the calls
-        that are worth more than this one, as a part of all that come, narrow the bound from 1.25 to 0.75.
+        that are worth more than this one, as a part of all that come, take from its room.
         """
         above = self.came(now, value)
         # Of n calls in a second some square root of n more or less come by chance: of twenty that is a rush.
         came = self.coming.now(now) * RATED
         rush = (came - sqrt(came)) / max(self.answered.now(now) * RATED, 1e-9)
-        wide = WIDE - (WIDE - 1) * min(max((rush - CALM) / (RUSH - CALM), 0.0), 1.0)
-        return held >= self.limit * live * wide * (1.25 - above / 2)
+        roots = WIDE - (WIDE - NARROW) * min(max((rush - CALM) / (RUSH - CALM), 0.0), 1.0)
+        bound = self.limit * live
+        return held >= bound + (roots + APART * (1 - 2 * above)) * sqrt(bound)
 
 
 def rebound(books: Books) -> None:
