--- a/switchthread/entry.py
+++ b/switchthread/entry.py
@@ -1,9 +1,9 @@
 """Which calls are turned away at the door: only the first tier asks, the others' calls are paid for.
 
 By Little's law the calls that may be held are the pace shown (answers in time a ms) times the wait that still
-ends in time. Of so many some square root more or less are held by chance, so all room around that bound is counted
-in roots of it: a few while what comes is answered in time, half a one while clearly more comes, and the classes lie
-apart by roots too. No I/O and no clock: the time comes with each call. Times in ms, rates a ms.
+ends in time. Of so many some square root more or less are held by chance, so all room around that bound is
+counted in roots of it: two while what comes is answered in time, half a one while clearly more comes; the
+classes lie apart by roots too. No I/O and no clock: the time comes with each call. Times in ms, rates a ms.
 """
 
 from __future__ import annotations
@@ -18,12 +18,12 @@
 if TYPE_CHECKING:
     from .books import Books
 
-FEW = 3.0  # the least bound: a pace not shown yet, or by a call in a while, must leave room for calls at once
+FEW = 3.0  # the least bound: before a pace is shown there is room for some calls at once
 FILL = 0.3  # of the time between an idle answer and the shortest aim that the wait may use
 SLOWED = 1.2  # times the answers' present latency that the wait may take while everything is slow ...
 WHILE = 0.7  # ... but no more than this part of the aim: a slower tier is not starved as a jammed one
-WIDE = 2.5  # roots above the bound while what comes is answered in time: chance passes them once in a hundred
-NARROW = 0.5  # and while more comes: the mean of what is held is half smoothed, so chance shows less
+WIDE = 2.0  # roots above the bound while what comes is answered in time: chance passes them 1 time in 40
+NARROW = 0.5  # and while more comes: what is held counts as half smoothed, so chance shows less
 APART = 1.25  # roots more for the class worth most for its work, and fewer for the one worth least
 CALM = 1.1  # calls that come for each one answered in time, up to which the bound is wide ...
 RUSH = 1.4  # ... and from which it is tight
