--- a/limenotch/fleet/rules/core.py
+++ b/limenotch/fleet/rules/core.py
@@ -27,8 +27,9 @@
 from ..contract import Carrier, Note, SetTimer, Tell
 from . import entries
 from . import messages as say
-from .api import Answer, Ask, InForce, Narrow, Voters
+from .api import Answer, Ask, Counted, InForce, Narrow, Voters
 from .book import Book
+from .canary import Watch
 from .changes import Changes, Check, suggest_of, upstream_of, whole_number
 from .document import Document
 from .leases import NEVER, Granter, Holder
@@ -48,6 +49,7 @@
         if state is not None:
             self.book.install(state)
         self.holder, self.granter = Holder(self.tuning), Granter(self.tuning)
+        self.watch = Watch(self.tuning.canary)
         self.leader: str | None = None
         self.epoch = 0
         self.counts: dict[str, int] = {}
@@ -72,19 +74,21 @@
         self._begun = False
         self.changes = Changes(name, self.book, check, self.tuning, self._reach, tuple(voters), self._propose)
         self._events: dict[type, Callable[[Any], None]] = {
-            contract.Started: self._started, contract.Heard: self._heard, contract.TimerFired: self._fired,
+            contract.Started: lambda event: setattr(self, "_begun", True), contract.Heard: self._heard, contract.TimerFired: self._fired,
             contract.Leave: lambda event: None, contract.MemberChanged: self._member,
-            contract.Fenced: lambda event: self._fenced(), Ask: self._ask, Voters: self._voters,
+            contract.Fenced: lambda event: self._fenced(), Ask: self._ask, Voters: lambda event: setattr(self.changes, "voters", event.names), Counted: self._counted,
             log.Agreed: self._agreed, log.Install: self._install, log.LeaderChanged: self._led,
             log.Promised: lambda event: self._ended(event.ticket, None),
             log.Refused: lambda event: self._ended(event.ticket, event.why),
             log.Unknown: lambda event: self._ended(event.ticket, "unknown"), log.ReadReady: self._ready,
         }
         self._messages: dict[type, Callable[[str, Any], None]] = {
-            say.AskLease: self._asked, say.Grant: self._granted, say.Behind: self._behind,
+            say.AskLease: self._asked, say.Grant: self._granted, 
+            # Of who is behind: it asks anew as soon as it has applied the version.
+            say.Behind: lambda sender, behind: self._count("behind"),
             say.Told: lambda sender, told: self._bans(((told.upstream, told.after),)),
             say.Suggest: lambda sender, suggest: self.changes.suggested(self._now, sender, suggest),
-            say.Look: self.changes.look, say.Looked: self.changes.looked,
+            say.Look: self.changes.look, say.Looked: self.changes.looked, say.Count: self._count_canary,
             say.Verdict: lambda sender, no: self.changes.answer(no.id, False, no.why, no.version),
         }
 
@@ -108,9 +112,6 @@
 
     # Events
 
-    def _started(self, event: contract.Started) -> None:
-        self._begun = True
-
     def _fired(self, event: contract.TimerFired) -> None:
         if self._now >= self._armed:
             self._armed = NEVER
@@ -126,9 +127,6 @@
         if event.name in self._members or len(self._members) < self.tuning.most_holders:
             self._members[event.name] = event.state
 
-    def _voters(self, event: Voters) -> None:
-        self.changes.voters = event.names
-
     def _fenced(self) -> None:
         self.holder.drop()
         self._reads.clear()
@@ -174,11 +172,9 @@
             self._ask_at = min(self._ask_at, self._now)
 
     def _install(self, event: log.Install) -> None:
-        newest = self.book.newest
         self.book.install(event.state)
         self._acts = None
-        if self.book.newest != newest:
-            self._out.append(Note(f"holds {self.book.newest}"))
+        self._out.append(Note(f"holds {self.book.newest}"))
         self._ask_at = min(self._ask_at, self._now)
 
     def state(self) -> bytes:
@@ -191,6 +187,7 @@
         self.leader, self.epoch = event.name, event.epoch
         self._waiting.clear()
         self._reads.clear()
+        self.watch.forget()
         self._activating = 0
         self.changes.lost()
         self.changes.leads = self.leads
@@ -221,10 +218,6 @@
         if not self.holder.grant(self._now, grant):
             self._count("late grant")
 
-    def _behind(self, sender: str, behind: say.Behind) -> None:
-        """Its answer comes when the version does: applying it asks anew."""
-        self._count("behind")
-
     # Leases: the leader
 
     def _asked(self, sender: str, ask: say.AskLease) -> None:
@@ -328,6 +321,24 @@
         self.changes.ask(self._now, ask, f"ban {upstream}", None, self.leader)
         self._spread()
 
+    # Canary
+
+    def _counted(self, event: Counted) -> None:
+        if self.book.trial is not None and self.leader is not None:
+            count = say.Count(self.book.trial.id, event.taken, event.bad)
+            if self.leads:
+                self._count_canary(self.name, count)
+            else:
+                self._out.append(Tell(self.leader, count, Carrier.DATAGRAM))
+
+    def _count_canary(self, sender: str, count: say.Count) -> None:
+        trial = self.book.trial
+        if self.leads and trial is not None and trial.id == count.id:
+            end = self.watch.counted(self._now, trial.id, sender in trial.names, count.taken, count.bad)
+            if end:
+                self._out.append(Note(f"canary {trial.id} should {end}", self.watch.figures()))
+                self._propose(entries.EndTry(trial.id, end == "keep", end), "", 0)
+
     # After each event
 
     def _reach(self) -> list[str]:
--- a/limenotch/fleet/rules/messages.py
+++ b/limenotch/fleet/rules/messages.py
@@ -68,4 +68,12 @@
     version: int
 
 
-RULES = (AskLease, Grant, Behind, Told, Suggest, Look, Looked, Verdict)
+class Count(Message, frozen=True, array_like=True, tag="ru.count"):
+    """To the leader, of the canary of that id: calls since the last, by the sender."""
+
+    id: str
+    taken: int
+    bad: int
+
+
+RULES = (AskLease, Grant, Behind, Told, Suggest, Look, Looked, Verdict, Count)
--- a/limenotch/fleet/rules/tuning.py
+++ b/limenotch/fleet/rules/tuning.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from .canary import Tuning as Canary
+
 RANGES: dict[str, tuple[float, float]] = {
     "lease_ms": (30, 600_000),
     "drift": (0, 0.2),
@@ -31,6 +33,7 @@
     most_asks: int = 64
     most_bans: int = 1000  # told, and not in a version yet
     most_holders: int = 1000
+    canary: Canary = Canary()
 
     def __post_init__(self) -> None:
         """Raises ValueError naming the setting."""
--- a/limenotch/lab/fleet/checks_rules.py
+++ b/limenotch/lab/fleet/checks_rules.py
@@ -151,11 +151,11 @@
         leased = {node: moment for node, moment in now.items() if moment.leased}
         for node, moment in leased.items():
             for other, held in leased.items():
-                if held.version >= moment.active or held.version not in self.versions:
+                if held.version >= moment.version or held.version not in self.versions:
                     continue
                 key = wider(moment.document, self.versions[held.version])
                 if key is not None:
-                    raise AssertionError(f"{begin:.1f}: {node} acts on {key} of version {moment.active} while {other} "
+                    raise AssertionError(f"{begin:.1f}: {node} acts on {key} of version {moment.version} while {other} "
                                          f"holds a lease on version {held.version}")
         parts = sum(1 / moment.parts for moment in leased.values() if moment.parts)
         if parts > 1 + 1e-9:
--- a/limenotch/lab/fleet/rules_drawings.py
+++ b/limenotch/lab/fleet/rules_drawings.py
@@ -1,8 +1,8 @@
 """Members and operators for drawings of the rules. The first three nodes vote on the log.
 
 `ask a WORDS`: `attempts 5`, `pay at_most_once` (or another effect), `worth 2`, `class c1`, `directory 127.0.0.1:7701`,
-`limit 50`, `back 1`, `ban u1`, `return u1`, `fenced`. Answers are notes: `yes 2`, `no: why`. Head `objects: c` makes that
-voter one of an older program: it can read no class with an effect other than at_most_once named `c1`.
+`limit 50`, `back 1`, `ban u1`, `return u1`, `fenced`. Answers are notes: `yes 2`, `no: why`. Head `objects: c`
+makes that voter one of an older program: it can't read the class `c1`.
 """
 
 from __future__ import annotations
--- a/limenotch/lab/fleet/rules_run.py
+++ b/limenotch/lab/fleet/rules_run.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterable
 from random import Random
 from typing import Any
@@ -23,6 +24,7 @@
 from limenotch.store.records import Held
 from switchthread.settings import read_settings
 
+TO_RULES = (log.Agreed, log.Install, log.Promised, log.Refused, log.Unknown, log.ReadReady, log.LeaderChanged)
 TOKEN = 1000  # the rules' timers begin here
 LOG = agreement.Tuning(heartbeat_ms=50, election_least_ms=200, election_most_ms=400, learner_ms=200, retry_ms=100,
                        ask_ms=1000, snapshot_entries=20, tail_entries=5)
@@ -56,67 +58,62 @@
         self.agreement = agreement.Agreement(name, run.voters, held, run.log, seed)
         self.rules = Rules(name, life, run.voters, FIRST, run.checks.get(name, settings_check), run.tuning,
                            self.agreement.state)
-        self.began = False
 
     def handle(self, now: float, event: Any) -> list[Any]:
-        if isinstance(event, Started):
-            out = self._from_rules(now, self.rules.handle(now, event))
-            for other in self.run.names:
-                changed = MemberChanged(other, "alive", address(other), 1, 1)
-                out += self._from_rules(now, self.rules.handle(now, changed))
-            return out + self._from_log(now, self.agreement.handle(now, event))
-        if isinstance(event, Fenced):
-            out = self._from_rules(now, self.rules.handle(now, event))
-            return out + self._from_log(now, self.agreement.handle(now, event))
+        """What parts say to each other waits until all that came before it has been given out, as in a hub: an entry's
+        Store must not be passed by that of a proposal which it led to.
+        """
+        out: list[Any] = []
+        waiting: deque[tuple[bool, Any]] = deque()  # for the rules or the log, event
         mine = isinstance(event, Heard) and isinstance(event.message, RULES)
         if isinstance(event, TimerFired) and event.token >= TOKEN:
             mine, event = True, TimerFired(event.token - TOKEN)
-        if mine or isinstance(event, (api.Ask, api.Counted, api.Voters)):
-            return self._from_rules(now, self.rules.handle(now, event))
-        if isinstance(event, Leave):
-            self.rules.handle(now, event)
-        return self._from_log(now, self.agreement.handle(now, event))
-
-    def _from_log(self, now: float, actions: list[Any]) -> list[Any]:
-        out: list[Any] = []
-        for action in actions:
-            if isinstance(action, log.WantSnapshot):
-                compact = log.Compact(action.index, self.rules.state())
-                out += self._from_log(now, self.agreement.handle(now, compact))
-            elif isinstance(action, (log.Agreed, log.Install, log.Promised, log.Refused, log.Unknown, log.ReadReady,
-                                     log.LeaderChanged)):
-                out += self._from_rules(now, self.rules.handle(now, action))
-            else:
-                out.append(action)
+        both = isinstance(event, (Started, Fenced, Leave))
+        if both or mine or isinstance(event, (api.Ask, api.Counted, api.Voters)):
+            waiting.append((True, event))
+        if isinstance(event, Started):
+            waiting += [(True, MemberChanged(other, "alive", address(other), 1, 1)) for other in self.run.names]
+        if both or not waiting:
+            waiting.append((False, event))
+        while waiting:
+            for_rules, event = waiting.popleft()
+            if for_rules:
+                for action in self.rules.handle(now, event):
+                    self._from_rules(action, out, waiting)
+                if self.run.hosted:
+                    book = self.rules.book
+                    self.run.checker.agreed(book.newest, book.document(book.newest))
+                continue
+            if isinstance(event, log.WantSnapshot):  # all that was agreed before it has been applied by now
+                event = log.Compact(event.index, self.rules.state())
+            for action in self.agreement.handle(now, event):
+                if isinstance(action, log.WantSnapshot):
+                    waiting.append((False, action))
+                elif isinstance(action, TO_RULES):
+                    waiting.append((True, action))
+                else:
+                    out.append(action)
         return out
 
-    def _from_rules(self, now: float, actions: list[Any]) -> list[Any]:
-        out: list[Any] = []
+    def _from_rules(self, action: Any, out: list[Any], waiting: deque[tuple[bool, Any]]) -> None:
         run = self.run
-        book = self.rules.book
-        if run.hosted:
-            run.checker.agreed(book.newest, book.document(book.newest))
-        for action in actions:
-            if isinstance(action, (api.InForce, api.Narrow)):
-                if run.hosted:
-                    node = run.world.nodes[self.name]
-                    run.checker.acted(run.world.now, self.name, action, node.ahead, node.rate)
-            elif isinstance(action, api.Answer):
-                if run.hosted:
-                    run.answers.append((run.world.now, self.name, action))
-                if action.ok:
-                    out.append(Note(f"yes {action.version}" + (f": {action.text}" if action.text else "")))
-                else:
-                    out.append(Note(f"no: {action.text}"))
-            elif isinstance(action, SetTimer):
-                out.append(SetTimer(action.at_ms, action.token + TOKEN))
-            elif isinstance(action, (log.Propose, log.ReadAt)):
-                out += self._from_log(now, self.agreement.handle(now, action))
-            elif isinstance(action, (Tell, Note)):
-                out.append(action)
-            else:
-                raise TypeError(f"no action of rules: {action!r}")
-        return out
+        if isinstance(action, (api.InForce, api.Narrow)):
+            if run.hosted:
+                node = run.world.nodes[self.name]
+                run.checker.acted(run.world.now, self.name, action, node.ahead, node.rate)
+        elif isinstance(action, api.Answer):
+            if run.hosted:
+                run.answers.append((run.world.now, self.name, action))
+            yes = f"yes {action.version}" + (f": {action.text}" if action.text else "")
+            out.append(Note(yes if action.ok else f"no: {action.text}"))
+        elif isinstance(action, SetTimer):
+            out.append(SetTimer(action.at_ms, action.token + TOKEN))
+        elif isinstance(action, (log.Propose, log.ReadAt)):
+            waiting.append((False, action))
+        elif isinstance(action, (Tell, Note)):
+            out.append(action)
+        else:
+            raise TypeError(f"no action of rules: {action!r}")
 
 
 class Run:
--- a/tests/fleet/rules_bugs.py
+++ b/tests/fleet/rules_bugs.py
@@ -1,4 +1,4 @@
-"""Faults planted into the rules by hand, one at a time: the checker must find each, in the storm of the seed beside it."""
+"""Faults planted into the rules by hand, one at a time: each must be found, in the storm of its seed."""
 
 from __future__ import annotations
 
--- a/tests/fleet/test_rules_kinds.py
+++ b/tests/fleet/test_rules_kinds.py
@@ -11,17 +11,18 @@
 from limenotch.fleet.rules import document as doc
 from limenotch.fleet.rules import kinds
 
-CLASS = st.fixed_dictionaries({}, optional={
+NONE: dict[Any, Any] = {}
+CLASS = st.fixed_dictionaries(NONE, optional={
     "effect": st.sampled_from(("at_most_once", "deduplicated", "idempotent")),
     "dedup_scope": st.sampled_from(("cell", "zone", "all")), "window_ms": st.sampled_from((0, 500, 1000)),
     "worth": st.sampled_from((1, 2)), "unheard_of": st.booleans()})
 DOCUMENT = st.fixed_dictionaries({"settings": st.fixed_dictionaries({
     "classes": st.dictionaries(st.sampled_from("ab"), CLASS),
-    "tenants": st.dictionaries(st.sampled_from("tu"), st.fixed_dictionaries({}, optional={
+    "tenants": st.dictionaries(st.sampled_from("tu"), st.fixed_dictionaries(NONE, optional={
         "quota_per_s": st.sampled_from((0, 5, 10))})),
-    "permissions": st.fixed_dictionaries({}, optional={
+    "permissions": st.fixed_dictionaries(NONE, optional={
         "max_attempts": st.integers(1, 4), "parallel_tries": st.booleans(), "max_open": st.sampled_from((10, 20))}),
-    "rules": st.fixed_dictionaries({}, optional={"cold_ms": st.sampled_from((0, 10, 20))}),
+    "rules": st.fixed_dictionaries(NONE, optional={"cold_ms": st.sampled_from((0, 10, 20))}),
 })}, optional={
     "bans": st.dictionaries(st.sampled_from("xy"), st.fixed_dictionaries({
         "out": st.booleans(), "at_ms": st.sampled_from((0, 7))})),
