--- a/tests/fleet/test_rules_kinds.py
+++ b/tests/fleet/test_rules_kinds.py
@@ -11,7 +11,7 @@
 from limenotch.fleet.rules import document as doc
 from limenotch.fleet.rules import kinds
 
-NONE: dict[Any, Any] = {}
+NONE: dict[Any, st.SearchStrategy[Any]] = {}
 FIELDS: dict[Any, st.SearchStrategy[Any]] = {
     "effect": st.sampled_from(("at_most_once", "deduplicated", "idempotent")),
     "dedup_scope": st.sampled_from(("cell", "zone", "all")), "window_ms": st.sampled_from((0, 500, 1000)),
