--- a/tests/fleet/test_rules_kinds.py
+++ b/tests/fleet/test_rules_kinds.py
@@ -17,7 +17,7 @@
     "dedup_scope": st.sampled_from(("cell", "zone", "all")), "window_ms": st.sampled_from((0, 500, 1000)),
     "worth": st.sampled_from((1, 2)), "unheard_of": st.booleans()}
 CLASS = st.fixed_dictionaries(NONE, optional=FIELDS)
-DOCUMENT = st.fixed_dictionaries({"settings": st.fixed_dictionaries({
+DOCUMENT = st.fixed_dictionaries({"settings": st.fixed_dictionaries({  # type: ignore[misc]
     "classes": st.dictionaries(st.sampled_from("ab"), CLASS),
     "tenants": st.dictionaries(st.sampled_from("tu"), st.fixed_dictionaries(NONE, optional={
         "quota_per_s": st.sampled_from((0, 5, 10))})),
