--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -179,6 +179,11 @@
         self._calls.carry_out(self._facade.retune(config.settings, config.zones, config.kinds))
         self._directory.move(config.directory)
 
+    def counted(self) -> tuple[int, int]:
+        """Calls taken so far, and those rejected or failed."""
+        count = self._figures.count
+        return count("taken"), count("deferred") + count("errored")
+
     def lease(self, until_ms: float, cold_parts: float, refusing: bool) -> None:
         until = self._facade.now_ms() + (until_ms - self.now())
         self._calls.carry_out(self._facade.lease(until, cold_parts, refusing))
@@ -192,7 +197,7 @@
 
     parts.now = others.now
     acting = Acting(config, parts)
-    others.follow(acting)
+    others.follow(acting, parts.counted)
     return acting
 
 
--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -9,10 +9,12 @@
 import asyncio
 import os
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any, get_args
 
 import msgspec
+from tornado.ioloop import PeriodicCallback
 
 from . import logs, toml
 from .acting import Acting
@@ -21,14 +23,14 @@
 from .fleet.agreement import Agreement
 from .fleet.agreement import messages as of_the_log
 from .fleet.contract import Message
-from .fleet.hub import LOG, Hub
+from .fleet.hub import LOG, Asked, Hub
 from .fleet.membership import Membership
 from .fleet.membership.messages import Spoken
 from .fleet.promises import LATE_MS, Answer, Promises
 from .fleet.rules import Rules
 from .fleet.rules import messages as of_the_rules
 from .fleet.rules.api import Answer as RulesAnswer
-from .fleet.rules.api import InForce, Narrow
+from .fleet.rules.api import Counted, InForce, Narrow
 from .fleet.settings import Fleet, Placed, place
 from .fleet.wire import Wire
 from .net import http1
@@ -44,6 +46,7 @@
 
 LEAVE_S = 0.5  # from the word that this process goes to the end of its sockets
 PATH = "/fleet"
+COUNT_S = 1.0  # between two words of what calls came to
 SPARE_S = 1.0  # for an answer that comes by the log's own bounds
 
 
@@ -84,6 +87,9 @@
         self._promised = Promised(self._others.tell, (table.agreement.ask_ms + LATE_MS) / 1000.0 + SPARE_S)
         self._hub.hears(Answer, self._promised.heed)
         self._acting: Acting | None = None
+        self._counted: Callable[[], tuple[int, int]] = lambda: (0, 0)
+        self._before = (0, 0)
+        self._counting: PeriodicCallback | None = None
         self._rules: Rules | None = None
         ask_s = (table.rules.ask_ms if table.rules is not None else 0.0) / 1000.0 + SPARE_S
         self._ruled = Ruled(self._others.tell, ask_s, self._rules_state)
@@ -107,12 +113,23 @@
         """The clock that leases are counted on, in ms."""
         return self._others.now()
 
-    def follow(self, acting: Acting) -> None:
-        """Put what is agreed on in force there. To be called before `start`; without `[fleet.rules]` nothing is."""
+    def follow(self, acting: Acting, counted: Callable[[], tuple[int, int]]) -> None:
+        """Put what is agreed on in force there. To be called before `start`; without `[fleet.rules]` nothing is.
+
+        `counted`: calls taken so far, and those of them rejected or failed: what a canary is judged by.
+        """
         tuning = self._placed.table.rules
         if tuning is not None:
             self._acting = acting
             acting.alone(tuning.without_lease == "refuse")
+            self._counted, self._before = counted, counted()
+            self._counting = PeriodicCallback(self._count, COUNT_S * 1000.0)
+
+    def _count(self) -> None:
+        (taken, bad), (taken_before, bad_before) = self._counted(), self._before
+        self._before = taken, bad
+        if self._rules is not None:
+            self._others.tell(Asked(OF_RULES, Counted(taken - taken_before, bad - bad_before)))
 
     def _in_force(self, said: InForce) -> None:
         if self._acting is not None:
@@ -142,7 +159,8 @@
             return None
         self._hub.add(LOG, agreement)
         self._hub.add(PREFIX, promises)
-        if rules is not None:
+        if rules is not None and self._counting is not None:
+            self._counting.start()
             self._hub.add(OF_RULES, rules)
             self._rules = rules
         self._hub.found(states)
@@ -162,6 +180,8 @@
             self._end = asyncio.get_running_loop().call_later(LEAVE_S, self._others.close)
 
     def close(self) -> None:
+        if self._counting is not None:
+            self._counting.stop()
         if self._end is not None:
             self._end.cancel()
         self._others.close()
--- a/tests/fleet/test_fleet_settings.py
+++ b/tests/fleet/test_fleet_settings.py
@@ -11,7 +11,7 @@
 import pytest
 
 from limenotch import toml
-from limenotch.fleet.settings import Agreement, Fleet, Membership, place, read_key
+from limenotch.fleet.settings import Agreement, Fleet, Membership, Rules, place, read_key
 from limenotch.settings import Settings, effective, parse
 
 EXAMPLE = Path(__file__).parent.parent.parent / "deploy" / "fleet.toml"
@@ -36,9 +36,11 @@
 def test_the_example_is_read_and_names_every_key(key: Path) -> None:
     settings = parse(example(key), "fleet.toml")
     keys = set(re.findall(r"^(\w+) =", EXAMPLE.read_text(), re.MULTILINE)) | set(
-        re.findall(r"^\[fleet\.(\w+)\]", EXAMPLE.read_text(), re.MULTILINE))
-    assert keys >= {*Fleet.__struct_fields__, *Membership.__struct_fields__, *Agreement.__struct_fields__}
+        re.findall(r"^\[fleet\.(?:\w+\.)?(\w+)\]", EXAMPLE.read_text(), re.MULTILINE))
+    assert keys >= {*Fleet.__struct_fields__, *Membership.__struct_fields__, *Agreement.__struct_fields__,
+                    *Rules.__struct_fields__}
     assert settings.fleet.membership == Membership() and settings.fleet.agreement == Agreement()
+    assert settings.fleet.rules == Rules()
     assert settings.fleet.streams == Fleet("g", "h", "k").streams  # a value that stands there is the default
     placed = place(settings.fleet, "sidecar")
     assert (placed.name, placed.key, placed.listen, placed.at) == ("a", KEY, ("10.0.0.1", 7400), ("10.0.0.1", 7400))
