--- a/limenotch/lab/fleet/comparing.py
+++ b/limenotch/lab/fleet/comparing.py
@@ -4,10 +4,14 @@
 With a window (real processes): each node has the notes drawn, in their order, and no others; each comes at most
 `window` ms before or after its row's time, counted from the fault before it as that really happened. Rows of different
 nodes may change places within it. What `show` leaves out, and nodes without a column, count for nothing in either.
+
+Notes bound by `&` come in either order: within its window each on processes. Exactly, those drawn at one ms may change
+places, and nothing else: each still has its own ms, so in simulated time such a drawing is as strict as any.
 """
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Iterable, Sequence
 
 from limenotch.lab.fleet.drawing import Drawn, Scenario, line, plain, rows, widths
@@ -15,7 +19,7 @@
 
 def exact(scenario: Scenario, seen: Iterable[tuple[float, str, str]]) -> str | None:
     """None if it is, else both side by side with the first row that differs marked."""
-    found = scenario.looked_at(seen)
+    found = _as_drawn(scenario.notes, scenario.looked_at(seen))
     if list(scenario.notes) == found:
         return None
     return _beside(scenario, found, _first(scenario.notes, found), "")
@@ -36,6 +40,7 @@
     for node in scenario.columns:
         drawn = [note for note in scenario.notes if note.node == node]
         own = [(at, text) for at, name, text in kept if name == node]
+        own = _in_order(drawn, own)
         for number, note in enumerate(drawn):
             due = note.at_ms + _shift(shifts, note.at_ms)
             if number >= len(own):
@@ -60,6 +65,35 @@
     return _beside(scenario, scenario.looked_at(kept), first, why)
 
 
+def _groups(drawn: Sequence[Drawn]) -> list[tuple[int, int]]:
+    """From and to of each run of notes bound by `&`, where there are two or more. `drawn`: one node's."""
+    starts = [number for number, note in enumerate(drawn) if not note.either or not number]
+    return [(one, two) for one, two in zip(starts, [*starts[1:], len(drawn)], strict=False) if two - one > 1]
+
+
+def _in_order(drawn: Sequence[Drawn], own: Sequence[tuple[float, str]]) -> list[tuple[float, str]]:
+    """What one node was seen to note, in the order drawn where `&` leaves the order open and the same notes came."""
+    found = list(own)
+    for begin, end in _groups(drawn):
+        some = found[begin:end]
+        if sorted(plain(text) for _, text in some) == sorted(note.text for note in drawn[begin:end]):
+            for place, note in enumerate(drawn[begin:end], begin):
+                found[place] = some.pop(next(n for n, (_, text) in enumerate(some) if plain(text) == note.text))
+    return found
+
+
+def _as_drawn(drawn: Sequence[Drawn], seen: list[Drawn]) -> list[Drawn]:
+    """What was seen, with notes of one node and ms that `&` binds in the order drawn."""
+    cells: dict[tuple[int, str], list[Drawn]] = {}
+    for note in drawn:
+        cells.setdefault((note.at_ms, note.node), []).append(note)
+    found: list[Drawn] = []
+    for (at, node), notes in itertools.groupby(seen, lambda note: (note.at_ms, note.node)):
+        found += [Drawn(at, node, text) for _, text in
+                  _in_order(cells.get((at, node), []), [(at, note.text) for note in notes])]
+    return found
+
+
 def _shift(shifts: list[tuple[int, float]], at: float) -> float:
     """How much later than drawn the last fault before this came."""
     before = [shift for when, shift in shifts if when <= at]
--- a/limenotch/lab/fleet/processes.py
+++ b/limenotch/lab/fleet/processes.py
@@ -100,6 +100,10 @@
         self.environ: dict[str, str] = {}  # more of the environment
         self.tail = Tail(name, self.log)
 
+    def called(self, name: str) -> None:
+        """Its process takes this name; two nodes may so have one."""
+        self._config["name"] = name
+
     def place(self) -> int:
         return self.serving
 
