--- a/limenotch/cli/lab/__init__.py
+++ b/limenotch/cli/lab/__init__.py
@@ -17,6 +17,7 @@
   load       Send calls to sidecars, open loop.
   rehearse   Play a scenario on sockets in real time, with real sidecars.
   compare    Play variants on the same seeds and say which is better.
+  fleet      Sidecars that act as one: kill one, bring it back, or play a drawing of your own.
   scenarios  List the scenarios that come with the program, or show one.
   timeline   Count what a fleet did, second by second, over its sidecars' logs.
 
@@ -24,7 +25,7 @@
 """
 
 MODULES = {"run": "run", "compare": "compare", "rehearse": "rehearse", "demo": "demo", "emulate": "emulate",
-           "load": "load", "scenarios": "scenarios", "timeline": "timeline"}
+           "load": "load", "fleet": "fleet", "scenarios": "scenarios", "timeline": "timeline"}
 
 
 def command(arguments: list[str]) -> int:
--- a/limenotch/fleet/membership/core.py
+++ b/limenotch/fleet/membership/core.py
@@ -321,5 +321,5 @@
                 self.prober.ack(event.sender, message)
         elif isinstance(message, Nack):
             self.prober.nack(event.sender, message)
-        if against is not None and ground.phase is Phase.INSIDE:
+        if against is not None and ground.phase is Phase.INSIDE and ground.may_tell_off(event.sender, now):
             ground.say(at, News(ground.me, (against,)))
--- a/limenotch/fleet/membership/ground.py
+++ b/limenotch/fleet/membership/ground.py
@@ -17,6 +17,9 @@
 from .tuning import Tuning
 
 
+MOST_TOLD_OFF = 8  # as many as there are probes in a period, unless set otherwise
+
+
 class Phase(Enum):
     JOINING = "joining"  # asks seeds; nobody has been told of it
     OUT = "out"  # another process has its name; it holds no duty
@@ -39,6 +42,7 @@
         self.counts: dict[str, int] = {}  # what was heard and not believed, by why
         self.acts: list[Action] = []
         self._seq = 0
+        self._told_off: dict[str, tuple[float, int]] = {}  # whom one told what is held of it: since when, how often
 
     @property
     def size(self) -> int:
@@ -80,6 +84,22 @@
             return None if held.state is State.ALIVE else held.claim(now)
         return held.claim(now) if wins(held.standing, (me.life, State.ALIVE, me.incarnation)) else None
 
+    def may_tell_off(self, name: str, now: float) -> bool:
+        """Whether to tell it now what is held against it: MOST_TOLD_OFF times a period and member, then counted.
+
+        Who is dead and goes on in that life does not listen, or is faulty; each of its messages must not bring one.
+        """
+        since, told = self._told_off.get(name, (now, 0))
+        if now - since >= self.tuning.period_ms:
+            since, told = now, 0
+        if told >= MOST_TOLD_OFF:
+            self.count("told often enough")
+            return False
+        if name not in self._told_off and len(self._told_off) >= self.tuning.most_members:
+            del self._told_off[next(iter(self._told_off))]
+        self._told_off[name] = (since, told + 1)
+        return True
+
     def news(self, first: Claim | None = None) -> tuple[Claim, ...]:
         return self.queue.take(self.tuning.sends(self.size), first)
 
--- a/limenotch/lab/fleet/members.py
+++ b/limenotch/lab/fleet/members.py
@@ -13,7 +13,7 @@
 from ...fleet.membership import Membership, Tuning
 from ...store.records import Held
 from .drawing import Scenario
-from .world import Make, address
+from .world import Make, World, address
 
 TUNING = Tuning()
 
@@ -55,3 +55,9 @@
 
 def make_for(scenario: Scenario, tuning: Tuning = TUNING) -> Make:
     return maker(seeds_of(scenario), tuning, twins_of(scenario), scenario.head.get("lives", "grow"))
+
+
+def part_of(world: World, node: str) -> Membership | None:
+    """None if it does not run."""
+    found = world.part(node)
+    return found.part if isinstance(found, Named) else None
--- a/tests/fleet/test_membership_parts.py
+++ b/tests/fleet/test_membership_parts.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import re
 from itertools import product
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -22,6 +24,7 @@
 )
 from limenotch.fleet.membership import Membership, State, Tuning
 from limenotch.fleet.membership.agenda import Agenda
+from limenotch.fleet.membership.ground import MOST_TOLD_OFF
 from limenotch.fleet.membership.health import ANSWERED, UNHEARD, Health
 from limenotch.fleet.membership.messages import (
     LONGEST_HOST,
@@ -223,6 +226,32 @@
     assert [act.state for act in later if isinstance(act, MemberChanged)] == ["alive"]
 
 
+def test_who_goes_on_in_a_dead_life_is_told_so_a_few_times_a_period_only() -> None:
+    member = alone()
+    member.handle(1.0, Heard(("c", 1), "c", News(Me(("c", 1), 1, 0), (claim("b", state=2),))))
+
+    def answers(since: int, name: str = "b") -> int:
+        acts = [act for number in range(500)
+                for act in member.handle(since + number * 1.9, Heard((name, 1), name, News(Me((name, 1), 1, 0))))]
+        return sum(isinstance(act, Send) and act.at == (name, 1) and isinstance(act.message, News)
+                   and [one.name for one in act.message.news] == [name] for act in acts)
+
+    assert answers(2) == MOST_TOLD_OFF and member.figures()["counts"]["told often enough"] == 500 - MOST_TOLD_OFF
+    assert answers(1010) == MOST_TOLD_OFF
+    acts = member.handle(2000.0, Heard(("b", 1), "b", News(Me(("b", 1), 2, 0))))
+    assert [act.state for act in acts if isinstance(act, MemberChanged)] == ["alive"]  # it is heard all the same
+
+
+def test_the_operators_page_has_the_settings_as_they_are() -> None:
+    page = (Path(__file__).parents[2] / "docs" / "fleet" / "membership.md").read_text()
+    table = page.split("## Settings")[1].split("\n## ")[0]
+    said: dict[str, float] = {}
+    for keys, values in re.findall(r"^\| ((?:`\w+`(?:, )?)+) \| ([^|]+) \|", table, re.MULTILINE):
+        told = {"one day": "86400000"}.get(values.strip(), values)
+        said.update(zip(re.findall(r"`(\w+)`", keys), map(float, told.split(",")), strict=True))
+    assert said == msgspec.to_builtins(Tuning())
+
+
 def test_answers_go_where_the_laboratory_says() -> None:
     member = Membership("a", ("a", 1), 5, [], Tuning(), 1, {"b": ("relay", 9)})
     member.handle(0.0, Started())
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -135,6 +135,42 @@
     run(case)
 
 
+def test_strangers_give_way_before_peers_and_of_these_the_longest_silent() -> None:
+    async def case() -> None:
+        b, wire = One("b", streams=2), Wire(KEY, "g", ALL)
+        opened: dict[str, tuple[asyncio.StreamReader, asyncio.StreamWriter]] = {}
+
+        async def come(name: str, *, greets: bool = True) -> None:
+            heard, accepted = len(b.log.heard), b.streams["accepted"]
+            opened[name] = await asyncio.open_connection(*b.at)
+            await until(lambda: b.streams["accepted"] == accepted + 1)
+            if greets:
+                opened[name][1].write(framed(wire.encode(name, Hello(1, (HOST, 9)))))
+                await speak(name, heard)
+
+        async def speak(name: str, heard: int) -> None:
+            opened[name][1].write(framed(wire.encode(name, Line(name))))
+            await until(lambda: len(b.log.heard) == heard + 1)
+
+        async def ended(name: str) -> bool:
+            return await asyncio.wait_for(opened[name][0].read(), 10) == b""
+
+        async with several(b):
+            await come("old")
+            await come("stranger", greets=False)  # heard of later than the peer, but nobody knows who it is
+            await come("new")
+            assert await ended("stranger")
+            await speak("old", len(b.log.heard))  # so that the later one is the one that was silent for longer
+            await come("third")
+            assert await ended("new")
+            await speak("old", len(b.log.heard))
+            assert b.streams["in"] == 2 and b.streams["refused"] == 2
+            for _, writer in opened.values():
+                writer.close()
+
+    run(case)
+
+
 def test_a_later_stream_of_one_process_takes_the_place_of_the_one_before() -> None:
     async def case() -> None:
         b, wire = One("b"), Wire(KEY, "g", ALL)
