--- a/tests/fleet/test_drawing.py
+++ b/tests/fleet/test_drawing.py
@@ -67,6 +67,49 @@
     return draw(st.sampled_from(every))
 
 
+EITHER = """
+nodes: a b
+seed: 1
+window: 100
+
+ms      a                   b             faults
+100                                       heal
+200     x, y & z
+300                         x
+400                         & y, z
+"""
+
+
+@pytest.mark.parametrize(("moved", "exactly", "with_window"), [
+    ({}, True, True),
+    ({"a": [(200, "x"), (200, "z"), (200, "y")]}, True, True),
+    ({"a": [(200, "y"), (200, "x"), (200, "z")]}, False, False),
+    ({"a": [(200, "x"), (250, "z"), (290, "y")]}, False, True),
+    ({"a": [(200, "x"), (200, "z"), (200, "z")]}, False, False),
+    ({"a": [(200, "x"), (200, "z")]}, False, False),
+    ({"a": [(200, "x"), (200, "z"), (350, "y")]}, False, False),
+    ({"b": [(320, "y"), (350, "x"), (400, "z")]}, False, True),
+    ({"b": [(320, "y"), (410, "x"), (420, "z")]}, False, False),  # x: 110 ms late
+    ({"b": [(300, "x"), (400, "z"), (410, "y")]}, False, False),
+])
+def test_notes_bound_come_in_either_order(
+    moved: dict[str, list[tuple[int, str]]], exactly: bool, with_window: bool
+) -> None:
+    scenario = read(EITHER)
+    notes = {"a": [(200, "x"), (200, "y"), (200, "z")], "b": [(300, "x"), (400, "y"), (400, "z")], **moved}
+    seen = sorted(((float(at), node, text) for node, own in notes.items() for at, text in own),
+                  key=lambda one: one[0])
+    assert (exact(scenario, seen) is None) == exactly and (within(scenario, seen) is None) == with_window
+    assert read(draw(scenario, scenario.notes)) == scenario
+    assert [note.either for note in read(draw(scenario, scenario.looked_at(seen))).notes].count(True) == 2 or moved
+
+
+@pytest.mark.parametrize("cell", ["& x", "x, & y", "x &", "x & & y"])
+def test_a_sign_that_binds_nothing_is_refused(cell: str) -> None:
+    with pytest.raises(ValueError, match="stands between"):
+        read(f"nodes: a\n\nms   a\n3    {cell}\n")
+
+
 @given(faults())
 def test_faults_are_read_as_they_are_written(fault: Fault) -> None:
     assert parse(str(fault)) == fault
