--- a/limenotch/cli/lab/fleet.py
+++ b/limenotch/cli/lab/fleet.py
@@ -166,6 +166,6 @@
     wrong = [f"broken: {violation.rule}: {violation.text}" for violation in outcome.violations]
     wrong += [f"sidecar {name} ended by itself" for name in outcome.crashed]
     calls = ", ".join(f"{count} {what}" for what, count in sorted(outcome.calls.items()) if count)
-    console.print(f"calls: {calls}; {outcome.excused} at a sidecar that was stopped; "
-                  f"{'the rules for calls held' if not outcome.violations else 'rules for calls were broken'}")
+    rules = "rules for calls were broken" if outcome.violations else "the rules for calls held"
+    console.print(f"calls: {calls}; {outcome.excused} at a sidecar that was stopped; {rules}", soft_wrap=True)
     return verdict(outcome.difference, wrong, console)
--- a/limenotch/fleet/membership/ground.py
+++ b/limenotch/fleet/membership/ground.py
@@ -16,7 +16,6 @@
 from .table import Table
 from .tuning import Tuning
 
-
 MOST_TOLD_OFF = 8  # as many as there are probes in a period, unless set otherwise
 
 
