--- a/limenotch/cli/lab/fleet.py
+++ b/limenotch/cli/lab/fleet.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sys
 import tempfile
 from pathlib import Path
@@ -41,6 +42,7 @@
 from ..arguments import whole_number
 
 LOOK_S = 0.1
+SURE_S = 2.0  # for doubts to end, before the members are printed
 LATE_MS = 300.0  # what is printed waits so long for what came before it
 
 
@@ -107,7 +109,17 @@
 
     async def after(stage: Stage) -> None:
         live.rows(stage, float("inf"))
-        states = {name: await node.state() for name, node in stage.processes.nodes.items() if node.alive}
+        states: dict[str, dict[str, Any] | None] = {}
+
+        async def sure() -> bool:
+            nodes = [node for node in stage.processes.nodes.values() if node.alive]
+            states.update(zip([node.name for node in nodes], await asyncio.gather(*(node.state() for node in nodes)),
+                              strict=True))
+            return not any(member["state"] == "suspect" for state in states.values() if state for member in
+                           state["members"])
+
+        with contextlib.suppress(NotReachedError):  # this process, which carries all they say, was busy at the end
+            await stage.processes.until(sure, SURE_S, "nobody is suspect")
         members(console, {name: state["members"] if state is not None else None for name, state in states.items()})
 
     with tempfile.TemporaryDirectory(prefix="limenotch-lab-") as folder:
--- a/limenotch/lab/fleet/drills.py
+++ b/limenotch/lab/fleet/drills.py
@@ -85,7 +85,10 @@
     wide = 18
     rows = [("ms", [*names, "faults"]), ("3000", ["" for _ in names] + [f"kill {last}"]),
             ("5450", [f"{last} dead"] * len(others)), ("8000", ["" for _ in names] + [f"start {last}"]),
-            ("8003", [f"{last} alive"] * len(others)), ("10000", [])]
+            ("8003", [f"{last} alive"] * len(others))]
+    rows += [("8003", [""] * len(others) + [f"{'& ' if number else ''}{name} alive"])  # in whatever order it hears them
+             for number, name in enumerate(others)]
+    rows.append(("10000", []))
     drawn = "\n".join(at.ljust(8) + "".join(cell.ljust(wide) for cell in cells).rstrip() for at, cells in rows)
     return f"window: 2000\nseed: {seed}\nshow: dead alive\n\n{drawn}\n"
 
