--- a/limenotch/net/directory.py
+++ b/limenotch/net/directory.py
@@ -16,7 +16,7 @@
 from .. import logs, settings
 from ..config import Address, ConfigError, address, host_port
 from ..facade import Provider, Status
-from . import http1
+from . import documents, http1
 
 log = logs.get(__name__)
 
@@ -147,7 +147,7 @@
             if self._version:
                 target += b"&since=%d" % self._version
             await stream.write(http1.write_request(b"GET", target, [(b"Host", host)]))
-            answer = http1.ChunkStream()
+            answer = documents.ChunkStream()
             while not answer.done:
                 lines = answer.feed(await stream.read_bytes(65536, partial=True))
                 self._loop.remove_timeout(timer)
--- a/tests/lab/test_emulate.py
+++ b/tests/lab/test_emulate.py
@@ -31,7 +31,7 @@
 from limenotch.lab.model.network import Network
 from limenotch.lab.model.rules import Rules
 from limenotch.lab.record import Record
-from limenotch.net import http1
+from limenotch.net import documents, http1
 
 from ..helpers.processes import begun, finished, run
 
@@ -224,7 +224,7 @@
         assert port == await hosted.watcher((0, 0))
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(b"GET /discovery/hosts?follow=1 HTTP/1.1\r\n\r\n")
-        stream = http1.ChunkStream()
+        stream = documents.ChunkStream()
 
         async def line() -> dict[str, Any]:
             while True:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from limenotch.net import http1
+from limenotch.net import documents, http1
 from limenotch.net.http1 import MalformedError, Message, RequestParser, ResponseParser
 
 BODIES = st.binary(max_size=300)
@@ -99,7 +99,7 @@
         except MalformedError as error:
             assert error.status in (400, 413, 431)
     try:
-        http1.ChunkStream().feed(b"".join(pieces))
+        documents.ChunkStream().feed(b"".join(pieces))
     except MalformedError:
         pass
 
@@ -168,7 +168,7 @@
 def test_watch_lines_however_cut(lines: list[bytes], cuts: list[int]) -> None:
     body = b"".join(line + b"\n" for line in lines)
     wire = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body)
-    stream, found = http1.ChunkStream(), []
+    stream, found = documents.ChunkStream(), []
     edges = [0, *sorted(cut % (len(wire) + 1) for cut in cuts), len(wire)]
     for start, end in zip(edges, edges[1:], strict=False):
         found += stream.feed(wire[start:end])
