--- a/limenotch/net/directory.py
+++ b/limenotch/net/directory.py
@@ -81,8 +81,7 @@
         self._loop = IOLoop.current()
         self._version = 0
         self._trace = logs.tracing()
-        self._again = 0  # attempts left in which a move is completed, or a silent watch begun anew, without the module
-        self._silent = False  # one was, since the module heard of anything
+        self._again = 0  # attempts left in which a move is completed without the module
         self._task: asyncio.Task[None] | None = None
 
     def known(self, raw: dict[str, Any]) -> None:
@@ -132,23 +131,15 @@
                 break
             self._again -= 1
             await sleep(AGAIN_S)
-        self._task, self._silent = None, False
+        self._task = None
         self._broken()
 
-    def _end_silent(self, stream: IOStream) -> None:
-        """What it misses counts as told within seconds from its last byte, most of which have passed: no time is
-        left for the module's wait, which is meant for a directory that fails. The first one is begun anew soon.
-        """
-        if not self._silent:
-            self._again, self._silent = max(self._again, 1), True
-        stream.close()
-
     async def _follow(self) -> None:
         if self._trace:
             log.debug("watch", since=self._version)
         family = socket.AF_INET6 if ":" in self._at[0] else socket.AF_INET
         stream = IOStream(socket.socket(family, socket.SOCK_STREAM))
-        timer = self._loop.call_later(self._silence_s, self._end_silent, stream)
+        timer = self._loop.call_later(self._silence_s, stream.close)
         try:
             await stream.connect(self._at)
             host = host_port(self._at).encode()
@@ -163,7 +154,7 @@
                 # Empty lines keep a watch alive, but not one that owes the end of a list: it would stay deaf.
                 if found or answer.begun > begun or not begun:
                     self._loop.remove_timeout(timer)
-                    timer = self._loop.call_later(self._silence_s, self._end_silent, stream)
+                    timer = self._loop.call_later(self._silence_s, stream.close)
                 if answer.head is not None and answer.head.status != 200:
                     log.warning("directory: no list", status=answer.head.status)
                     return
@@ -184,7 +175,7 @@
     def _tell(self, raw: Any, whole: bool = False) -> None:
         told = list_of(raw)
         if told is not None:
-            self._version, self._again, self._silent = told[0] or self._version, 0, False
+            self._version, self._again = told[0] or self._version, 0
             if self._trace:
                 log.debug("told", version=told[0], whole=told[1] or whole,
                           entries=[[p.name, p.status.value, p.since_ms, p.kind, p.zone, p.weight] for p in told[2]])
