--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -30,7 +30,7 @@
 from .fleet.rules import Rules
 from .fleet.rules import messages as of_the_rules
 from .fleet.rules.api import Answer as RulesAnswer
-from .fleet.rules.api import Counted, InForce, Narrow
+from .fleet.rules.api import Counted, InForce, Narrow, Voters
 from .fleet.settings import Fleet, Placed, place
 from .fleet.wire import Wire
 from .net import http1
@@ -89,6 +89,7 @@
         self._acting: Acting | None = None
         self._counted: Callable[[], tuple[int, int]] = lambda: (0, 0)
         self._before = (0, 0)
+        self._voters: tuple[str, ...] = table.voters
         self._counting: PeriodicCallback | None = None
         self._rules: Rules | None = None
         ask_s = (table.rules.ask_ms if table.rules is not None else 0.0) / 1000.0 + SPARE_S
@@ -128,8 +129,12 @@
     def _count(self) -> None:
         (taken, bad), (taken_before, bad_before) = self._counted(), self._before
         self._before = taken, bad
-        if self._rules is not None:
+        if self._rules is not None and self._agreement is not None:
             self._others.tell(Asked(OF_RULES, Counted(taken - taken_before, bad - bad_before)))
+            voters = tuple(self._agreement.voters)
+            if voters != self._voters:  # one was replaced: who votes on the log checks changes
+                self._voters = voters
+                self._others.tell(Asked(OF_RULES, Voters(voters)))
 
     def _in_force(self, said: InForce) -> None:
         if self._acting is not None:
