--- /dev/null
+++ b/limenotch/fleet/wallet/api.py
@@ -0,0 +1,87 @@
+"""What operators and the host say to the wallet and hear of it, besides contract.py and the log's api.py.
+
+The host calls `Purse` itself, for each call, with the same clock as `handle`; nothing there waits or speaks. When
+`Purse.wants()` turns true the host tells the part `Look()`, once: what it wants is then asked for.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple, Protocol
+
+# Events
+
+
+class Ask(NamedTuple):
+    """An operator's. Each gets exactly one Answer with its ticket, in `ask_ms` and a little at the latest.
+
+    | what | |
+    | --- | --- |
+    | add | `tenant`, `amount` above 0, `id`: counts once |
+    | show | `tenant`: its wallet; empty: all of them |
+    """
+
+    ticket: int
+    what: str
+    tenant: str = ""
+    amount: int = 0
+    id: str = ""
+
+
+class Look(NamedTuple):
+    """The purse wants something: a slice is running low, or somebody was turned away."""
+
+
+class Witnesses(NamedTuple):
+    """Who votes on the log now; the leader makes the living ones witnesses of new slices."""
+
+    names: tuple[str, ...]
+
+
+# Actions
+
+
+class Answer(NamedTuple):
+    """`word`: done, counted (that id was, before), shown, none, refused, unknown. `body` of shown: for JSON."""
+
+    ticket: int
+    word: str
+    text: str = ""
+    body: Any = None
+
+
+# What the host asks of the purse
+
+
+class Reservation(NamedTuple):
+    """Of one call. `cost` 0: nothing is owed, and nothing was taken."""
+
+    tenant: str
+    cost: int
+    slices: tuple[tuple[int, int], ...] = ()  # serial and units; serial 0: of the advance
+
+
+class Turned(NamedTuple):
+    """Nothing to spend here now: 429."""
+
+    retry_after_ms: float
+
+
+class Purse(Protocol):
+    """Each Reservation is ended once, by `charge` or `give_back`."""
+
+    def reserve(self, now: float, tenant: str, kind: str, paid: bool = False) -> Reservation | Turned:
+        """For a call that was taken; `paid`: a repeat of one that was charged. Never waits."""
+        ...
+
+    def charge(self, now: float, reservation: Reservation) -> None:
+        """It was served."""
+        ...
+
+    def give_back(self, now: float, reservation: Reservation) -> None:
+        """It was rejected, failed, or its consumer has gone."""
+        ...
+
+    def wants(self) -> bool: ...
+
+    def figures(self) -> Mapping[str, Any]: ...
