--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -14,7 +14,8 @@
 from limenotch.facade import Ending, Facade, Provider, Status
 from limenotch.net import http1
 from limenotch.net.calls import Call, Calls, Final, InvokerCall, Verdict
-from limenotch.net.consumers import Consumers, budget_ms
+from limenotch.net.consumer import budget_ms
+from limenotch.net.consumers import Consumers
 from limenotch.net.providers import Connection, Providers, ending_of, report_of
 from limenotch.net.sockets import OPERATORS, Share, Sockets
 from limenotch.settings import Consumers as ConsumerTuning
