Let layers of the fleet join the program: layers/, a say in calls, hints where a call belongs

Change: each layer is a module under layers/ with its part, messages, paths and its say in calls (Calls.beside: taken, sent, ended, closed); operators' questions wait in one place (net/asking.py). A final answer may be 429 where a tenant has nothing to spend. Without a fleet beside is empty and hints are none.

Checked: sidecar, operators, long bodies, successor, rules and log on processes (their tests pass unchanged).

--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -65,6 +65,16 @@
     NOT_SENT = "not sent"
 
 
+class Hint(NamedTuple):
+    """Where a call belongs, by what was done for it elsewhere."""
+
+    prefer: str = ""  # the provider that it stays with while that one may take work
+    ran: bool = False  # whether it may have run already: then its repeats go where they are dropped, ...
+    zone: str = ""
+    group: int = 0
+    ago_ms: float = 0.0  # ... and so long ago it did
+
+
 class Invoke(NamedTuple):
     """Make an invoker call. Those of one call are numbered from 0 in the order they are given."""
 
@@ -255,10 +265,15 @@
         return self._handle(face.Started())
 
     def pick(self, call: int, class_name: str, tenant: str, left_ms: float, resent: bool = False,
-             once: bool = False) -> Orders:
+             once: bool = False, hint: Hint | None = None) -> Orders:
         """A call was taken: exactly one final answer is owed within `left_ms`. `once`: its message is still coming."""
-        party = self._tenants.get(tenant, 0)
-        return self._handle(face.Arrival(str(call), self._classes[class_name], left_ms, party, resent, once))
+        party, prefer, bound = self._tenants.get(tenant, 0), "", None
+        if hint is not None:
+            prefer = hint.prefer
+            if hint.ran:
+                bound = face.Bound(self._zones[hint.zone], hint.group, self._clock() - hint.ago_ms)
+        cls = self._classes[class_name]
+        return self._handle(face.Arrival(str(call), cls, left_ms, party, resent, once, prefer, bound))
 
     def uploaded(self, call: int, left_ms: float) -> Orders:
         """The last byte of a message that goes out once was sent: its call has so much time from now."""
--- a/limenotch/fleet/bindings/__init__.py
+++ b/limenotch/fleet/bindings/__init__.py
@@ -1,1 +1,4 @@
-"""Layer 5: what belongs to which provider, known to all and forgotten together. Design: docs/fleet/bindings-design.md."""
+"""Layer 5: what belongs to which provider, known to all and forgotten together.
+
+Design: docs/fleet/bindings-design.md.
+"""
--- /dev/null
+++ b/limenotch/layers/base.py
@@ -0,0 +1,77 @@
+"""What a layer is to the program, and what it is given."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from types import ModuleType
+from typing import Any, NamedTuple
+
+from ..facade import Provider
+from ..fleet.contract import Message, Part
+from ..fleet.hub import Asked
+from ..net.asking import says
+from ..net.calls import Beside
+from ..net.operators import Extra
+
+SPARE_S = 1.0  # for an answer that comes by the log's own bounds
+
+
+class Among(NamedTuple):
+    """Who this process is among the others, and the way to its parts."""
+
+    name: str
+    life: int
+    voters: tuple[str, ...]  # as the settings have them
+    key: bytes
+    tell: Callable[[Asked], None]  # raises nothing
+    now: Callable[[], float]  # the clock that parts are told, ms
+
+
+class Layer:
+    """One that does nothing; layers say what they do more. Made before the fleet begins, on the loop's thread."""
+
+    name = ""  # among the parts that `GET /fleet` tells of
+    prefix = ""  # of its messages' tags, entries and state
+    above = True  # it stands on the log, and is there once that has been read
+    messages: tuple[type[Message], ...] = ()
+
+    def __init__(self) -> None:
+        self.hears: dict[type, Callable[[Any], None]] = {}  # actions of its part that are for the host
+        self.paths: dict[str, Extra] = {}  # at the operators' address
+        self.beside: Beside | None = None  # who has a say in calls
+
+    def part(self, state: bytes | None, index: int) -> Part | None:
+        """Its decisions, from the state that the log was found with; None: it has nothing to do here.
+
+        Raises msgspec.DecodeError or ValueError on a state that can't be read.
+        """
+        return None
+
+    def began(self) -> None:
+        """Its part stands in the hub."""
+
+    def close(self) -> None:
+        """The program ends."""
+
+    def figures(self) -> dict[str, Any]:
+        """For `GET /fleet`."""
+        return {}
+
+    def voted(self, voters: tuple[str, ...]) -> None:
+        """Who votes on the log, when that has changed."""
+
+    def listed(self, providers: Iterable[Provider], whole: bool) -> None:
+        """This sidecar's own directory told its whole list, or what changed."""
+
+    def banned(self, name: str, out: bool, at_ms: float) -> None:
+        """A provider is out by hand or by the rules, or back since `at_ms` of Unix time."""
+
+    def refuse(self, why: str) -> bytes:
+        """What its paths are answered where its part is not there."""
+        return says(503, {"ok": False, "text": why})
+
+
+def messages_of(module: ModuleType) -> tuple[type[Message], ...]:
+    return tuple(kind for kind in vars(module).values()
+                 if isinstance(kind, type) and issubclass(kind, Message) and kind is not Message)
+
--- /dev/null
+++ b/limenotch/layers/rules.py
@@ -0,0 +1,86 @@
+"""The rules that sidecars agree on, put in force at this one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from tornado.ioloop import PeriodicCallback
+
+from ..acting import Acting
+from ..fleet.hub import Asked
+from ..fleet.rules import Rules, messages
+from ..fleet.rules.api import Answer, Counted, InForce, Narrow, Voters
+from ..fleet.rules.tuning import Tuning
+from ..net.ruled import PREFIX, RULES, Ruled
+from .base import SPARE_S, Among, Layer, messages_of
+
+COUNT_S = 1.0  # between two words of what calls came to
+
+
+class RulesLayer(Layer):
+    name, prefix = "rules", PREFIX
+    messages = messages_of(messages)
+
+    def __init__(self, among: Among, tuning: Tuning) -> None:
+        super().__init__()
+        self._among, self._tuning = among, tuning
+        self._voters = among.voters
+        self._acting: Acting | None = None
+        self._rules: Rules | None = None
+        self._counted: Callable[[], tuple[int, int]] = lambda: (0, 0)
+        self._before = (0, 0)
+        self._counting = PeriodicCallback(self._count, COUNT_S * 1000.0)
+        ruled = Ruled(among.tell, tuning.ask_ms / 1000.0 + SPARE_S, self.figures)
+        self.hears = {Answer: ruled.heed, InForce: self._in_force, Narrow: self._narrow}
+        self.paths = {RULES: ruled.answer}
+
+    def follow(self, acting: Acting, counted: Callable[[], tuple[int, int]]) -> None:
+        """Put what is agreed on in force there. `counted`: calls taken so far, and those of them rejected or failed:
+        what a canary is judged by.
+        """
+        self._acting = acting
+        acting.alone(self._tuning.without_lease == "refuse")
+        self._counted, self._before = counted, counted()
+
+    def part(self, state: bytes | None, index: int) -> Rules | None:
+        among, acting = self._among, self._acting
+        if acting is None:
+            return None
+        self._rules = Rules(among.name, among.life, among.voters, acting.first(), acting.check, self._tuning, state)
+        return self._rules
+
+    def began(self) -> None:
+        self._counting.start()
+
+    def close(self) -> None:
+        self._counting.stop()
+
+    def _count(self) -> None:
+        (taken, bad), (taken_before, bad_before) = self._counted(), self._before
+        self._before = taken, bad
+        self._among.tell(Asked(PREFIX, Counted(taken - taken_before, bad - bad_before)))
+
+    def voted(self, voters: tuple[str, ...]) -> None:
+        """Who votes on the log checks changes."""
+        self._among.tell(Asked(PREFIX, Voters(voters)))
+
+    def _in_force(self, said: InForce) -> None:
+        if self._acting is not None:
+            self._acting.in_force(said.document, said.lease_until_ms, said.parts, said.version)
+
+    def _narrow(self, said: Narrow) -> None:
+        if self._acting is not None:
+            self._acting.narrow(said.document, said.refuse, said.version)
+
+    def figures(self) -> dict[str, Any]:
+        rules = self._rules
+        if rules is None:
+            return {"state": "none"}
+        book, holder, now = rules.book, rules.holder, self._among.now()
+        left = max(holder.until - now, 0.0) if holder.holds(now) else 0.0
+        return {
+            "state": "leased" if left else "narrow", "newest": book.newest, "active": book.active,
+            "lease_left_ms": round(left), "parts": holder.parts, "contradiction_ms": rules.tuning.contradiction_ms,
+            "leader": rules.leader, "counts": dict(rules.counts),
+        }
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -9,7 +9,7 @@
 
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from time import monotonic
@@ -19,7 +19,7 @@
 
 from .. import facade as house
 from .. import logs
-from ..facade import Ending, Facade, Orders, time_left_ms
+from ..facade import Ending, Facade, Hint, Orders, time_left_ms
 from ..figures import Figures
 from .pipe import Pipe
 
@@ -43,6 +43,7 @@
     payload: Any = None  # of the provider that served it
     retry_after_ms: float = 0.0
     timed_out: bool = False
+    paused: bool = False  # rejected, as its tenant has nothing to spend
 
 
 @dataclass(slots=True, eq=False)
@@ -61,6 +62,19 @@
         return not self.over and self.call.final is None and not self.call.gone
 
 
+@dataclass(frozen=True, slots=True)
+class About:
+    """What a consumer said of a call beside what it is."""
+
+    key: bytes = b""  # by which providers know a repeat
+    fields: Mapping[bytes, bytes] = field(default_factory=dict)  # header fields, names in lower case
+    origin: str = ""  # the consumer's connection
+    resent: bool = False  # marked as a repeat of one that came before
+
+
+NOTHING = About()
+
+
 @dataclass(slots=True, eq=False)
 class Call:
     number: int
@@ -71,11 +85,37 @@
     left_s: float  # of its budget, from the last byte of its message
     answer: Callable[[Final], None]
     rest: Pipe | None = None  # of a long message: what goes out once
+    tenant: str = ""
+    about: About = NOTHING
+    hint: Hint | None = None  # where it should go
+    told: list[Beside] = field(default_factory=list)  # who took it, and is told of its end
     made: list[InvokerCall] = field(default_factory=list)
     final: Final | None = None
     gone: bool = False
 
 
+class Beside(Protocol):
+    """Who has a say in calls beside the decisions: told of each call from its taking to its end. Never waits."""
+
+    def taken(self, call: Call) -> Final | None:
+        """Before the decisions hear of it. A final answer turns it away; else it may set the call's `hint`, and is told
+        of all that follows, its end by `closed`, once.
+        """
+        ...
+
+    def sent(self, invoker_call: InvokerCall) -> None:
+        """An attempt is being made: from now on it may run."""
+        ...
+
+    def ended(self, invoker_call: InvokerCall, ending: Ending) -> None:
+        """An attempt ended; once each, also after its call's end."""
+        ...
+
+    def closed(self, call: Call) -> None:
+        """`call.final` is its answer; none: its consumer has gone."""
+        ...
+
+
 class Invoker(Protocol):
     """Carries invoker calls to providers; tells Calls.ended of each once, never from within `make`."""
 
@@ -91,6 +131,7 @@
         self.facade, self.max_open = facade, max_open
         self.figures = figures or Figures()
         self.last = math.inf  # while the program leaves: when calls still to come have to end, by time.monotonic
+        self.beside: tuple[Beside, ...] = ()
         self.open: dict[int, Call] = {}
         self.passing: dict[int, Call] = {}  # their answers are being passed on
         self._names: set[bytes] = set()  # of those open
@@ -115,9 +156,9 @@
         tenant: str,
         budget_ms: float,
         answer: Callable[[Final], None],
-        resent: bool = False,
         room: bool = True,
         rest: Pipe | None = None,
+        about: About = NOTHING,
     ) -> Call:
         """A call was taken; `answer` is called once unless it departs. Without `room`: rejected at once.
 
@@ -127,16 +168,24 @@
         left = time_left_ms(budget_ms)
         self._count += 1
         end = math.inf if rest is not None else monotonic() + left / 1000.0
-        call = Call(self._count, name, class_name, payload, end, left / 1000.0, answer, rest)
+        call = Call(self._count, name, class_name, payload, end, left / 1000.0, answer, rest, tenant, about)
         self.figures.took()
         if not room or len(self.open) >= self.max_open or self.facade.shut:
             self._close(call, Final(Verdict.REJECTED, retry_after_ms=1000.0))
             return call
+        for one in self.beside:
+            final = one.taken(call)
+            if final is not None:
+                self._close(call, final)
+                return call
+            call.told.append(one)
         self.open[call.number] = call
         self._names.add(name)
         if self._trace:
-            log.debug("taken", call=call.number, kind=class_name, account=tenant, left_ms=round(left), resent=resent)
-        self.carry_out(self.facade.pick(call.number, class_name, tenant, left, resent, rest is not None))
+            log.debug("taken", call=call.number, kind=class_name, account=tenant, left_ms=round(left),
+                      resent=about.resent)
+        self.carry_out(
+            self.facade.pick(call.number, class_name, tenant, left, about.resent, rest is not None, call.hint))
         return call
 
     def depart(self, call: Call) -> None:
@@ -148,6 +197,7 @@
             call.gone = True
             self.figures.ended(call.kind, "departed")
             self._forget(call)
+            self._tell_end(call)
             self.carry_out(self.facade.depart(call.number))
         else:
             return
@@ -200,6 +250,8 @@
         invoker_call.over = True
         call = invoker_call.call
         del self._out[call.number, invoker_call.number]
+        for one in call.told:
+            one.ended(invoker_call, ending)
         if ending is Ending.SERVED and call.final is None and not call.gone:
             self._close(call, Final(Verdict.SERVED, payload))
         if not invoker_call.first:  # else it was reported when its answer began
@@ -263,6 +315,8 @@
         invoker_call = InvokerCall(call, len(call.made), order.provider, now, end)
         call.made.append(invoker_call)
         self._out[call.number, invoker_call.number] = invoker_call
+        for one in call.told:
+            one.sent(invoker_call)
         self.invoker.make(invoker_call)
 
     def _abandon(self, order: house.Abandon) -> None:
@@ -279,8 +333,13 @@
             log.debug("final", call=call.number, verdict=final.verdict.value, invoked=len(call.made),
                       **self.facade.figures())
         self._forget(call)
+        self._tell_end(call)
         call.answer(final)
 
+    def _tell_end(self, call: Call) -> None:
+        for one in call.told:
+            one.closed(call)
+
     def _forget(self, call: Call) -> None:
         if self.open.pop(call.number, None) is not None and call.number not in self.passing:
             self._names.discard(call.name)
--- a/limenotch/net/consumer.py
+++ b/limenotch/net/consumer.py
@@ -15,9 +15,10 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from .. import logs, settings
+from ..config import host_port
 from ..facade import Facade
 from . import http1
-from .calls import Call, Calls, Final, Verdict
+from .calls import About, Call, Calls, Final, Verdict
 from .pipe import PIECE, BrokenError, Budget, Pipe
 from .sockets import Sockets
 
@@ -48,7 +49,7 @@
         advice: http1.Headers = []
         if final.retry_after_ms > 0:
             advice.append((b"Retry-After", b"%.3f" % (final.retry_after_ms / 1000.0)))
-        return http1.write_response(503, advice, b"", close)
+        return http1.write_response(429 if final.paused else 503, advice, b"", close)
     return http1.write_response(504 if final.timed_out else 502, [], b"", close)
 
 
@@ -293,14 +294,21 @@
         # One taken while leaving must not be found open by what ends the process.
         left = min(budget_ms(fields.get(b"x-budget", b"")), max((self._all.calls.last - monotonic()) * 1000.0, 1.0))
         final = self._final = asyncio.get_running_loop().create_future()
-        resent = fields.get(b"x-again") == b"1"
+        about = About(fields.get(b"idempotency-key", b""), fields, self._origin(), fields.get(b"x-again") == b"1")
         room = self._all.sockets.providers.room
         self._call = self._all.calls.take(
-            name, request, class_name, tenant, left, final.set_result, resent, room, request.rest
+            name, request, class_name, tenant, left, final.set_result, room, request.rest, about
         )
         if request.rest is not None:
             self._upload = asyncio.get_running_loop().create_task(self._read_on(request))
 
+    def _origin(self) -> str:
+        """Where it comes from, if anybody asks."""
+        if self._all.calls.beside:
+            with contextlib.suppress(OSError):  # it has gone already
+                return host_port(self.stream.socket.getpeername()[:2])
+        return ""
+
     def _closed(self) -> None:
         self._all.left(self)
         if self._call is not None:
--- a/limenotch/net/promised.py
+++ b/limenotch/net/promised.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 from collections.abc import Callable
-from itertools import count
 from typing import Annotated
 from urllib.parse import unquote
 
@@ -15,6 +13,7 @@
 from ..fleet.hub import Asked
 from ..fleet.promises import MOST_BYTES, Answer, Ask
 from . import http1
+from .asking import Asking
 from .operators import Extra
 
 PREFIX = "pr."
@@ -34,30 +33,16 @@
 
 
 class Promised:
-    """Owns what waits for an answer; each call waits `within_s` at most. One loop's."""
+    """What operators are answered at PROMISES and VOTERS."""
 
     def __init__(self, tell: Callable[[Asked], None], within_s: float) -> None:
-        self._tell, self._within_s = tell, within_s
-        self._tickets = count(1)
-        self._waiting: dict[int, asyncio.Future[Answer]] = {}
+        self._asking: Asking[Answer] = Asking(tell, PREFIX, within_s)
+        self.heed = self._asking.heed
         self.paths: dict[str, Extra] = {PROMISES: self._promise, VOTERS: self._voters}
 
-    def heed(self, answer: Answer) -> None:
-        waits = self._waiting.pop(answer.ticket, None)
-        if waits is not None and not waits.done():
-            waits.set_result(answer)
-
     async def _ask(self, what: str, *more: str | bytes) -> bytes:
-        ticket = next(self._tickets)
-        waits = self._waiting[ticket] = asyncio.get_running_loop().create_future()
-        self._tell(Asked(PREFIX, Ask(ticket, what, *more)))  # type: ignore[arg-type]
-        try:
-            async with asyncio.timeout(self._within_s):
-                answer = await waits
-        except TimeoutError:  # the fleet is off by a fault, or goes
-            answer = Answer(ticket, "unknown", "no answer in time")
-        finally:
-            self._waiting.pop(ticket, None)
+        said = await self._asking.ask(lambda ticket: Ask(ticket, what, *more))  # type: ignore[arg-type]
+        answer = said or Answer(0, "unknown", "no answer in time")
         fields = [(b"Index", str(answer.index).encode())] if answer.index else []
         if answer.word == "listed":
             fields.append((b"Content-Type", b"application/json"))
@@ -88,12 +73,9 @@
         return await self._ask("voters", change.add, b"", change.remove)
 
 
-def no_log(why: str) -> dict[str, Extra]:
-    """The same paths where the log is not there."""
-    async def refuse(request: http1.Message) -> bytes:
-        return _says(503, why)
-
-    return {PROMISES: refuse, VOTERS: refuse}
+def refused(why: str) -> bytes:
+    """Where the log is not there."""
+    return _says(503, why)
 
 
 def _says(status: int, text: str) -> bytes:
--- a/limenotch/net/ruled.py
+++ b/limenotch/net/ruled.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
-from itertools import count
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -13,7 +11,7 @@
 from ..fleet.hub import Asked
 from ..fleet.rules.api import Answer, Ask
 from . import http1
-from .operators import Extra
+from .asking import Asking, says
 
 PREFIX = "ru."
 RULES = "/fleet/rules"
@@ -28,50 +26,24 @@
 
 
 class Ruled:
-    """Owns what waits for an answer; each call waits `within_s` at most. One loop's."""
+    """What operators are answered at RULES."""
 
     def __init__(self, tell: Callable[[Asked], None], within_s: float, state: Callable[[], dict[str, Any]]) -> None:
-        self._tell, self._within_s, self._state = tell, within_s, state
-        self._tickets = count(1)
-        self._waiting: dict[int, asyncio.Future[Answer]] = {}
-
-    def heed(self, answer: Answer) -> None:
-        waits = self._waiting.pop(answer.ticket, None)
-        if waits is not None and not waits.done():
-            waits.set_result(answer)
+        self._asking: Asking[Answer] = Asking(tell, PREFIX, within_s)
+        self._state = state
+        self.heed = self._asking.heed
 
     async def answer(self, request: http1.Message) -> bytes:
         if request.method == b"GET":
-            return _json(200, self._state())
+            return says(200, self._state())
         if request.method != b"POST":
             return http1.write_response(405, [(b"Allow", b"GET, POST")], b"", close=True)
         try:
             call: Call = msgspec.json.decode(request.body if request.rest is None else b"", type=Call)
         except msgspec.MsgspecError as error:
-            return _json(400, {"ok": False, "text": str(error)})
-        ticket = next(self._tickets)
-        waits = self._waiting[ticket] = asyncio.get_running_loop().create_future()
-        self._tell(Asked(PREFIX, Ask(ticket, call.what, call.document, call.id)))
-        try:
-            async with asyncio.timeout(self._within_s):
-                said = await waits
-        except TimeoutError:  # the fleet is off by a fault, or goes
-            return _json(504, {"ok": False, "text": "unknown: no answer in time"})
-        finally:
-            self._waiting.pop(ticket, None)
+            return says(400, {"ok": False, "text": str(error)})
+        said = await self._asking.ask(lambda ticket: Ask(ticket, call.what, call.document, call.id))
+        if said is None:
+            return says(504, {"ok": False, "text": "unknown: no answer in time"})
         status = 200 if said.ok else 504 if said.text.startswith("unknown") else 409
-        return _json(status, {"ok": said.ok, "text": said.text, "version": said.version})
-
-
-def no_rules(why: str) -> Extra:
-    """The same path where the log is not there."""
-    async def refuse(request: http1.Message) -> bytes:
-        return _json(503, {"ok": False, "text": why})
-
-    return refuse
-
-
-def _json(status: int, body: dict[str, Any]) -> bytes:
-    kind = [(b"Content-Type", b"application/json")]
-    text = msgspec.json.format(msgspec.json.encode(body), indent=1) + b"\n"
-    return http1.write_response(status, kind, text, close=True)
+        return says(status, {"ok": said.ok, "text": said.text, "version": said.version})
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -50,17 +50,23 @@
         # The pool first: what the facade orders may go to a provider that is new.
         providers.listed(entries, whole)
         listed.set()
+        if others is not None:
+            others.listed(entries, whole)
         calls.carry_out(facade.heard(entries, whole))
 
     directory = Directory(
         config.directory, heard, lambda: calls.carry_out(facade.broken()), settings.directory
     )
     calls.invoker, calls.watch = providers, directory.watch
+    if others is not None:
+        calls.beside = others.beside
     consumers = Consumers(calls, facade, sockets, listed.is_set, settings.consumers, budget)
 
     def banned(name: str, out: bool, at_ms: float) -> None:
         log.info("taken out" if out else "may serve again", provider=name)
         providers.ban(name, out)
+        if others is not None:
+            others.banned(name, out, at_ms)
         calls.carry_out(facade.ban(name, out, at_ms))
 
     bans = Bans(config.kept, banned)
--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -1,7 +1,8 @@
 """The fleet's side of the program: parts, hub, wire and sockets put together. Imported only where `[fleet]` is set.
 
-The log and what is above it are there only where `voters` are set, and join when the store has been read: until then,
-and for good where it can't be read, this process is a member without a log.
+The log and the layers above it are there only where `voters` are set, and join when the store has been read: until
+then, and for good where it can't be read, this process is a member without a log. A layer is there where its table is
+(`layers/`); those that stand on no log are there from the start.
 """
 
 from __future__ import annotations
@@ -9,7 +10,7 @@
 import asyncio
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, get_args
 
@@ -19,42 +20,31 @@
 from . import logs, toml
 from .acting import Acting
 from .config import Address, host_port
+from .facade import Provider
 from .fleet import above
 from .fleet.agreement import Agreement
 from .fleet.agreement import messages as of_the_log
-from .fleet.contract import Message
-from .fleet.hub import LOG, Asked, Hub
+from .fleet.hub import LOG, Hub
 from .fleet.membership import Membership
 from .fleet.membership.messages import Spoken
-from .fleet.promises import LATE_MS, Answer, Promises
-from .fleet.rules import Rules
-from .fleet.rules import messages as of_the_rules
-from .fleet.rules.api import Answer as RulesAnswer
-from .fleet.rules.api import Counted, InForce, Narrow, Voters
 from .fleet.settings import Fleet, Placed, place
 from .fleet.wire import Wire
+from .layers.base import Among, Layer, messages_of
+from .layers.promises import PromisesLayer
+from .layers.rules import RulesLayer
 from .net import http1
+from .net.asking import says
+from .net.calls import Beside
 from .net.kept import Folder, Memory, UnreadableError
 from .net.operators import Extra
 from .net.others import Disk, Others
-from .net.promised import PREFIX, Promised, no_log
-from .net.ruled import PREFIX as OF_RULES
-from .net.ruled import RULES, Ruled, no_rules
 from .store.records import Held
 
 log = logs.get(__name__)
 
 LEAVE_S = 0.5  # from the word that this process goes to the end of its sockets
 PATH = "/fleet"
-COUNT_S = 1.0  # between two words of what calls came to
-SPARE_S = 1.0  # for an answer that comes by the log's own bounds
-
-
-def messages() -> tuple[type[Message], ...]:
-    """Of all parts."""
-    found = [kind for kind in (*vars(of_the_log).values(), *vars(of_the_rules).values())
-             if isinstance(kind, type) and issubclass(kind, Message) and kind is not Message]
-    return (*get_args(Spoken), *found)
+LOOK_S = 1.0  # between two looks at who votes
 
 
 def members(membership: Membership, now: float) -> list[dict[str, Any]]:
@@ -78,71 +68,71 @@
         self._membership = Membership(
             placed.name, placed.at, self.life, placed.seeds, table.membership, _seed(), placed.addresses)
         self._hub = Hub([("mb.", self._membership)], self._membership)
-        wire = Wire(placed.key, placed.group, messages())
+        self._among = Among(placed.name, self.life, table.voters, placed.key, self._tell, self.now)
+        self._rules = RulesLayer(self._among, table.rules) if table.rules is not None else None
+        self._layers = self._made(table)
+        messages = (*get_args(Spoken), *messages_of(of_the_log), *(m for layer in self._layers for m in layer.messages))
+        wire = Wire(placed.key, placed.group, messages)
         self._others = Others(placed.listen, placed.name, self.life, self._hub, wire, table.streams, at=placed.at)
         self._disk = _disk(placed)
         self._agreement: Agreement | None = None
-        self._promises = Promises()
-        self._why = "the log is not read yet" if self._disk is not None else ""
-        self._promised = Promised(self._others.tell, (table.agreement.ask_ms + LATE_MS) / 1000.0 + SPARE_S)
-        self._hub.hears(Answer, self._promised.heed)
-        self._acting: Acting | None = None
-        self._counted: Callable[[], tuple[int, int]] = lambda: (0, 0)
-        self._before = (0, 0)
+        self._why = "the log is not read yet" if self._disk is not None else "no log: fleet.voters has none"
         self._voters: tuple[str, ...] = table.voters
-        self._counting: PeriodicCallback | None = None
-        self._rules: Rules | None = None
-        ask_s = (table.rules.ask_ms if table.rules is not None else 0.0) / 1000.0 + SPARE_S
-        self._ruled = Ruled(self._others.tell, ask_s, self._rules_state)
-        self._hub.hears(RulesAnswer, self._ruled.heed)
-        self._hub.hears(InForce, self._in_force)
-        self._hub.hears(Narrow, self._narrow)
+        self._looking = PeriodicCallback(self._look, LOOK_S * 1000.0)
         self._end: asyncio.TimerHandle | None = None
         self.descriptors = table.descriptors
         self.paths: dict[str, Extra] = {PATH: self._answer}
-        if self._disk is not None:
-            self.paths |= {path: self._through(path) for path in self._promised.paths}
-        if table.rules is not None:
-            self.paths[RULES] = self._through_rules
-
-    @property
-    def ruled(self) -> bool:
-        """Whether this sidecar's rules are those that many agree on."""
-        return self._placed.table.rules is not None
+        for layer in self._layers:
+            for kind, told in layer.hears.items():
+                self._hub.hears(kind, told)
+            self.paths |= {path: self._through(layer, answer) for path, answer in layer.paths.items()}
+            if not layer.above and (part := layer.part(None, 0)) is not None:
+                self._hub.add(layer.prefix, part)
+                layer.began()
+
+    def _made(self, table: Fleet) -> list[Layer]:
+        """Those that the table has, in the order in which they hear of what all are told."""
+        layers: list[Layer] = []
+        if table.voters:
+            layers.append(PromisesLayer(self._among, table.agreement))
+        if self._rules is not None:
+            layers.append(self._rules)
+        return layers
+
+    def _tell(self, event: Any) -> None:
+        self._others.tell(event)
 
     def now(self) -> float:
         """The clock that leases are counted on, in ms."""
         return self._others.now()
 
+    # For the program
+
+    @property
+    def ruled(self) -> bool:
+        """Whether this sidecar's rules are those that many agree on."""
+        return self._rules is not None
+
     def follow(self, acting: Acting, counted: Callable[[], tuple[int, int]]) -> None:
-        """Put what is agreed on in force there. To be called before `start`; without `[fleet.rules]` nothing is.
-
-        `counted`: calls taken so far, and those of them rejected or failed: what a canary is judged by.
-        """
-        tuning = self._placed.table.rules
-        if tuning is not None:
-            self._acting = acting
-            acting.alone(tuning.without_lease == "refuse")
-            self._counted, self._before = counted, counted()
-            self._counting = PeriodicCallback(self._count, COUNT_S * 1000.0)
-
-    def _count(self) -> None:
-        (taken, bad), (taken_before, bad_before) = self._counted(), self._before
-        self._before = taken, bad
-        if self._rules is not None and self._agreement is not None:
-            self._others.tell(Asked(OF_RULES, Counted(taken - taken_before, bad - bad_before)))
-            voters = tuple(self._agreement.voters)
-            if voters != self._voters:  # one was replaced: who votes on the log checks changes
-                self._voters = voters
-                self._others.tell(Asked(OF_RULES, Voters(voters)))
-
-    def _in_force(self, said: InForce) -> None:
-        if self._acting is not None:
-            self._acting.in_force(said.document, said.lease_until_ms, said.parts, said.version)
-
-    def _narrow(self, said: Narrow) -> None:
-        if self._acting is not None:
-            self._acting.narrow(said.document, said.refuse, said.version)
+        """Put what is agreed on in force there. To be called before `start`; without `[fleet.rules]` nothing is."""
+        if self._rules is not None:
+            self._rules.follow(acting, counted)
+
+    @property
+    def beside(self) -> tuple[Beside, ...]:
+        """Who has a say in calls."""
+        return tuple(layer.beside for layer in self._layers if layer.beside is not None)
+
+    def listed(self, providers: Iterable[Provider], whole: bool) -> None:
+        """This sidecar's own directory told its whole list, or what changed."""
+        for layer in self._layers:
+            layer.listed(providers, whole)
+
+    def banned(self, name: str, out: bool, at_ms: float) -> None:
+        for layer in self._layers:
+            layer.banned(name, out, at_ms)
+
+    # Life
 
     def start(self) -> None:
         self._others.start(self._found if self._disk is not None else None)
@@ -155,28 +145,31 @@
             held = await disk.open() if isinstance(disk, Folder) else Held(entries=[])
             agreement = Agreement(placed.name, placed.table.voters, held, placed.table.agreement, _seed())
             states = above.parted(agreement.state)
-            promises = Promises(states.get(PREFIX), agreement.index)
-            rules = self._with_rules(states.get(OF_RULES))
+            parts = [(layer, layer.part(states.get(layer.prefix), agreement.index))
+                     for layer in self._layers if layer.above]
         except (UnreadableError, msgspec.DecodeError, ValueError) as error:
             self._why = f"no log: {error}"
             log.error("fleet: goes on without the log", folder=placed.table.folder, error=str(error))
             disk.close()
             return None
         self._hub.add(LOG, agreement)
-        self._hub.add(PREFIX, promises)
-        if rules is not None and self._counting is not None:
-            self._counting.start()
-            self._hub.add(OF_RULES, rules)
-            self._rules = rules
+        for layer, part in parts:
+            if part is not None:
+                self._hub.add(layer.prefix, part)
+                layer.began()
         self._hub.found(states)
-        self._agreement, self._promises, self._why = agreement, promises, ""
+        self._agreement, self._why = agreement, ""
+        self._looking.start()
         return disk
 
-    def _with_rules(self, state: bytes | None) -> Rules | None:
-        table, acting = self._placed.table, self._acting
-        if table.rules is None or acting is None:
-            return None
-        return Rules(self.name, self.life, table.voters, acting.first(), acting.check, table.rules, state)
+    def _look(self) -> None:
+        """Whether a voter was replaced."""
+        assert self._agreement is not None
+        voters = tuple(self._agreement.voters)
+        if voters != self._voters:
+            self._voters = voters
+            for layer in self._layers:
+                layer.voted(voters)
 
     def leave(self) -> None:
         """Tell the others. A little later the address is free: the next process of this sidecar may wait for it."""
@@ -185,8 +178,9 @@
             self._end = asyncio.get_running_loop().call_later(LEAVE_S, self._others.close)
 
     def close(self) -> None:
-        if self._counting is not None:
-            self._counting.stop()
+        self._looking.stop()
+        for layer in self._layers:
+            layer.close()
         if self._end is not None:
             self._end.cancel()
         self._others.close()
@@ -198,9 +192,9 @@
         parts: dict[str, Any] = {"membership": self._membership.figures()}
         if self._disk is not None:
             parts["agreement"] = self._log_state()
-            if self._placed.table.rules is not None:
-                parts["rules"] = self._rules_state()
-            parts["promises"] = {"kept": len(self._promises), "unreadable": self._promises.bad}
+        for layer in self._layers:
+            gone = layer.above and self._why
+            parts[layer.name] = {"state": "none", "why": self._why} if gone else layer.figures()
         return {
             "name": self.name,
             "group": self.group,
@@ -216,32 +210,16 @@
             return {"role": "none", "why": self._why}
         return {**self._agreement.figures(), "store": self._disk.state() if self._disk is not None else ""}
 
-    def _through(self, path: str) -> Extra:
-        async def answer(request: http1.Message) -> bytes:
-            return await (no_log(self._why) if self._why else self._promised.paths)[path](request)
-
-        return answer
-
-    def _rules_state(self) -> dict[str, Any]:
-        rules = self._rules
-        if rules is None:
-            return {"state": "none", "why": self._why}
-        book, holder, now = rules.book, rules.holder, self._others.now()
-        left = max(holder.until - now, 0.0) if holder.holds(now) else 0.0
-        return {
-            "state": "leased" if left else "narrow", "newest": book.newest, "active": book.active,
-            "lease_left_ms": round(left), "parts": holder.parts, "contradiction_ms": rules.tuning.contradiction_ms,
-            "leader": rules.leader, "counts": dict(rules.counts),
-        }
+    def _through(self, layer: Layer, answer: Extra) -> Extra:
+        async def through(request: http1.Message) -> bytes:
+            return layer.refuse(self._why) if layer.above and self._why else await answer(request)
 
-    async def _through_rules(self, request: http1.Message) -> bytes:
-        return await (no_rules(self._why) if self._why else self._ruled.answer)(request)
+        return through
 
     async def _answer(self, request: http1.Message) -> bytes:
         if request.method != b"GET":
             return http1.write_response(405, [(b"Allow", b"GET")], b"", close=True)
-        body = msgspec.json.format(msgspec.json.encode(self.state()), indent=1) + b"\n"
-        return http1.write_response(200, [(b"Content-Type", b"application/json")], body, close=True)
+        return says(200, self.state())
 
 
 def _seed() -> int:
--- a/switchthread/books.py
+++ b/switchthread/books.py
@@ -96,6 +96,11 @@
         self.timers[self.token] = call
         acts.append(face.SetTimer(at, self.token))
 
+    def named(self, name: str) -> Server | None:
+        """One that may be sent to, whether or not this balancer draws from it."""
+        server = self.roster.servers.get(name)
+        return server if server and any(server in part for part in self.order) else None
+
     # Calls and attempts
 
     def take(self, now: float, event: face.Arrival) -> Call:
@@ -105,7 +110,8 @@
         cls = self.set.classes[event.traffic_class]
         useful = min(event.budget_ms, cls.aim_ms) if cls.late_worth <= 0 else event.budget_ms
         usual, most, aim = self.usual[cls.name], self.set.max_attempts, now + cls.aim_ms
-        call = Call(event.call, cls, usual, most, now + useful, aim, once=event.once)
+        call = Call(event.call, cls, usual, most, now + useful, aim,
+                    once=event.once, prefer=event.prefer, bound=event.bound)
         self.calls[call.name] = call
         self.came, self.arrived = self.came + 1, self.arrived + 1
         # With each call and not with answers: a shut door has none, and would not see that nothing is out.
--- a/switchthread/interface.py
+++ b/switchthread/interface.py
@@ -197,6 +197,14 @@
     settings: Settings
 
 
+class Bound(NamedTuple):
+    """Where a call may have run already, through another balancer: its repeats go where they are dropped."""
+
+    zone: int
+    cell: int
+    sent_ms: float  # of the first of them
+
+
 class Arrival(NamedTuple):
     """A call came in; it is owed exactly one final answer within `budget_ms`."""
 
@@ -206,6 +214,8 @@
     tenant: int = 0
     resent: bool = False
     once: bool = False  # its message is long and still coming: it can't be sent twice, nor to two at once
+    prefer: str = ""  # the upstream that it stays with while that one may take work
+    bound: Bound | None = None
 
 
 class Uploaded(NamedTuple):
--- a/switchthread/placement.py
+++ b/switchthread/placement.py
@@ -9,7 +9,7 @@
 from math import exp, inf
 
 from .books import Books, Table, drawable
-from .interface import Effect, Scope
+from .interface import Bound, Effect, Scope
 from .records import Call, Server
 from .shares import share
 from .verdicts import crowded, quiet
@@ -24,6 +24,9 @@
 
 def choose(books: Books, now: float, call: Call) -> tuple[Server | None, Server | None]:
     """Where the next attempt goes, and where a copy of an urgent call could go; None for nobody."""
+    kept = call.prefer and not call.tries and books.named(call.prefer)
+    if kept and not (quiet(books, now, kept) or crowded(books, kept)) and warm_enough(books, kept, now):
+        return kept, None
     last = call.tries[-1].server if call.tries else None
     one = draw(books, now, call, last) or draw(books, now, call, None, any_=True)
     if one is None:
@@ -56,17 +59,18 @@
 
 
 def reach(books: Books, now: float, call: Call, home: bool = False) -> Table:
-    bound = next((t for t in call.tries if t.ran), None)
+    ran = next((t for t in call.tries if t.ran), None)
+    bound = call.bound or (Bound(ran.server.at.zone, ran.server.at.cell, ran.sent) if ran else None)
     if bound is not None and books.set.narrow:
         return [], []
     if bound is None or call.cls.effect is Effect.IDEMPOTENT:
         return books.home if home else books.table
-    if call.cls.effect is Effect.AT_MOST_ONCE or now - bound.sent >= call.cls.window_ms:
+    if call.cls.effect is Effect.AT_MOST_ONCE or now - bound.sent_ms >= call.cls.window_ms:
         return [], []
     if call.cls.scope is Scope.ALL:
         return books.table
     zone = call.cls.scope is Scope.ZONE
-    key = (call.cls.scope, bound.server.at.zone if zone else bound.server.at.cell)
+    key = (call.cls.scope, bound.zone if zone else bound.cell)
     if key not in books.groups:
         members = [s for part in books.order for s in part if (s.at.zone if zone else s.at.cell) == key[1]]
         for s in members:
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -145,3 +145,5 @@
     done: bool = False
     streaming: bool = False
     once: bool = False
+    prefer: str = ""
+    bound: face.Bound | None = None
