--- a/limenotch/fleet/settings.py
+++ b/limenotch/fleet/settings.py
@@ -15,8 +15,10 @@
 from .. import toml
 from ..config import Address, ConfigError, address
 from .agreement import tuning as agreement
+from .bindings import tuning as bindings
 from .membership.tuning import Tuning
 from .rules import tuning as rules
+from .wallet import tuning as wallet
 from .wire import LEAST_KEY, MOST_FRAME, MOST_KEY, MOST_NAME
 
 Name = Annotated[str, Meta(min_length=1, max_length=MOST_NAME)]
@@ -37,6 +39,14 @@
     """As the part has it."""
 
 
+class Wallet(wallet.Tuning, frozen=True, forbid_unknown_fields=True):
+    """As the part has it."""
+
+
+class Bindings(bindings.Tuning, frozen=True, forbid_unknown_fields=True):
+    """As the part has it."""
+
+
 class Fleet(Struct, frozen=True, forbid_unknown_fields=True):
     group: Name
     listen: str
@@ -50,6 +60,8 @@
     membership: Membership = Membership()
     agreement: Agreement = Agreement()
     rules: Rules | None = None  # None: each sidecar has the rules of its own file
+    wallet: Wallet | None = None  # None: nobody pays
+    bindings: Bindings | None = None  # None: none are known beyond one's own calls
 
     @property
     def descriptors(self) -> int:
@@ -129,6 +141,8 @@
             yield f"fleet.{key}", f"expected a numeric host, not {host!r}: no name service is asked"
     if table.rules is not None and not table.voters:
         yield "fleet.rules", "rules are agreed on by voters, and fleet.voters has none"
+    if table.wallet is not None and not table.voters:
+        yield "fleet.wallet", "credit is agreed on by voters, and fleet.voters has none"
     if len(set(table.voters)) != len(table.voters):
         yield "fleet.voters", "a name stands twice"
     for key in ("most_entry_bytes", "most_batch_bytes", "chunk_bytes"):
