--- a/limenotch/fleet/rules/core.py
+++ b/limenotch/fleet/rules/core.py
@@ -25,6 +25,7 @@
 from .. import contract
 from ..agreement import api as log
 from ..contract import Carrier, Note, SetTimer, Tell
+from ..leasing import NEVER
 from . import entries
 from . import messages as say
 from .api import Answer, Ask, Counted, InForce, Narrow, Voters
@@ -32,7 +33,7 @@
 from .canary import Watch
 from .changes import Changes, Check, suggest_of, upstream_of, whole_number
 from .document import Document
-from .leases import NEVER, Granter, Holder
+from .leases import Granter, Holder
 from .tuning import Tuning
 
 GONE = frozenset({"dead", "left"})
--- a/limenotch/fleet/rules/leases.py
+++ b/limenotch/fleet/rules/leases.py
@@ -5,8 +5,8 @@
 | holder | when it asked | lease_ms |
 | granter | when it granted, which is later | lease_ms x (1 + drift) |
 
-So a lease is over at its holder before it is over in the granter's record, whatever is late, lost or paused; a grant
-counts only for the newest ask that it could answer. Who grants leads the log, and has asked it whether it still does
+So a lease is over at its holder before it is over in the granter's record (leasing.py); a grant counts only for the
+newest ask that it could answer. Who grants leads the log, and has asked it whether it still does
 since the ask came (core.py). One that has just become leader knows no leases: it waits one out before `may_activate`.
 
 Parts of the cold budget: the sum of 1 / parts over all that may hold a lease is at most 1. A record keeps every part
@@ -21,50 +21,30 @@
 from fractions import Fraction
 from math import ceil
 
+from ..leasing import NEVER, Held, Reign
 from .messages import AskLease, Grant
 from .tuning import Tuning
 
-NEVER = float("inf")
 MOST_OUT = 8  # grants of one holder that are told apart; further ones are counted as the widest of them
 
 
-class Holder:
-    """A sidecar's own lease. `until` is the one number that each call is held against."""
+class Holder(Held):
+    """A sidecar's own lease."""
 
     def __init__(self, tuning: Tuning) -> None:
-        self._tuning = tuning
-        self.until = -NEVER
+        super().__init__(tuning.lease_ms)
         self.parts = 0
-        self.granted = 0  # serial of the grant acted under
-        self.serial = 0
-        self._asked: dict[int, float] = {}
-
-    def holds(self, now: float) -> bool:
-        return now < self.until
-
-    def ask(self, now: float) -> int:
-        """The serial of a new ask; those whose lease would be over are forgotten."""
-        self.serial += 1
-        self._asked = {serial: at for serial, at in self._asked.items() if now - at < self._tuning.lease_ms}
-        self._asked[self.serial] = now
-        return self.serial
 
     def grant(self, now: float, grant: Grant) -> bool:
-        """Whether it counts: it answers an ask that is newer than the one acted on, and is not over yet."""
-        asked = self._asked.get(grant.serial)
-        if asked is None or grant.serial <= self.granted:
+        """Whether it counts."""
+        if not self.take(now, grant.serial, grant.lease_ms):
             return False
-        until = asked + min(grant.lease_ms, self._tuning.lease_ms)
-        if until <= now:
-            return False
-        self._asked = {serial: at for serial, at in self._asked.items() if serial > grant.serial}
-        self.until, self.parts, self.granted = until, max(0, grant.parts), grant.serial
+        self.parts = max(0, grant.parts)
         return True
 
     def drop(self) -> None:
-        """All that is held, and all that was asked for, is void."""
-        self.until, self.parts = -NEVER, 0
-        self._asked.clear()
+        super().drop()
+        self.parts = 0
 
 
 @dataclass(slots=True)
@@ -80,12 +60,12 @@
         return Fraction(1, min(held)) if held else Fraction(0)
 
 
-class Granter:
+class Granter(Reign):
     """The leader's record of leases."""
 
     def __init__(self, tuning: Tuning) -> None:
+        super().__init__(tuning.held_ms)
         self._tuning = tuning
-        self.since = NEVER  # when it became leader; never: it is none
         self.records: dict[tuple[str, int], Record] = {}
 
     def begin(self, now: float) -> None:
@@ -96,10 +76,6 @@
         self.since = NEVER
         self.records = {}
 
-    def settled(self, now: float) -> bool:
-        """Whether all leases of leaders before it have run out."""
-        return now >= self.since + self._tuning.held_ms
-
     def prune(self, now: float) -> None:
         for key in [key for key, record in self.records.items() if record.until <= now]:
             del self.records[key]
--- a/limenotch/fleet/wallet/api.py
+++ b/limenotch/fleet/wallet/api.py
@@ -62,9 +62,11 @@
 
 
 class Turned(NamedTuple):
-    """Nothing to spend here now: 429."""
+    """Nothing to spend here now: 429. `coming`: there is credit and it is being asked for; a host that can hold a call
+    for `retry_after_ms` may ask once more then."""
 
     retry_after_ms: float
+    coming: bool = False
 
 
 class Purse(Protocol):
--- /dev/null
+++ b/limenotch/fleet/wallet/granting.py
@@ -0,0 +1,289 @@
+"""The leader's side: who may spend, who wants what, how much each gets, who is asked to give back, who is gone.
+
+| tenant | what |
+| --- | --- |
+| wanted, credit left | Grants: what each wants, at most left / (2 x those who want), smaller towards the end |
+| short: less left than wanted | Recalls to its other holders, the ms to keep halved each time; without progress rarer |
+| of a holder without a lease | a question to its slices' witnesses, then Expire |
+
+- A lease is answered only after the log has said that it leads yet (ReadAt), so none is after another leader's Expire.
+- While a holder's Expire is on its way it gets no lease; a lease that is granted ends the question.
+- Whoever wants gets at most one slice for each time it has said so, knowing of all it had before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from ..contract import Carrier, Tell
+from ..leasing import NEVER
+from . import entries
+from . import messages as say
+from .book import Book, Owner, Wallet
+from .lease import Granter
+from .tuning import Tuning
+from .witness import MOST_ASKED, Gone
+
+GONE = frozenset({"dead", "left"})
+MOST_SLICES = 8  # of one tenant at one holder, not settled yet
+Propose = Callable[[tuple[entries.Entry, ...], str], int]
+
+
+class Wanted(NamedTuple):
+    newest: int  # the newest slice that its holder knows of
+    amount: int
+    least: int
+    turned: bool
+    until: float
+
+
+class Short:
+    """A tenant of which more is wanted than is left."""
+
+    __slots__ = ("keep_ms", "gap_ms", "at", "spent", "seen")
+
+    def __init__(self, keep_ms: float, gap_ms: float, now: float, spent: int) -> None:
+        self.keep_ms, self.gap_ms, self.at, self.spent = keep_ms, gap_ms, now, spent
+        self.seen = now  # to be so
+
+
+class Granting:
+    def __init__(self, name: str, life: int, book: Book, tuning: Tuning, voters: tuple[str, ...],
+                 propose: Propose) -> None:
+        self._own: Owner = (name, life)
+        self._book, self._tuning, self._propose = book, tuning, propose
+        self.voters = voters
+        self.members: dict[str, str] = {}
+        self.leases = Granter(tuning)
+        self.out: list[Any] = []
+        self.epoch = 0
+        self.leads = False
+        self._wants: dict[str, dict[Owner, Wanted]] = {}  # those who came first, first
+        self._dirty: set[str] = set()
+        self._short: dict[str, Short] = {}
+        self._recalls: dict[Owner, list[tuple[str, float]]] = {}
+        self._serials: dict[str, int] = {}  # proposed last
+        self._flying: dict[int, dict[str, int]] = {}  # ticket of a Grant: units by tenant
+        self._granting: dict[tuple[str, Owner], int] = {}  # the ticket
+        self._expiring: dict[int, Owner] = {}  # by ticket
+        self._gone: dict[Owner, Gone] = {}
+        self._number = 0
+        self._gone_at = NEVER
+
+    def begin(self, now: float, epoch: int) -> None:
+        self.end()
+        self.leads, self.epoch = True, epoch
+        self.leases.begin(now)
+        self._gone_at = now + self._tuning.held_ms
+
+    def end(self) -> None:
+        self.leads = False
+        self.leases.end()
+        for table in (self._wants, self._short, self._serials, self._flying, self._granting, self._expiring,
+                      self._gone, self._recalls, self._dirty):
+            table.clear()
+        self._gone_at = NEVER
+
+    # Leases
+
+    def lease(self, now: float, name: str, ask: say.AskLease) -> say.Lease | None:
+        """The log has said since the ask that this process leads."""
+        owner = (name, ask.life)
+        if owner in self._expiring.values():
+            return None
+        if owner not in self.leases.records:
+            self._dirty.update(self._wants)  # it may have wanted before it had a lease
+        if not self.leases.grant(now, owner):
+            return None
+        self._gone.pop(owner, None)
+        return say.Lease(ask.life, ask.serial, self._tuning.lease_ms, self._book.index)
+
+    # Wants
+
+    def wanted(self, now: float, name: str, want: say.Want) -> None:
+        if not self.leads:
+            return
+        owner, until = (name, want.life), now + self._tuning.lease_ms
+        for tenant, newest, amount, least, turned in want.wants:
+            if tenant not in self._book.wallets or amount <= 0:
+                continue
+            wants = self._wants.setdefault(tenant, {})
+            if owner in wants or len(wants) < self._tuning.most_holders:
+                wants[owner] = Wanted(newest, amount, max(1, min(least, amount)), turned, until)
+                self._dirty.add(tenant)
+
+    def changed(self, tenant: str) -> None:
+        """The book, of that wallet."""
+        if tenant in self._wants:
+            self._dirty.add(tenant)
+
+    def ended(self, ticket: int, agreed: bool) -> None:
+        """What was proposed is agreed, or refused. What was refused is not proposed again at once, or a log that
+        refuses would be asked without end: whoever wants says so again."""
+        flying = self._flying.pop(ticket, {})
+        self._granting = {key: held for key, held in self._granting.items() if held != ticket}
+        self._expiring.pop(ticket, None)
+        if agreed:
+            self._dirty.update(tenant for tenant in flying if tenant in self._wants)
+
+    def unknown(self, ticket: int) -> None:
+        """It may be agreed yet, in this epoch alone: a holder whose Expire it is gets no lease of this leader."""
+        if ticket not in self._expiring:
+            self.ended(ticket, False)
+
+    def tick(self, now: float) -> None:
+        if not self.leads:
+            return
+        for tenant, short in self._short.items():
+            if now >= short.at:
+                self._dirty.add(tenant)
+        if self._dirty:
+            self._grant(now)
+        for (name, life), recalls in self._recalls.items():
+            for at in range(0, len(recalls), say.MOST):
+                part = tuple(recalls[at:at + say.MOST])
+                self.out.append(Tell(name, say.Recall(life, part), say.carrier([recall[0] for recall in part])))
+        self._recalls.clear()
+        if now >= self._gone_at:
+            self._look(now)
+
+    def due(self) -> float:
+        if not self.leads:
+            return NEVER
+        return min(self._gone_at, min((short.at for short in self._short.values()), default=NEVER))
+
+    def witnesses(self, now: float) -> tuple[Owner, ...]:
+        """The voters that have asked for a lease lately, as they live now; none if those are not most of the voters."""
+        lives = self.leases.lives(now)
+        lives[self._own[0]] = self._own[1]
+        found = tuple((name, lives[name]) for name in self.voters if name in lives)
+        return found if 2 * len(found) > len(self.voters) else ()
+
+    def _grant(self, now: float) -> None:
+        witnesses = self.witnesses(now)
+        if not witnesses:
+            return  # whoever wants says so again, and they ask for leases meanwhile
+        dirty, self._dirty = self._dirty, set()
+        grants: list[entries.Entry] = []
+        for tenant in sorted(dirty):
+            wallet = self._book.wallets.get(tenant)
+            if wallet is None:
+                continue
+            if len(grants) + len(self._wants.get(tenant, ())) > entries.MOST and grants:
+                self._dirty.add(tenant)
+                continue
+            grants += self._shares(now, tenant, wallet, witnesses)
+        for at in range(0, len(grants), entries.MOST):
+            part = tuple(grants[at:at + entries.MOST])
+            flying: dict[str, int] = {}
+            ticket = self._propose(part, "grant")
+            for grant in part:
+                assert isinstance(grant, entries.Grant)
+                flying[grant.tenant] = flying.get(grant.tenant, 0) + grant.amount
+                self._granting[grant.tenant, (grant.name, grant.life)] = ticket
+            self._flying[ticket] = flying
+
+    def _shares(self, now: float, tenant: str, wallet: Wallet, witnesses: tuple[Owner, ...]) -> list[entries.Grant]:
+        """Grants of what is left of one wallet, and a recall if that is too little."""
+        wants = self._wants.get(tenant, {})
+        held: dict[Owner, list[int]] = {}
+        for one in wallet.slices.values():
+            held.setdefault(one.owner, []).append(one.serial)
+        for owner, want in list(wants.items()):
+            if now >= want.until or max(held.get(owner, (0,))) > want.newest:
+                del wants[owner]  # it got one since it said so, and will say so again
+        free = wallet.left - sum(units.get(tenant, 0) for units in self._flying.values())
+        grants: list[entries.Grant] = []
+        # Slices that are still to be settled hold the credit that is wanted: more of them would bring nothing.
+        open_to = [(owner, want) for owner, want in wants.items() if (tenant, owner) not in self._granting
+                   and len(held.get(owner, ())) < MOST_SLICES and now < self.leases.records.get(owner, -NEVER)]
+        count = len(open_to)
+        for owner, want in open_to:
+            amount = min(want.amount, max(want.least, free // (2 * count)), free)
+            if amount <= 0:
+                break
+            serial = self._serials[tenant] = max(wallet.serial, self._serials.get(tenant, 0)) + 1
+            grants.append(entries.Grant(tenant, *owner, serial, amount, witnesses, self.epoch))
+            del wants[owner]
+            free -= amount
+        missing = sum(want.amount for _, want in open_to) - sum(grant.amount for grant in grants)
+        if missing > max(0, free):
+            self._recall(now, tenant, wallet, held, next(iter(wants), None))
+        elif (short := self._short.get(tenant)) is not None:
+            if open_to or now >= short.seen + self._tuning.idle_ms:
+                del self._short[tenant]
+            short.at = max(short.at, now + short.gap_ms)
+        if not wants:
+            self._wants.pop(tenant, None)
+        return grants
+
+    def _recall(self, now: float, tenant: str, wallet: Wallet, held: dict[Owner, list[int]],
+                first: Owner | None) -> None:
+        """All others than `first`, who has wanted longest, keep what they use within so many ms, each time half."""
+        tuning = self._tuning
+        short = self._short.get(tenant)
+        if short is None:
+            short = self._short[tenant] = Short(tuning.slice_ms / 2, tuning.record_ms / 2, now, wallet.spent)
+        short.seen = now
+        if now < short.at:
+            return
+        if wallet.spent != short.spent:
+            short.spent, short.gap_ms = wallet.spent, tuning.record_ms / 2
+        for name, life in held:
+            if (name, life) != first:
+                self._recalls.setdefault((name, life), []).append((tenant, short.keep_ms))
+        short.at = now + short.gap_ms
+        short.gap_ms = min(2 * short.gap_ms, max(tuning.idle_ms, tuning.record_ms / 2))
+        short.keep_ms = max(short.keep_ms / 2, tuning.record_ms / 8)
+
+    # Holders that are gone
+
+    def _lost(self, now: float, gone: Gone, witness: Owner) -> bool:
+        """Whether that witness can't tell any more: another life is under its name, or it is dead, for long enough."""
+        name, life = witness
+        if witness == self._own or now < self.leases.records.get(witness, -NEVER):
+            return False
+        if name == self._own[0] or self.leases.lives(now).get(name, life) != life:
+            return True
+        return self.members.get(name) in GONE and now >= gone.since + self._tuning.held_ms
+
+    def _look(self, now: float) -> None:
+        """Asks, and asks again, for slices of holders that surely don't spend."""
+        tuning = self._tuning
+        self._gone_at = now + tuning.lease_ms / 6
+        for owner in [owner for owner in self._gone if owner not in self._book.owners]:
+            del self._gone[owner]
+        for owner, slices in self._book.owners.items():
+            if owner in self._expiring.values() or not self.leases.free(now, owner):
+                continue
+            gone = self._gone.get(owner)
+            if gone is None:
+                self._number += 1
+                asked = {key: one for key in sorted(slices)[:MOST_ASKED]
+                         if (one := self._book.slice(key[0], *owner, key[1])) is not None}
+                gone = self._gone[owner] = Gone(self._number, owner, asked, now)
+            elif now < gone.asked_at + tuning.lease_ms / 3:
+                self._resolve(now, gone)
+                continue
+            gone.asked_at = now
+            for name, life in sorted(gone.witnesses()):
+                if not self._lost(now, gone, (name, life)):
+                    self._ask(name, gone)
+            self._resolve(now, gone)
+
+    def _ask(self, name: str, gone: Gone) -> None:
+        self.out.append(Tell(name, say.Question(gone.number, self._own[1], *gone.owner, gone.keys), Carrier.STREAM))
+
+    def told(self, now: float, name: str, told: say.Told) -> None:
+        gone = next((gone for gone in self._gone.values() if gone.number == told.number), None)
+        if not self.leads or told.asker != self._own[1] or gone is None or len(told.marks) != len(gone.slices):
+            return
+        gone.told((name, told.life), dict(zip(gone.keys, told.marks, strict=True)))
+        self._resolve(now, gone)
+
+    def _resolve(self, now: float, gone: Gone) -> None:
+        ends = gone.ends(self.epoch, lambda witness: self._lost(now, gone, witness))
+        if ends and self.leases.free(now, gone.owner):
+            del self._gone[gone.owner]
+            self._expiring[self._propose(tuple(ends), "expire")] = gone.owner
--- a/limenotch/fleet/wallet/tuning.py
+++ b/limenotch/fleet/wallet/tuning.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import ceil
 from typing import Annotated, Literal
 
 from msgspec import Meta, Struct
@@ -19,7 +20,7 @@
     drift: Annotated[float, Meta(ge=0, le=0.5)] = 0.02  # how much faster one clock may run than another, as a share
     slice_ms: Span = 2000.0  # of a holder's own rate, in one slice
     least_slice: Annotated[int, Meta(ge=1, le=1_000_000_000)] = 10
-    step: Annotated[float, Meta(gt=0, le=1)] = 0.25  # of a slice: what a new mark opens
+    step: Annotated[float, Meta(gt=0, le=1)] = 0.25  # of a slice: what a new mark opens, `least_slice` at least
     record_ms: Span = 200.0  # between two words of what was spent, while something was
     idle_ms: Span = 2000.0  # a slice that nothing was taken from for so long is called back
     retry_after_ms: Span = 5000.0  # what those turned away are told, where the configuration allows that
@@ -36,3 +37,22 @@
     def held_ms(self) -> float:
         """How long a lease counts at the leader, from its answer."""
         return self.lease_ms * (1 + self.drift)
+
+    @property
+    def pause_ms(self) -> float:
+        """From when nothing is left, and somebody was turned away, until all turn that tenant away or the credit is
+        spent: what is held elsewhere comes back. A dead holder's lease and the question to its witnesses; a recall
+        that waits its turn; settlements. The log's own time for a promise is in `record_ms`, twice.
+        """
+        return self.held_ms + self.lease_ms / 3 + self.idle_ms + 4 * self.record_ms
+
+    @property
+    def resume_ms(self) -> float:
+        """From when credit is agreed until whoever turned somebody away can spend: they have said so, or say so at
+        their next ask; a grant, a first mark."""
+        return self.lease_ms / 3 + 3 * self.record_ms
+
+    def step_of(self, size: int, dearest: int = 1) -> int:
+        """Units of a slice that a death can count wrongly, at the most: as spent, though nobody was served. `dearest`:
+        the cost of the dearest call. All of the slice where most of its witnesses are gone as well."""
+        return min(size, max(ceil(self.step * size), self.least_slice, dearest))
