Let calls pay by the wallet's purse, and operators add and show credit

Need: the wallet's decisions had no host. WalletLayer reserves when a call is taken and charges or gives back at its end; without a purse that can be trusted who pays gets 429 and nobody else notices. What a layer says of when to return is cut to what the configuration allows. Hub.off is a plain field, as each call looks at it.

--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -194,6 +194,11 @@
         """How long any consumer waits for a call of this class."""
         return self.classes[self._classes[class_name]].deadline_ms
 
+    @property
+    def most_advice_ms(self) -> float:
+        """What the configuration allows a rejection to say of when to return; 0: nothing."""
+        return self._settings.max_retry_after_ms
+
     def figures(self) -> dict[str, float]:
         """What the decisions stand on, for the log: invoker calls out, and from how many calls are rejected."""
         balancer = self._balancer
--- a/limenotch/fleet/hub.py
+++ b/limenotch/fleet/hub.py
@@ -86,6 +86,7 @@
         self._whole = True  # every entry and every state so far was of a part that is here
         for prefix, part in parts:
             self.add(prefix, part)
+        self.off: tuple[str, ...] = ()  # prefixes of the parts stopped
         self.untold = 0  # messages to names without an address
         self.unheard = 0  # messages of no part, or of one that is off
 
@@ -105,11 +106,6 @@
         """Prefixes of the states that the snapshot found at the start had."""
         self._whole = self._whole and all(prefix in self._places for prefix in states)
 
-    @property
-    def off(self) -> tuple[str, ...]:
-        """Prefixes of the parts stopped."""
-        return tuple(self._prefixes[number] for number in sorted(self._off))
-
     def handle(self, now: float, event: Event | Asked) -> list[Action]:
         """Send, SetTimer, Store and Note only: the rest stays in here. Raises TypeError on what is no event."""
         out: list[Action] = []
@@ -228,13 +224,21 @@
 
     def _stop(self, number: int, event: Any, error: Exception, out: list[Action]) -> None:
         assert self.faulty is not None
-        self._off |= set(range(len(self._parts))) if number == 0 else {number}
+        self._stopped(set(range(len(self._parts))) if number == 0 else {number})
         self.faulty(self._prefixes[number], event, error)
         out.append(Note(OFF, {"part": self._prefixes[number], "off": ", ".join(self.off)}))
         if number == self._places.get(LOG):
             layers = range(number + 1, len(self._parts))
             self._asking.extend((layer, api.LeaderChanged(None, 0)) for layer in layers)
 
+    def halt(self) -> None:
+        """The host tells no part anything more."""
+        self._stopped(set(range(len(self._parts))))
+
+    def _stopped(self, numbers: set[int]) -> None:
+        self._off |= numbers
+        self.off = tuple(self._prefixes[number] for number in sorted(self._off))
+
     # A number of a part's own, and the part, in one number: nothing has to be kept, whatever parts ask for
 
     def _forth(self, own: int, number: int) -> int:
--- a/limenotch/fleet/settings.py
+++ b/limenotch/fleet/settings.py
@@ -143,6 +143,8 @@
         yield "fleet.rules", "rules are agreed on by voters, and fleet.voters has none"
     if table.wallet is not None and not table.voters:
         yield "fleet.wallet", "credit is agreed on by voters, and fleet.voters has none"
+    if table.wallet is not None:
+        yield from _of_the_wallet(table.wallet)
     if len(set(table.voters)) != len(table.voters):
         yield "fleet.voters", "a name stands twice"
     for key in ("most_entry_bytes", "most_batch_bytes", "chunk_bytes"):
@@ -152,3 +154,14 @@
         read_key(table.key_file)
     except toml.FaultError as error:
         yield "fleet.key_file", str(error).removeprefix("fleet.key_file: ")
+
+
+def _of_the_wallet(table: Wallet) -> Iterator[tuple[str, str]]:
+    if not table.tenants:
+        yield "fleet.wallet.tenants", "nobody pays: leave the table out"
+    elif len(set(table.tenants)) != len(table.tenants):
+        yield "fleet.wallet.tenants", "a name stands twice"
+    elif "*" in table.tenants and len(table.tenants) > 1:
+        yield "fleet.wallet.tenants", 'names beside "*", which is all of them'
+    if table.without_lease == "advance" and not table.advance:
+        yield "fleet.wallet.without_lease", "advance, and fleet.wallet.advance allows none"
--- a/limenotch/fleet/wallet/api.py
+++ b/limenotch/fleet/wallet/api.py
@@ -42,7 +42,8 @@
 
 
 class Answer(NamedTuple):
-    """`word`: done, counted (that id was, before), shown, none, refused, unknown. `body` of shown: for JSON."""
+    """`word`: done, counted (that id was, before), shown, none, refused, unknown. `body` of shown: for JSON; of
+    counted: how much that id was for."""
 
     ticket: int
     word: str
--- a/limenotch/fleet/wallet/asks.py
+++ b/limenotch/fleet/wallet/asks.py
@@ -115,9 +115,9 @@
             wallet = self._book.wallets.get(ask.tenant)
             held = wallet.ids.get(ask.id) if wallet is not None else None
             return Answer(ask.ticket, "unknown", "ask again with the same id") if held is None else \
-                Answer(ask.ticket, "counted", f"{held} under {ask.id!r}")
+                Answer(ask.ticket, "counted", f"{held} under {ask.id!r}", held)
         if applied.word == "counted":
-            return Answer(ask.ticket, "counted", f"{applied.amount} under {ask.id!r}")
+            return Answer(ask.ticket, "counted", f"{applied.amount} under {ask.id!r}", applied.amount)
         if applied.ok:
             return Answer(ask.ticket, "done")
         why = "too many wallets, or ids of this one: none is forgotten" if applied.word == "full" else \
--- /dev/null
+++ b/limenotch/layers/wallet.py
@@ -0,0 +1,160 @@
+"""Prepaid wallets: what calls pay, and operators' credit.
+
+| | calls of who pays | calls of others |
+| --- | --- | --- |
+| the part is there | by its purse: taken, or 429 | taken |
+| not there yet, or never as the log can't be read | 429 | taken |
+| the part, the log or the purse off by a fault | 429 | taken |
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from .. import logs
+from ..facade import Ending
+from ..fleet.hub import LOG, Asked
+from ..fleet.wallet import Wallet, messages
+from ..fleet.wallet.api import Answer, Look, Purse, Reservation, Turned, Witnesses
+from ..fleet.wallet.tuning import Tuning
+from ..net.calls import Call, Final, InvokerCall, Verdict
+from ..net.paid import PREFIX, Paid
+from .base import SPARE_S, Among, Layer, messages_of
+
+log = logs.get(__name__)
+
+MOST_SHOWN = 100  # tenants in the figures; operators' calls show the rest
+
+
+class Till:
+    """Has a say in calls: each is reserved for when it is taken, and charged or given back once, at its end.
+
+    What its purse wants is told in a turn of the loop of its own: never in a call's time, and never while the fleet's
+    decisions are in the midst of an event that ended a call.
+    """
+
+    def __init__(self, tuning: Tuning, now: Callable[[], float], look: Callable[[], None],
+                 off: Callable[[], tuple[str, ...]]) -> None:
+        """`off`: prefixes of the parts stopped."""
+        self.purse: Purse | None = None
+        self.fault = False  # the purse raised
+        self.counts = {"charged": 0, "given_back": 0, "turned": 0, "turned_without": 0}
+        self._tuning, self._now, self._look, self._off = tuning, now, look, off
+        self._tenants = frozenset(tuning.tenants)
+        self._open: dict[int, Reservation] = {}  # by the call's number
+        self._looking = False
+
+    @property
+    def off(self) -> bool:
+        off = self._off()
+        return self.fault or bool(off) and (PREFIX in off or LOG in off)
+
+    def pays(self, tenant: str) -> bool:
+        return "*" in self._tenants or tenant in self._tenants
+
+    def taken(self, call: Call) -> Final | None:
+        purse = self.purse
+        if purse is None or self.off:
+            return self._without(call)
+        try:
+            said = purse.reserve(self._now(), call.tenant, call.kind, call.paid)
+            self._see(purse)
+        except Exception as error:
+            self._faulty(error)
+            return self._without(call)
+        if isinstance(said, Turned):
+            self.counts["turned"] += 1
+            return Final(Verdict.REJECTED, retry_after_ms=said.retry_after_ms, paused=True)
+        if said.cost:
+            self._open[call.number] = said
+        return None
+
+    def sent(self, invoker_call: InvokerCall) -> None:
+        pass
+
+    def ended(self, invoker_call: InvokerCall, ending: Ending) -> None:
+        pass
+
+    def closed(self, call: Call) -> None:
+        reservation = self._open.pop(call.number, None)
+        purse = self.purse
+        if reservation is None or purse is None:
+            return
+        served = call.final is not None and call.final.verdict is Verdict.SERVED
+        try:
+            (purse.charge if served else purse.give_back)(self._now(), reservation)
+            self.counts["charged" if served else "given_back"] += reservation.cost
+            self._see(purse)
+        except Exception as error:
+            self._faulty(error)
+
+    def _without(self, call: Call) -> Final | None:
+        """Nobody can say what there is to spend."""
+        tuning = self._tuning
+        if call.paid or not self.pays(call.tenant) or not tuning.cost.get(call.kind, tuning.other_cost):
+            return None
+        self.counts["turned_without"] += 1
+        return Final(Verdict.REJECTED, retry_after_ms=tuning.retry_after_ms, paused=True)
+
+    def _see(self, purse: Purse) -> None:
+        if not self._looking and purse.wants():
+            self._looking = True
+            asyncio.get_running_loop().call_soon(self._tell)
+
+    def _tell(self) -> None:
+        self._looking = False
+        if not self.off:
+            self._look()
+
+    def _faulty(self, error: Exception) -> None:
+        if not self.fault:
+            log.error("fault in the purse: who pays is turned away", exc_info=error)
+        self.fault = True
+
+    def figures(self) -> dict[str, int]:
+        return {"reserved": len(self._open), **self.counts}
+
+
+class WalletLayer(Layer):
+    name, prefix = "wallet", PREFIX
+    messages = messages_of(messages)
+
+    def __init__(self, among: Among, tuning: Tuning, off: Callable[[], tuple[str, ...]]) -> None:
+        """`off`: prefixes of the parts stopped."""
+        super().__init__()
+        self._among, self._tuning = among, tuning
+        self._wallet: Wallet | None = None
+        self._till = Till(tuning, among.now, self._look, off)
+        paid = Paid(among.tell, tuning.ask_ms / 1000.0 + SPARE_S, self._till.pays)
+        self.hears = {Answer: paid.heed}
+        self.paths = paid.paths
+        self.beside = self._till
+
+    def part(self, state: bytes | None, index: int) -> Wallet:
+        among = self._among
+        self._wallet = Wallet(among.name, among.life, self._tuning, among.voters, state)
+        return self._wallet
+
+    def began(self) -> None:
+        self._till.purse = self._wallet.purse if self._wallet is not None else None
+
+    def _look(self) -> None:
+        self._among.tell(Asked(PREFIX, Look()))
+
+    def voted(self, voters: tuple[str, ...]) -> None:
+        self._among.tell(Asked(PREFIX, Witnesses(voters)))
+
+    def figures(self) -> dict[str, Any]:
+        wallet = self._wallet
+        if wallet is None:
+            return {"state": "none"}
+        left = max(wallet.purse.until - self._among.now(), 0.0)
+        purse = dict(wallet.purse.figures())
+        tenants = purse.pop("tenants", {})
+        return {
+            "state": "off" if self._till.off else "leased" if left else "no lease", "lease_left_ms": round(left),
+            "leader": wallet.leader, "wallets": len(wallet.book.wallets), "calls": self._till.figures(),
+            "purse": {**purse, "tenants": dict(sorted(tenants.items())[:MOST_SHOWN])}, "counts": dict(wallet.counts),
+        }
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -10,7 +10,7 @@
 import math
 from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from time import monotonic
 from typing import Any, Protocol
@@ -88,6 +88,7 @@
     tenant: str = ""
     about: About = NOTHING
     hint: Hint | None = None  # where it should go
+    paid: bool = False  # a repeat of one that was paid for
     told: list[Beside] = field(default_factory=list)  # who took it, and is told of its end
     made: list[InvokerCall] = field(default_factory=list)
     final: Final | None = None
@@ -98,8 +99,9 @@
     """Who has a say in calls beside the decisions: told of each call from its taking to its end. Never waits."""
 
     def taken(self, call: Call) -> Final | None:
-        """Before the decisions hear of it. A final answer turns it away; else it may set the call's `hint`, and is told
-        of all that follows, its end by `closed`, once.
+        """Before the decisions hear of it. A final answer turns it away, with no more advice on when to return than the
+        configuration allows; else it may set the call's `hint`, and is told of all that follows, its end by `closed`,
+        once.
         """
         ...
 
@@ -176,7 +178,8 @@
         for one in self.beside:
             final = one.taken(call)
             if final is not None:
-                self._close(call, final)
+                advice = min(final.retry_after_ms, self.facade.most_advice_ms)
+                self._close(call, replace(final, retry_after_ms=advice))
                 return call
             call.told.append(one)
         self.open[call.number] = call
--- a/limenotch/net/others.py
+++ b/limenotch/net/others.py
@@ -199,6 +199,7 @@
                 self._carry_out(action)
         except Exception as error:  # not a part's own, which the hub holds back: what came of it can't be carried out
             self._off = True
+            self._hub.halt()
             self._quiet()
             self._faulty("", event, error)
             log.error(OFF, fleet=True, mono_ms=round(self._now, 1), off="all")
