--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -32,7 +32,6 @@
 from .layers.base import Among, Layer, messages_of
 from .layers.promises import PromisesLayer
 from .layers.rules import RulesLayer
-from .layers.wallet import WalletLayer
 from .net import http1
 from .net.asking import says
 from .net.calls import Beside
@@ -99,6 +98,8 @@
         if self._rules is not None:
             layers.append(self._rules)
         if table.wallet is not None:
+            from .layers.wallet import WalletLayer
+
             layers.append(WalletLayer(self._among, table.wallet, lambda: self._hub.off))
         return layers
 
--- /dev/null
+++ b/tests/test_beside.py
@@ -0,0 +1,185 @@
+"""Who has a say in calls: told of each once, from its taking to its end, however it ends."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from limenotch.facade import Abandon, Ending, GiveUp, Hint, Invoke, Order, Reject
+from limenotch.net.calls import Call, Final, InvokerCall, Verdict
+
+from .helpers.scripted import Hand, Script, calls_of, take
+
+Told = tuple[Any, ...]
+ONE: list[Order] = [Invoke(1, "a", 100.0)]
+TURNS_AWAY = Final(Verdict.REJECTED, retry_after_ms=900.0, paused=True)
+
+
+class Ear:
+    """Notes what it is told; turns calls away where it has an answer for them."""
+
+    def __init__(self, answer: Final | None = None, hint: Hint | None = None) -> None:
+        self._answer, self._hint = answer, hint
+        self.told: list[Told] = []
+
+    def taken(self, call: Call) -> Final | None:
+        self.told.append(("taken", call.number))
+        call.hint = self._hint or call.hint
+        return self._answer
+
+    def sent(self, invoker_call: InvokerCall) -> None:
+        self.told.append(("sent", invoker_call.number))
+
+    def ended(self, invoker_call: InvokerCall, ending: Ending) -> None:
+        self.told.append(("ended", invoker_call.number, ending))
+
+    def closed(self, call: Call) -> None:
+        self.told.append(("closed", call.final.verdict if call.final is not None else None))
+
+
+class Case:
+    """One call, its final answers, and two that are told of it; `play` on a loop."""
+
+    def __init__(self, picked: list[Order], *then: list[Order], advice_ms: float = 0.0) -> None:
+        self.script = Script(picked, then, advice_ms)
+        self.ears = [Ear(), Ear()]
+        self.finals: list[Final] = []
+
+    def play(self, use: Callable[[Call, Hand], None] = lambda call, hand: None, room: bool = True,
+             alike: bool = True) -> list[Told]:
+        """What the first was told; `alike`: both were."""
+        async def case() -> None:
+            calls, hand = calls_of(self.script, *self.ears)
+            call = calls.take(b"n", None, "look", "acme", 9000.0, self.finals.append, room)
+            use(call, hand)
+            assert not calls.open and not calls.has(b"n") and not calls.passing
+
+        asyncio.run(case())
+        assert not alike or self.ears[0].told == self.ears[1].told
+        return self.ears[0].told
+
+
+def test_served_after_a_repeat() -> None:
+    case = Case(ONE, [Invoke(1, "b", 100.0)])
+
+    def use(call: Call, hand: Hand) -> None:
+        hand.end(0, Ending.ERROR)
+        hand.end(1)
+
+    assert case.play(use) == [
+        ("taken", 1), ("sent", 0), ("ended", 0, Ending.ERROR), ("sent", 1), ("ended", 1, Ending.SERVED),
+        ("closed", Verdict.SERVED)]
+    assert [final.verdict for final in case.finals] == [Verdict.SERVED]
+
+
+def test_a_second_copy_and_its_loser() -> None:
+    case = Case([*ONE, Invoke(1, "b", 100.0)], [Abandon(1, 0)])
+    assert case.play(lambda call, hand: hand.end(1)) == [
+        ("taken", 1), ("sent", 0), ("sent", 1), ("ended", 1, Ending.SERVED), ("closed", Verdict.SERVED),
+        ("ended", 0, Ending.ABANDONED)]
+    assert len(case.finals) == 1
+
+
+def test_an_attempt_that_ends_after_its_call_and_twice_is_told_once() -> None:
+    case = Case([*ONE, Invoke(1, "b", 100.0)])
+
+    def use(call: Call, hand: Hand) -> None:
+        hand.end(0)
+        hand.end(1)
+        hand.end(1, Ending.RESET)
+
+    assert [told for told in case.play(use) if told[0] != "sent"] == [
+        ("taken", 1), ("ended", 0, Ending.SERVED), ("closed", Verdict.SERVED), ("ended", 1, Ending.SERVED)]
+
+
+@pytest.mark.parametrize(("last", "verdict"), [(Reject(1, 5.0), Verdict.REJECTED), (GiveUp(1), Verdict.FAILED)])
+def test_rejected_and_failed(last: Order, verdict: Verdict) -> None:
+    case = Case(ONE, [last])
+    assert case.play(lambda call, hand: hand.end(0, Ending.ERROR)) == [
+        ("taken", 1), ("sent", 0), ("ended", 0, Ending.ERROR), ("closed", verdict)]
+    untried = Case([last])
+    assert untried.play() == [("taken", 1), ("closed", verdict)]
+    assert [final.verdict for final in case.finals + untried.finals] == [verdict] * 2
+
+
+def test_departed_once_and_without_an_answer() -> None:
+    case = Case(ONE)
+
+    def use(call: Call, hand: Hand) -> None:
+        hand.calls.depart(call)
+        hand.calls.depart(call)
+
+    assert case.play(use) == [("taken", 1), ("sent", 0), ("closed", None), ("ended", 0, Ending.ABANDONED)]
+    assert not case.finals
+
+
+@pytest.mark.parametrize("end", ["answered", "broken off", "departed"])
+def test_a_long_answer_closes_when_it_begins_and_never_again(end: str) -> None:
+    case = Case(ONE)
+
+    def use(call: Call, hand: Hand) -> None:
+        assert hand.calls.begun(hand.out[0], b"first")
+        assert hand.calls.has(b"n") and case.ears[0].told[-1] == ("closed", Verdict.SERVED)
+        if end == "departed":
+            hand.calls.depart(call)
+        else:
+            hand.end(0, Ending.SERVED if end == "answered" else Ending.RESET)
+            hand.calls.passed_on(call, "answered" if end == "answered" else "errored")
+
+    ending = {"answered": Ending.SERVED, "broken off": Ending.RESET, "departed": Ending.ABANDONED}[end]
+    assert case.play(use) == [("taken", 1), ("sent", 0), ("closed", Verdict.SERVED), ("ended", 0, ending)]
+    assert len(case.finals) == 1
+
+
+def test_turned_away_by_the_first_nobody_else_hears_of_it() -> None:
+    case = Case(ONE)
+    case.ears[0] = Ear(TURNS_AWAY)
+    assert case.play(alike=False) == [("taken", 1)] and not case.ears[1].told and not case.script.hints
+    assert [(final.verdict, final.paused) for final in case.finals] == [(Verdict.REJECTED, True)]
+
+
+def test_turned_away_by_the_second_the_first_is_told_of_the_end() -> None:
+    case = Case(ONE)
+    case.ears[1] = Ear(TURNS_AWAY)
+    assert case.play(alike=False) == [("taken", 1), ("closed", Verdict.REJECTED)]
+    assert case.ears[1].told == [("taken", 1)]
+    assert not case.script.hints and len(case.finals) == 1
+
+
+@pytest.mark.parametrize("allowed", [0.0, 500.0, 900.0, 2000.0])
+def test_advice_on_when_to_return_is_what_the_configuration_allows(allowed: float) -> None:
+    case = Case(ONE, advice_ms=allowed)
+    case.ears = [Ear(TURNS_AWAY)] * 2
+    case.play()
+    assert case.finals[0].retry_after_ms == min(allowed, 900.0)
+
+
+def test_what_the_door_turns_away_nobody_is_told_of() -> None:
+    case = Case(ONE)
+    assert case.play(room=False) == []
+    assert [final.verdict for final in case.finals] == [Verdict.REJECTED]
+
+
+def test_the_last_hint_goes_to_the_decisions() -> None:
+    case = Case([GiveUp(1)])
+    case.ears = [Ear(hint=Hint("a")), Ear(hint=Hint("b", True, "z", 2, 30.0))]
+    case.play()
+    assert case.script.hints == [Hint("b", True, "z", 2, 30.0)]
+    plain = Case([GiveUp(1)])
+    plain.play()
+    assert plain.script.hints == [None]
+
+
+def test_each_call_is_told_of_by_itself() -> None:
+    async def case() -> None:
+        ear, finals = Ear(), list[Final]()
+        calls, hand = calls_of(Script([]), ear)
+        first, second = (take(calls, finals.append, name) for name in (b"1", b"2"))
+        calls.depart(second)
+        calls.depart(first)
+        assert ear.told == [("taken", 1), ("taken", 2), ("closed", None), ("closed", None)]
+
+    asyncio.run(case())
