--- a/tests/fleet/test_wallet_program.py
+++ b/tests/fleet/test_wallet_program.py
@@ -183,7 +183,7 @@
         await program.add("i", 100)
         await program.served(LOOK)
         async with asyncio.timeout(20):
-            while not arrived.is_set():  # a slice of three units may not be there yet: it is turned away, and asks again
+            while not arrived.is_set():  # turned away while there is no slice of three units yet
                 reader, writer = await asyncio.open_connection("127.0.0.1", program.port)
                 writer.write(DELIVER)
                 ends = [asyncio.ensure_future(arrived.wait()), asyncio.ensure_future(reader.read(1))]
