Wallet: what is short is shared out by time, so that all holders run dry together

A cold sidecar paused while the hot one held a second's worth. Seen with one of nine at nine tenths: 97 to 99.9% of the credit is spent before the first pause.

--- a/limenotch/fleet/wallet/granting.py
+++ b/limenotch/fleet/wallet/granting.py
@@ -33,19 +33,22 @@
 class Wanted(NamedTuple):
     newest: int  # the newest slice that its holder knows of
     amount: int
-    least: int
-    turned: bool
+    least: int  # 0: nobody was turned away
+    pace: int  # what it uses in `slice_ms`
     until: float
 
 
 class Short:
-    """A tenant of which more is wanted than is left."""
+    """A tenant of which more is wanted than is left: whoever holds or wants of it has enough for `keep_ms` alone."""
 
-    __slots__ = ("keep_ms", "gap_ms", "at", "spent", "seen")
+    __slots__ = ("keep_ms", "gap_ms", "at", "spent", "credit", "demand", "seen", "new")
 
-    def __init__(self, keep_ms: float, gap_ms: float, now: float, spent: int) -> None:
-        self.keep_ms, self.gap_ms, self.at, self.spent = keep_ms, gap_ms, now, spent
-        self.seen = now  # to be so
+    def __init__(self, now: float, tuning: Tuning, wallet: Wallet) -> None:
+        self.keep_ms, self.gap_ms = tuning.slice_ms / 2, tuning.record_ms / 2
+        self.at = self.seen = now  # of the next recall, and when it was last seen to be short
+        self.spent, self.credit = wallet.spent, wallet.credit
+        self.new = True  # nobody was told
+        self.demand: dict[Owner, int] = {}  # what each used in `slice_ms`, when it wanted last
 
 
 class Granting:
@@ -105,12 +108,12 @@
         if not self.leads:
             return
         owner, until = (name, want.life), now + self._tuning.lease_ms
-        for tenant, newest, amount, least, turned in want.wants:
-            if tenant not in self._book.wallets or amount <= 0:
+        for tenant, newest, amount, least, pace in want.wants:
+            if tenant not in self._book.wallets or amount <= 0 or least < 0 or pace < 0:
                 continue
             wants = self._wants.setdefault(tenant, {})
             if owner in wants or len(wants) < self._tuning.most_holders:
-                wants[owner] = Wanted(newest, amount, max(1, min(least, amount)), turned, until)
+                wants[owner] = Wanted(newest, amount, min(least, amount), pace, until)
                 self._dirty.add(tenant)
 
     def changed(self, tenant: str) -> None:
@@ -162,8 +165,10 @@
 
     def _grant(self, now: float) -> None:
         witnesses = self.witnesses(now)
-        if not witnesses:
-            return  # whoever wants says so again, and they ask for leases meanwhile
+        if not witnesses:  # they ask for leases soon
+            for short in self._short.values():
+                short.at = max(short.at, now + short.gap_ms)
+            return
         dirty, self._dirty = self._dirty, set()
         grants: list[entries.Entry] = []
         for tenant in sorted(dirty):
@@ -198,44 +203,58 @@
         # Slices that are still to be settled hold the credit that is wanted: more of them would bring nothing.
         open_to = [(owner, want) for owner, want in wants.items() if (tenant, owner) not in self._granting
                    and len(held.get(owner, ())) < MOST_SLICES and now < self.leases.records.get(owner, -NEVER)]
-        count = len(open_to)
+        short = self._judge(now, tenant, wallet, open_to, free)
+        unmet = False
         for owner, want in open_to:
-            amount = min(want.amount, max(want.least, free // (2 * count)), free)
+            if short is None:
+                share = max(want.least, free // (2 * len(open_to)))
+            else:
+                share = max(want.least, int(want.pace * short.keep_ms / self._tuning.slice_ms), 1)
+            amount = min(want.amount, share, free)
+            unmet = unmet or amount < min(want.amount, share)
             if amount <= 0:
                 break
             serial = self._serials[tenant] = max(wallet.serial, self._serials.get(tenant, 0)) + 1
             grants.append(entries.Grant(tenant, *owner, serial, amount, witnesses, self.epoch))
             del wants[owner]
             free -= amount
-        missing = sum(want.amount for _, want in open_to) - sum(grant.amount for grant in grants)
-        if missing > max(0, free):
-            self._recall(now, tenant, wallet, held, next(iter(wants), None))
-        elif (short := self._short.get(tenant)) is not None:
-            if open_to or now >= short.seen + self._tuning.idle_ms:
-                del self._short[tenant]
-            short.at = max(short.at, now + short.gap_ms)
+        if short is not None and now >= short.at:
+            if (unmet or short.new) and held.keys() - {owner for owner, _ in open_to[:1]}:
+                self._recall(now, tenant, wallet, short, [*held, *(owner for owner in wants if owner not in held)])
+            else:
+                short.at = now + short.gap_ms
         if not wants:
             self._wants.pop(tenant, None)
         return grants
 
-    def _recall(self, now: float, tenant: str, wallet: Wallet, held: dict[Owner, list[int]],
-                first: Owner | None) -> None:
-        """All others than `first`, who has wanted longest, keep what they use within so many ms, each time half."""
-        tuning = self._tuning
+    def _judge(self, now: float, tenant: str, wallet: Wallet, open_to: list[tuple[Owner, Wanted]],
+               free: int) -> Short | None:
+        """It is short from when less is left than two slices for each who wants, until there is credit, or so much is
+        left for all who have wanted since."""
         short = self._short.get(tenant)
         if short is None:
-            short = self._short[tenant] = Short(tuning.slice_ms / 2, tuning.record_ms / 2, now, wallet.spent)
-        short.seen = now
-        if now < short.at:
-            return
+            if not open_to or 2 * sum(want.pace for _, want in open_to) <= free:
+                return None
+            short = self._short[tenant] = Short(now, self._tuning, wallet)
+        for owner, want in open_to:
+            short.demand[owner], short.seen = want.pace, now
+        late = now >= short.seen + 2 * self._tuning.idle_ms
+        if late or wallet.credit != short.credit or free > 2 * sum(short.demand.values()):
+            del self._short[tenant]
+            return None
+        return short
+
+    def _recall(self, now: float, tenant: str, wallet: Wallet, short: Short, owners: list[Owner]) -> None:
+        tuning = self._tuning
         if wallet.spent != short.spent:
             short.spent, short.gap_ms = wallet.spent, tuning.record_ms / 2
-        for name, life in held:
-            if (name, life) != first:
-                self._recalls.setdefault((name, life), []).append((tenant, short.keep_ms))
+        if not short.new:
+            short.keep_ms = max(short.keep_ms / 2, tuning.record_ms / 4)
+        short.new = False
+        for owner in owners:
+            self._recalls.setdefault(owner, []).append((tenant, short.keep_ms))
         short.at = now + short.gap_ms
         short.gap_ms = min(2 * short.gap_ms, max(tuning.idle_ms, tuning.record_ms / 2))
-        short.keep_ms = max(short.keep_ms / 2, tuning.record_ms / 8)
 
     # Holders that are gone
 
--- a/limenotch/fleet/wallet/holding.py
+++ b/limenotch/fleet/wallet/holding.py
@@ -38,10 +38,11 @@
         self._settle_at = -NEVER
         self._regular_at = -NEVER
         self._dirty = False  # something to settle, perhaps
+        self._heard = False  # there is a leader
         self._scan_at = NEVER
         self._again_at = NEVER  # marks that were not held yet
         self._unheld: set[str] = set()  # tenants with such
-        self._wants: dict[str, tuple[int, int, int, bool]] = {}
+        self._wants: dict[str, tuple[int, int, int, int]] = {}
         self._news = False  # a want that the leader was not told
 
     # What the log says
@@ -60,7 +61,7 @@
         """Whoever was turned away wants at once."""
         account = self._purse.accounts.get(tenant)
         if account is not None:
-            account.dry = False
+            account.dry, account.span_until = False, -NEVER
             self._purse.touched.add(tenant)
 
     def leased(self, now: float) -> None:
@@ -116,8 +117,10 @@
             account = self._purse.accounts.get(tenant)
             if account is not None:
                 self._roll(now, account)
-                self._narrow(account, int(account.served * max(0.0, keep_ms)))
+                account.span_ms, account.span_until = max(0.0, keep_ms), now + self._tuning.lease_ms
+                self._narrow(account, int(account.served * account.span_ms + 0.5))
                 self._settle_at = min(self._settle_at, now)
+                self._regular_at = -NEVER  # by what was spent the leader sees whether it goes on
 
     def void(self) -> None:
         """Fenced, or leaving: nothing held is reserved from any more."""
@@ -137,6 +140,7 @@
     def tick(self, now: float, leader: bool) -> None:
         """`leader`: there is one to be told."""
         purse = self._purse
+        self._heard = leader
         if now >= self._scan_at:
             self._scan(now)
         touched, purse.touched = purse.touched, set()
@@ -152,11 +156,11 @@
                             and any(one.waits for one in account.slices.values())}
             touched |= self._unheld
         self._mark(now, touched)
-        self._settle(now, leader)
+        self._settle(now)
 
     def due(self) -> float:
         due = min(self._scan_at, self._again_at)
-        return min(due, self._settle_at) if self._dirty and not self._settling else due
+        return min(due, self._settle_at) if self._dirty and not self._settling and self._heard else due
 
     def _scan(self, now: float) -> None:
         """All accounts, a few times in `idle_ms`: rates, what is idle, what is not known any more."""
@@ -189,7 +193,7 @@
         self._roll(now, account)
         if account.paused and not account.noted:
             account.noted = True
-            account.ramp = tuning.least_slice
+            account.ramp = max(1, tuning.least_slice // 2)  # doubled with each slice
             why = "nothing left" if self._purse.until > now else "no lease"
             self.out.append(Note(f"pauses {account.tenant}", {"why": why}))
         room = account.room
@@ -199,11 +203,14 @@
             if account.paused and self._purse.until > now:
                 account.paused = account.noted = False
                 self.out.append(Note(f"resumes {account.tenant}"))
-        target = max(ceil(account.rate * tuning.slice_ms), tuning.least_slice)
-        if account.ramp >= target:
+        pace = ceil(account.rate * tuning.slice_ms)
+        target = max(pace, tuning.least_slice)
+        if now < account.span_until:  # there is little left
+            target = min(target, max(1, ceil(account.rate * account.span_ms)))
+        if account.ramp >= max(pace, tuning.least_slice):
             account.ramp = 0
         elif account.ramp:
-            target = account.ramp
+            target = min(target, account.ramp)
         target = max(target, account.need)
         free = account.free
         short = max(0, account.need - room)
@@ -214,13 +221,12 @@
                     one.asked = min(one.top, one.used + max(step, short))
                     short -= max(0, one.asked - one.open)
         active = now - max(account.last, account.turned_at) < tuning.idle_ms or account.need
-        if active and not self.leaving and (2 * free < target or free < account.need):
-            least = max(1, ceil(account.rate * tuning.record_ms), account.need)
+        if active and not self.leaving and (2 * free <= target or free < account.need):
             newest = max(account.slices, default=0)
             known = self._wants.get(account.tenant)
-            want = (newest, target, min(least, target), account.need > 0)
+            want = (newest, target, account.need, pace)
             self._wants[account.tenant] = want
-            self._news = self._news or known is None or known[0] != newest or (want[3] and not known[3])
+            self._news = self._news or known is None or known[0] != newest or want[2] > known[2]
         else:
             self._wants.pop(account.tenant, None)
         for one in account.slices.values():
@@ -229,7 +235,7 @@
             elif one.open < one.top:
                 one.low = ceil(tuning.step_of(one.size) / 2)
             else:
-                one.low = -1 if account.tenant in self._wants else ceil(target / 2) - (free - one.free)
+                one.low = -1 if account.tenant in self._wants else target // 2 + 1 - (free - one.free)
 
     def _mark(self, now: float, tenants: set[str]) -> None:
         """To each witness what it has not held yet: a new mark at once, an old one each `record_ms`."""
@@ -263,8 +269,8 @@
 
     # The log
 
-    def _settle(self, now: float, leader: bool) -> None:
-        if not self._dirty or self._settling or not leader or now < self._settle_at:
+    def _settle(self, now: float) -> None:
+        if not self._dirty or self._settling or not self._heard or now < self._settle_at:
             return
         self._dirty = False
         told: list[entries.Entry] = []
--- a/limenotch/fleet/wallet/messages.py
+++ b/limenotch/fleet/wallet/messages.py
@@ -27,11 +27,11 @@
 
 
 class Want(Message, frozen=True, array_like=True, tag="wa.want"):
-    """To the leader: tenant, the newest slice that the holder knows of, units, the least that helps, and whether
-    somebody was turned away."""
+    """To the leader: tenant, the newest slice that the holder knows of, units, the least that helps (0: nobody was
+    turned away), and what it uses in `slice_ms`."""
 
     life: int
-    wants: tuple[tuple[str, int, int, int, bool], ...]
+    wants: tuple[tuple[str, int, int, int, int], ...]
 
 
 class Mark(Message, frozen=True, array_like=True, tag="wa.mark"):
@@ -50,7 +50,8 @@
 
 
 class Recall(Message, frozen=True, array_like=True, tag="wa.recall"):
-    """Others want: give back all but what is used of it within so many ms. Tenant, ms."""
+    """There is little left: give back all but what is used of it within so many ms, and want no more than that for a
+    lease's time. Tenant, ms."""
 
     life: int
     recalls: tuple[tuple[str, float], ...]
--- a/limenotch/fleet/wallet/purse.py
+++ b/limenotch/fleet/wallet/purse.py
@@ -81,7 +81,7 @@
     """A tenant's, here."""
 
     __slots__ = ("tenant", "slices", "first", "units", "turned", "last", "turned_at", "need", "dry", "paused", "noted",
-                 "ramp", "rate", "served", "rolled", "rolled_at", "lent", "lending", "telling", "told_serial")
+                 "ramp", "rate", "served", "rolled", "rolled_at", "lent", "lending", "telling", "told_serial", "span_ms", "span_until")
 
     def __init__(self, tenant: str, now: float) -> None:
         self.tenant = tenant
@@ -93,6 +93,7 @@
         self.dry = False  # the holder knows of it
         self.paused = self.noted = False
         self.ramp = 0  # the largest slice to ask for after a pause; 0: any
+        self.span_ms, self.span_until = 0.0, -NEVER  # how long slices may last, while there is little left
         self.rate = self.served = 0.0  # units a ms wanted lately, and reserved
         self.rolled, self.rolled_at = (0, 0), now
         self.lent = self.lending = 0  # of the advance: served and not told yet, reserved
