--- a/limenotch/fleet/wallet/granting.py
+++ b/limenotch/fleet/wallet/granting.py
@@ -41,11 +41,11 @@
 class Short:
     """A tenant of which more is wanted than is left: whoever holds or wants of it has enough for `keep_ms` alone."""
 
-    __slots__ = ("keep_ms", "gap_ms", "at", "spent", "credit", "demand", "seen", "new")
+    __slots__ = ("keep_ms", "gap_ms", "at", "look_at", "spent", "credit", "demand", "seen", "new")
 
     def __init__(self, now: float, tuning: Tuning, wallet: Wallet) -> None:
         self.keep_ms, self.gap_ms = tuning.slice_ms / 2, tuning.record_ms / 2
-        self.at = self.seen = now  # of the next recall, and when it was last seen to be short
+        self.at = self.look_at = self.seen = now  # of the next recall; of the next look; when there was a want last
         self.spent, self.credit = wallet.spent, wallet.credit
         self.new = True  # nobody was told
         self.demand: dict[Owner, int] = {}  # what each used in `slice_ms`, when it wanted last
@@ -139,7 +139,7 @@
         if not self.leads:
             return
         for tenant, short in self._short.items():
-            if now >= short.at:
+            if now >= short.look_at:
                 self._dirty.add(tenant)
         if self._dirty:
             self._grant(now)
@@ -154,7 +154,7 @@
     def due(self) -> float:
         if not self.leads:
             return NEVER
-        return min(self._gone_at, min((short.at for short in self._short.values()), default=NEVER))
+        return min(self._gone_at, min((short.look_at for short in self._short.values()), default=NEVER))
 
     def witnesses(self, now: float) -> tuple[Owner, ...]:
         """The voters that have asked for a lease lately, as they live now; none if those are not most of the voters."""
@@ -167,7 +167,7 @@
         witnesses = self.witnesses(now)
         if not witnesses:  # they ask for leases soon
             for short in self._short.values():
-                short.at = max(short.at, now + short.gap_ms)
+                short.look_at = max(short.look_at, now + short.gap_ms)
             return
         dirty, self._dirty = self._dirty, set()
         grants: list[entries.Entry] = []
@@ -210,7 +210,9 @@
                 share = max(want.least, free // (2 * len(open_to)))
             else:
                 share = max(want.least, int(want.pace * short.keep_ms / self._tuning.slice_ms), 1)
-            amount = min(want.amount, share, free)
+            # Of what is short half stays, for those who use little and would else run dry until the next recall.
+            most = free if short is None else min(free, max(want.least, (free + 1) // 2))
+            amount = min(want.amount, share, most)
             unmet = unmet or amount < min(want.amount, share)
             if amount <= 0:
                 break
@@ -222,7 +224,7 @@
             if (unmet or short.new) and held.keys() - {owner for owner, _ in open_to[:1]}:
                 self._recall(now, tenant, wallet, short, [*held, *(owner for owner in wants if owner not in held)])
             else:
-                short.at = now + short.gap_ms
+                short.look_at = now + short.gap_ms
         if not wants:
             self._wants.pop(tenant, None)
         return grants
@@ -253,7 +255,7 @@
         short.new = False
         for owner in owners:
             self._recalls.setdefault(owner, []).append((tenant, short.keep_ms))
-        short.at = now + short.gap_ms
+        short.at = short.look_at = now + short.gap_ms
         short.gap_ms = min(2 * short.gap_ms, max(tuning.idle_ms, tuning.record_ms / 2))
 
     # Holders that are gone
