--- a/limenotch/fleet/wallet/book.py
+++ b/limenotch/fleet/wallet/book.py
@@ -107,6 +107,11 @@
         one = wallet.slices.get(serial) if wallet is not None else None
         return one if one is not None and one.owner == (name, life) else None
 
+    def told(self, tenant: str, owner: Owner) -> int:
+        """The serial of its last Advance."""
+        wallet = self.wallets.get(tenant)
+        return wallet.advanced.get(owner[0], {}).get(owner[1], 0) if wallet is not None else 0
+
     def apply(self, index: int, epoch: int, entries: tuple[Entry, ...]) -> list[Applied]:
         """Each index once: one that was applied changes nothing, and nothing is returned."""
         if index <= self.index:
@@ -178,8 +183,7 @@
         return Applied(entry, "done", back if entry.told else held)
 
     def _advance(self, wallet: Wallet, entry: Advance) -> Applied:
-        told = wallet.advanced.get(entry.name, {}).get(entry.life, 0)
-        if entry.serial <= told or not 0 < entry.amount <= MOST_CREDIT:
+        if entry.serial <= self.told(entry.tenant, (entry.name, entry.life)) or not 0 < entry.amount <= MOST_CREDIT:
             return Applied(entry, "bad")
         lives = wallet.advanced.pop(entry.name, {})
         lives.pop(entry.life, None)
--- a/limenotch/fleet/wallet/holding.py
+++ b/limenotch/fleet/wallet/holding.py
@@ -84,9 +84,7 @@
             for serial in list(account.slices):
                 if self._book.slice(account.tenant, *self._owner, serial) is None:
                     self._purse.ended(account.tenant, serial)
-            wallet = self._book.wallets.get(account.tenant)
-            told = wallet.advanced.get(self._owner[0], {}).get(self._owner[1], 0) if wallet is not None else 0
-            if account.telling and told >= account.told_serial:
+            if account.telling and self._book.told(account.tenant, self._owner) >= account.told_serial:
                 self.advanced(account.tenant, account.telling)
         for tenant, serial in self._book.owners.get(self._owner, ()):
             one = self._book.slice(tenant, *self._owner, serial)
@@ -115,9 +113,10 @@
     def recalled(self, now: float, recalls: Iterable[tuple[str, float]]) -> None:
         for tenant, keep_ms in recalls:
             account = self._purse.accounts.get(tenant)
-            if account is not None:
+            if account is not None and keep_ms >= 0:
                 self._roll(now, account)
-                account.span_ms, account.span_until = max(0.0, keep_ms), now + self._tuning.lease_ms
+                account.span_ms = min(keep_ms, self._tuning.slice_ms)
+                account.span_until = now + self._tuning.lease_ms
                 self._narrow(account, int(account.served * account.span_ms + 0.5))
                 self._settle_at = min(self._settle_at, now)
                 self._regular_at = -NEVER  # by what was spent the leader sees whether it goes on
@@ -179,7 +178,7 @@
                     now - seen >= tuning.idle_ms + tuning.retry_after_ms:
                 del purse.accounts[account.tenant]
                 self._wants.pop(account.tenant, None)
-            else:
+            elif account.slices or account.need or account.lent:
                 purse.touched.add(account.tenant)
         self._scan_at = now + tuning.idle_ms / 4 if purse.accounts else NEVER
 
@@ -218,7 +217,7 @@
             if not one.closing and one.open < one.top and one.asked == one.open:
                 step = tuning.step_of(one.size, account.need)
                 if 2 * one.room < step or short:
-                    one.asked = min(one.top, one.used + max(step, short))
+                    one.asked = max(one.open, min(one.top, one.used + max(step, short)))
                     short -= max(0, one.asked - one.open)
         active = now - max(account.last, account.turned_at) < tuning.idle_ms or account.need
         if active and not self.leaving and (2 * free <= target or free < account.need):
@@ -287,7 +286,7 @@
             if account.lent and self._purse.until > now:
                 if not account.telling:
                     account.telling = account.lent
-                    account.told_serial += 1
+                    account.told_serial = self._book.told(account.tenant, self._owner) + 1
                 told.append(entries.Advance(account.tenant, *self._owner, account.told_serial, account.telling))
         if regular:
             self._regular_at = now + self._tuning.lease_ms
--- a/limenotch/fleet/wallet/witness.py
+++ b/limenotch/fleet/wallet/witness.py
@@ -15,7 +15,7 @@
 
 from collections.abc import Callable, Iterable
 
-from .book import Book, Owner, Slice
+from .book import MOST_NAME, Book, Owner, Slice
 from .entries import Expire
 
 MOST_ASKED = 128  # slices of one holder that are asked for at a time
@@ -37,6 +37,8 @@
     def tell(self, tenant: str, owner: Owner, serial: int, mark: int) -> bool:
         """Whether it is held now. Not of a slice that has ended, nor of too many that are not known yet."""
         key = (tenant, *owner, serial)
+        if len(tenant) > MOST_NAME or mark < 0:
+            return False
         if key not in self._marks and self._book.slice(*key) is None:
             wallet = self._book.wallets.get(tenant)
             if (wallet is not None and serial <= wallet.serial) or len(self._early) >= self._most:
@@ -101,7 +103,7 @@
         for (tenant, serial), one in self.slices.items():
             told = [marks.get((tenant, serial), 0) for witness, marks in self._told.items() if witness in one.witnesses]
             if len(told) >= one.quorum:
-                ends.append(Expire(tenant, *self.owner, serial, min(one.top, max(told)), epoch))
+                ends.append(Expire(tenant, *self.owner, serial, max(0, min(one.top, max(told))), epoch))
             elif len(told) + sum(1 for witness in one.witnesses if witness not in self._told and not lost(witness)) \
                     < one.quorum:
                 ends.append(Expire(tenant, *self.owner, serial, one.top, epoch, False))
