--- /dev/null
+++ b/benchmarks/wallet_cost.py
@@ -0,0 +1,157 @@
+"""What a wallet costs a call.
+
+    python -m benchmarks.wallet_cost [CALLS]
+
+First the purse alone, in this process: `reserve` and `charge` of calls that a slice with an open mark covers, the
+median of rounds, in us a call; and the layer around it (`taken` and `closed`), which is what a call sees. Then on
+processes, two fleets of one voter each that differ in `[fleet.wallet]` alone, and a sidecar without a fleet: they get
+the same calls in turns, and CPU is that of the process by the kernel's clock, all that the fleet does in that time
+included. The ratio is of the medians of the turns, so noise of the machine falls on all.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import statistics
+import sys
+import tempfile
+from pathlib import Path
+from time import process_time_ns
+from types import SimpleNamespace
+from typing import Any
+
+from limenotch.fleet.wallet.api import Turned
+from limenotch.fleet.wallet.book import Book
+from limenotch.fleet.wallet.purse import Held, Purse
+from limenotch.fleet.wallet.tuning import Tuning
+from limenotch.lab.emulate.sidecars import free_port
+from limenotch.lab.fleet.processes import NodeProcess, Processes, fleet_table
+from limenotch.lab.fleet.stage import free_for_both
+from limenotch.layers.wallet import Till
+from limenotch.net.calls import Final, Verdict
+
+from .promises import SETTINGS, TURN, listed, provider, turn
+
+ROUND = 20_000  # calls of the purse alone
+ROUNDS = 9
+CREDIT = 100_000_000
+SERVED = Final(Verdict.SERVED)
+
+
+def a_purse() -> Purse:
+    """With a slice that lasts for all rounds."""
+    purse = Purse(Tuning(tenants=("acme",)), Book())
+    held = Held(1, CREDIT, 0, (("a", 1), ("b", 1), ("c", 1)), 0.0)
+    held.open = held.asked = CREDIT
+    held.fit()
+    account = purse.got(0.0, "acme", held)
+    purse.point(account)
+    purse.touched.clear()
+    purse.until = float("inf")
+    return purse
+
+
+def of_the_purse() -> float:
+    """us a call."""
+    purse, rounds = a_purse(), []
+    for _ in range(ROUNDS):
+        before = process_time_ns()
+        for _ in range(ROUND):
+            reservation = purse.reserve(1.0, "acme", "look")
+            assert not isinstance(reservation, Turned)
+            purse.charge(1.0, reservation)
+        rounds.append((process_time_ns() - before) / ROUND / 1000.0)
+    return statistics.median(rounds)
+
+
+def of_the_layer() -> float:
+    """us a call, with the loop's clock."""
+    async def case() -> float:
+        loop = asyncio.get_running_loop()
+        till = Till(Tuning(tenants=("acme",)), lambda: loop.time() * 1000.0, lambda: None, lambda: ())
+        till.purse = a_purse()
+        calls: list[Any] = [SimpleNamespace(number=n, tenant="acme", kind="look", paid=False, final=None)
+                            for n in range(ROUND)]
+        rounds = []
+        for _ in range(ROUNDS):
+            before = process_time_ns()
+            for call in calls:
+                if till.taken(call) is not None:
+                    raise RuntimeError("turned away")
+                call.final = SERVED
+                till.closed(call)
+            rounds.append((process_time_ns() - before) / ROUND / 1000.0)
+        return statistics.median(rounds)
+
+    return asyncio.run(case())
+
+
+async def sidecars(folder: Path, known: dict[str, Any]) -> Processes:
+    """`paying`, `fleet` (the same without a wallet) and `alone`."""
+    (folder / "key").write_text("a key of a benchmark alone")
+    processes = Processes()
+
+    def toml(node: NodeProcess) -> str:
+        if node.name == "alone":
+            return ""
+        more: dict[str, Any] = {"group": node.name, "key_file": str(folder / "key"), "voters": [node.name],
+                                "folder": str(node.data)}
+        if node.name == "paying":
+            more["wallet"] = {"tenants": ["acme"]}
+        return fleet_table(f"127.0.0.1:{free_for_both()}", {}, more)
+
+    for name in ("paying", "fleet", "alone"):
+        processes.add(NodeProcess(name, folder, SETTINGS, free_port(), 1, known, toml))
+    await processes.start()
+    await processes.until_all(lambda name, state: state["parts"]["agreement"].get("leader") == name, 30, "each leads",
+                              ["paying", "fleet"])
+    paying = processes.nodes["paying"]
+
+    async def paid() -> bool:
+        answer = await paying.ask("/fleet/wallets/acme", "POST", json.dumps({"id": "i", "add": CREDIT}).encode())
+        return answer is not None and answer[0] == 200
+
+    await processes.until(paid, 30, "credit")
+
+    async def served() -> bool:
+        try:
+            await turn(paying, 20)
+        except RuntimeError:
+            return False
+        return True
+
+    await processes.until(served, 30, "a slice")
+    return processes
+
+
+async def on_processes(folder: Path, calls: int) -> None:
+    server = await asyncio.start_server(provider, "127.0.0.1", 0)
+    known = listed("127.0.0.1:%d" % server.sockets[0].getsockname()[1])  # noqa: UP031
+    processes = await sidecars(folder, known)
+    names = list(processes.nodes)
+    spent: dict[str, list[float]] = {name: [] for name in names}
+    try:
+        for number in range(max(4, calls // TURN)):
+            for place in range(len(names)):
+                name = names[(place + number) % len(names)]
+                spent[name].append(await turn(processes.nodes[name], TURN))
+    finally:
+        await processes.close()
+        server.close()
+    us = {name: statistics.median(turns[1:]) * 1000.0 for name, turns in spent.items()}
+    print("| a call's CPU, us | ratio to the fleet without a wallet | ratio to no fleet |\n| --- | --- | --- |")
+    for name, what in (("paying", "fleet and wallet"), ("fleet", "fleet, no wallet"), ("alone", "no fleet")):
+        print(f"| {what}: {us[name]:.1f} | {us[name] / us['fleet']:.3f} | {us[name] / us['alone']:.3f} |")
+
+
+def main(arguments: list[str]) -> None:
+    print(json.dumps({"cores": os.cpu_count(), "load": [round(one, 1) for one in os.getloadavg()]}))
+    print(f"reserve and charge: {of_the_purse():.2f} us a call; with the layer around them: {of_the_layer():.2f} us")
+    with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as folder:
+        asyncio.run(on_processes(Path(folder), int(arguments[0]) if arguments else 20_000))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
