--- a/limenotch/fleet/wallet/api.py
+++ b/limenotch/fleet/wallet/api.py
@@ -42,7 +42,8 @@
 
 
 class Answer(NamedTuple):
-    """`word`: done, counted (that id was, before), shown, none, refused, unknown. `body` of shown: for JSON."""
+    """`word`: done, counted (that id was, before), shown, none, refused, unknown. `body` of shown: for JSON; of
+    counted: how much that id was for."""
 
     ticket: int
     word: str
@@ -62,9 +63,11 @@
 
 
 class Turned(NamedTuple):
-    """Nothing to spend here now: 429."""
+    """Nothing to spend here now: 429. `coming`: there is credit and it is being asked for; a host that can hold a call
+    for `retry_after_ms` may ask once more then."""
 
     retry_after_ms: float
+    coming: bool = False
 
 
 class Purse(Protocol):
--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -97,6 +97,10 @@
             layers.append(PromisesLayer(self._among, table.agreement))
         if self._rules is not None:
             layers.append(self._rules)
+        if table.wallet is not None:
+            from .layers.wallet import WalletLayer
+
+            layers.append(WalletLayer(self._among, table.wallet, lambda: self._hub.off))
         return layers
 
     def _tell(self, event: Any) -> None:
