--- a/limenotch/fleet/bindings/api.py
+++ b/limenotch/fleet/bindings/api.py
@@ -46,7 +46,7 @@
 
 
 class Bound(NamedTuple):
-    """What a key belongs to. `seen_ms`: how long ago it was seen last, by anyone; `made_ms`: how long ago it was made."""
+    """What a key belongs to. `seen_ms`: how long ago anyone saw it last; `made_ms`: how long ago it was made."""
 
     provider: str
     cell: str
--- /dev/null
+++ b/limenotch/fleet/bindings/peers.py
@@ -0,0 +1,102 @@
+"""The other members: which life, what has come of their sights, up to which time those are covered.
+
+| a member is | it is waited for before anything is forgotten |
+| --- | --- |
+| held alive or suspect | yes; from its first word in this life on, or for `grave_ms` from when it was first held |
+| held dead or left, or not held at all | no; and nothing is taken from a life held dead |
+| heard in a higher life than is held | as before; nothing is known of this life's sights yet |
+
+A word of a life lower than known is dropped. A gap in the count of Sights (a stream that was lost) stops the cover of
+that member until what is missing has been asked for and has come.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .clocks import INFINITE, Clock
+
+LIVE = frozenset({"alive", "suspect"})
+MOST = 5000
+
+
+class Peer:
+    def __init__(self, name: str, life: int, state: str, now: float, drift: float) -> None:
+        self.name, self.life, self.state, self.since = name, life, state, now
+        self.clock = Clock(drift)
+        self.spoke = -INFINITE  # last word in this life
+        self.whole = False
+        self.seq = -1  # of the last Sights heard; -1: none yet
+        self.upto = 0  # counter up to which all it told is known here
+        self.gap = False
+        self.missed = 0  # seq that has to be reached before the gap is closed
+        self.covered = -INFINITE  # own clock
+        self.ping_at = now
+        self.waiting: list[Any] = []  # heard before its clock is known: how old what they bear is can't be said
+
+    @property
+    def live(self) -> bool:
+        return self.state in LIVE
+
+
+class Peers:
+    def __init__(self, name: str, drift: float) -> None:
+        self._name, self._drift = name, drift
+        self._peers: dict[str, Peer] = {}
+
+
+    def all(self) -> list[Peer]:
+        return list(self._peers.values())
+
+    def live(self) -> list[Peer]:
+        return [peer for peer in self._peers.values() if peer.live]
+
+    def get(self, name: str) -> Peer | None:
+        return self._peers.get(name)
+
+    def changed(self, now: float, name: str, life: int, state: str) -> bool:
+        """Whether somebody is held alive who was not, or in another life."""
+        peer = self._peers.get(name)
+        if peer is not None and peer.life > life:
+            if state in LIVE and not peer.live:
+                peer.state = state
+                return True
+            return False
+        if peer is None or peer.life < life:
+            if peer is None and len(self._peers) >= MOST:
+                self._forget()
+            self._peers[name] = Peer(name, life, state, now, self._drift)
+            return state in LIVE
+        came = state in LIVE and not peer.live
+        peer.state = state
+        return came
+
+    def speaks(self, now: float, name: str, life: int) -> Peer | None:
+        """None if its word is not to be taken."""
+        peer = self._peers.get(name)
+        if name == self._name or (peer is not None and life < peer.life):
+            return None
+        if peer is None or life > peer.life:
+            if peer is None and len(self._peers) >= MOST:
+                return None
+            peer = self._peers[name] = Peer(name, life, peer.state if peer is not None and peer.live else "", now,
+                                            self._drift)
+        if peer.state and not peer.live:
+            return None
+        peer.spoke = now
+        return peer
+
+    def covered(self, now: float, patience: float) -> float:
+        """Own time up to which all sights of all that count are known; infinite if nobody else does."""
+        return min((peer.covered for peer in self._peers.values()
+                    if peer.live and (peer.spoke > -INFINITE or now < peer.since + patience)), default=INFINITE)
+
+    def fenced(self, now: float) -> None:
+        """Of a new life of one's own: they count one's words anew, as one does theirs."""
+        for name, peer in list(self._peers.items()):
+            self._peers[name] = Peer(name, peer.life, peer.state, now, self._drift)
+
+    def _forget(self) -> None:
+        gone = next((name for name, peer in self._peers.items() if not peer.live), None)
+        if gone is not None:
+            del self._peers[gone]
--- /dev/null
+++ b/limenotch/fleet/bindings/values.py
@@ -0,0 +1,81 @@
+"""Which of two values of one key wins, and what comes of two sights of it: pure functions of data, the same everywhere.
+
+A value is ranked by `gen` (how often its key was forgotten), then `move` (how often it was moved after its provider
+went), both the higher first; then by its version, the lower first: who bound first. A version is the Lamport counter
+and the name of who made the value, so that two never have the same.
+
+    held \\ told   opening    open       closing    lingering
+    opening       opening    open       closing    lingering
+    open          open       open       closing    lingering
+    closing       closing    closing    closing    lingering
+    lingering     lingering  lingering  lingering  lingering
+
+holds within one value, told by another as seen by oneself: nothing goes back but by a new `gen`.
+
+`merge` is commutative, associative and idempotent, so it is of no account in which order and how often copies come.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from .api import State
+
+AFTER: dict[tuple[State, State], State] = {  # (held, told), of one value
+    (State.OPENING, State.OPENING): State.OPENING,
+    (State.OPENING, State.OPEN): State.OPEN,
+    (State.OPENING, State.CLOSING): State.CLOSING,
+    (State.OPENING, State.LINGERING): State.LINGERING,
+    (State.OPEN, State.OPENING): State.OPEN,
+    (State.OPEN, State.OPEN): State.OPEN,
+    (State.OPEN, State.CLOSING): State.CLOSING,
+    (State.OPEN, State.LINGERING): State.LINGERING,
+    (State.CLOSING, State.OPENING): State.CLOSING,
+    (State.CLOSING, State.OPEN): State.CLOSING,
+    (State.CLOSING, State.CLOSING): State.CLOSING,
+    (State.CLOSING, State.LINGERING): State.LINGERING,
+    (State.LINGERING, State.OPENING): State.LINGERING,
+    (State.LINGERING, State.OPEN): State.LINGERING,
+    (State.LINGERING, State.CLOSING): State.LINGERING,
+    (State.LINGERING, State.LINGERING): State.LINGERING,
+}
+
+
+class Value(NamedTuple):
+    """`seen` and `made` in ms of one's own clock."""
+
+    gen: int
+    move: int
+    count: int  # type: ignore[assignment]
+    by: str
+    provider: tuple[str, str, str]  # name, cell, zone
+    state: State
+    charged: bool
+    seen: float
+    made: float
+
+
+def beats(gen: int, move: int, count: int, by: str, than: tuple[int, int, int, str]) -> int:
+    """1: it wins over the second; 0: they are one value; -1: it loses."""
+    if (gen, move) != than[:2]:
+        return 1 if (gen, move) > than[:2] else -1
+    if (count, by) == than[2:]:
+        return 0
+    return 1 if (count, by) < than[2:] else -1
+
+
+def merge(one: Value, other: Value) -> Value:
+    """What is held once both are known.
+
+    Use and charge are of the key, not of who won: the later sight and any charge within the higher `gen` stay.
+    """
+    order = beats(*one[:4], than=other[:4])
+    if order < 0:
+        one, other = other, one
+    if one.gen != other.gen:
+        return one
+    seen, charged = max(one.seen, other.seen), one.charged or other.charged
+    if order:
+        return one._replace(seen=seen, charged=charged)
+    return one._replace(provider=min(one.provider, other.provider), state=AFTER[one.state, other.state],
+                        charged=charged, seen=seen, made=min(one.made, other.made))
