Put bindings to use: keyed calls, sessions and connections go where they belong

The table of layer 5 had nobody who asks it. A layer of the program looks up each call when it is taken, binds its key before an attempt is made, frees it where nothing can have run, and tells the part of providers and windows. Consumers' connections tell of their end.

--- a/limenotch/fleet/bindings/__init__.py
+++ b/limenotch/fleet/bindings/__init__.py
@@ -1,10 +1,29 @@
 """Layer 5: what belongs to which provider, known to all and forgotten together; decisions only, see core.py.
 
-Design: docs/fleet/bindings-design.md.
+Design: docs/fleet/bindings-design.md. The settings' reader needs `tuning` alone: the decisions are imported where the
+table is set.
 """
 
-from .core import Bindings
-from .spans import death_ms, forget_ms
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
 from .tuning import Tuning
 
+if TYPE_CHECKING:
+    from .core import Bindings
+    from .spans import death_ms, forget_ms
+
 __all__ = ["Bindings", "Tuning", "death_ms", "forget_ms"]
+
+
+def __getattr__(name: str) -> Any:
+    if name == "Bindings":
+        from .core import Bindings
+
+        return Bindings
+    if name in ("death_ms", "forget_ms"):
+        from . import spans
+
+        return getattr(spans, name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/limenotch/fleet/settings.py
+++ b/limenotch/fleet/settings.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 from collections.abc import Iterator
 from typing import Annotated, NamedTuple
 
@@ -25,6 +26,7 @@
 ANYWHERE = ("0.0.0.0", "::")  # what can be listened at, but not reached
 STORE_FILES = 8  # descriptors that the store and its thread may hold
 SOCKETS = 2
+FIELD = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]{0,64}")  # a header field's name, or none
 
 
 class Membership(Tuning, frozen=True, forbid_unknown_fields=True):
@@ -143,6 +145,8 @@
         yield "fleet.rules", "rules are agreed on by voters, and fleet.voters has none"
     if table.wallet is not None and not table.voters:
         yield "fleet.wallet", "credit is agreed on by voters, and fleet.voters has none"
+    if table.bindings is not None and not FIELD.fullmatch(table.bindings.session):
+        yield "fleet.bindings.session", f"expected the name of a header field, not {table.bindings.session!r}"
     if len(set(table.voters)) != len(table.voters):
         yield "fleet.voters", "a name stands twice"
     for key in ("most_entry_bytes", "most_batch_bytes", "chunk_bytes"):
--- a/limenotch/layers/base.py
+++ b/limenotch/layers/base.py
@@ -6,6 +6,7 @@
 from types import ModuleType
 from typing import Any, NamedTuple
 
+from ..config import Config
 from ..facade import Provider
 from ..fleet.contract import Message, Part
 from ..fleet.hub import Asked
@@ -66,6 +67,12 @@
     def banned(self, name: str, out: bool, at_ms: float) -> None:
         """A provider is out by hand or by the rules, or back since `at_ms` of Unix time."""
 
+    def adopted(self, config: Config) -> None:
+        """What is in force for the calls to come: at the start, when the file was read again, by the rules."""
+
+    def gone(self, origin: str) -> None:
+        """A consumer's connection of which calls came has ended."""
+
     def refuse(self, why: str) -> bytes:
         """What its paths are answered where its part is not there."""
         return says(503, {"ok": False, "text": why})
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -88,6 +88,7 @@
     tenant: str = ""
     about: About = NOTHING
     hint: Hint | None = None  # where it should go
+    paid: bool = False  # charged already, as a repeat
     told: list[Beside] = field(default_factory=list)  # who took it, and is told of its end
     made: list[InvokerCall] = field(default_factory=list)
     final: Final | None = None
--- a/limenotch/net/consumer.py
+++ b/limenotch/net/consumer.py
@@ -74,6 +74,9 @@
     @property
     def ready(self) -> Callable[[], bool]: ...
 
+    @property
+    def gone(self) -> Callable[[str], None]: ...
+
     def left(self, consumer: Consumer) -> None: ...
 
     def waits(self, consumer: Consumer, waiting: bool) -> None: ...
@@ -90,6 +93,7 @@
         self._final: asyncio.Future[Final] | None = None
         self._upload: asyncio.Task[None] | None = None  # of the rest of a long request
         self._read_s = 0.0  # spent in waiting for a body
+        self._from = ""  # where it comes from, once a call came and somebody asked
         self.used = False
         stream.set_close_callback(self._closed)
 
@@ -304,10 +308,10 @@
 
     def _origin(self) -> str:
         """Where it comes from, if anybody asks."""
-        if self._all.calls.beside:
+        if self._all.calls.beside and not self._from:
             with contextlib.suppress(OSError):  # it has gone already
-                return host_port(self.stream.socket.getpeername()[:2])
-        return ""
+                self._from = host_port(self.stream.socket.getpeername()[:2])
+        return self._from
 
     def _closed(self) -> None:
         self._all.left(self)
@@ -315,6 +319,8 @@
             self._all.calls.depart(self._call)
         if self._final is not None and not self._final.done():
             self._final.cancel()
+        if self._from:
+            self._all.gone(self._from)
 
     async def _turn_off(self, error: http1.MalformedError) -> None:
         """Say why and close, reading on for a while: closing on unread bytes would drop the answer."""
--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -47,6 +47,7 @@
         self.calls, self.facade, self.sockets, self.tuning = calls, facade, sockets, tuning
         self.leaving = False  # no more connections ...
         self.closing = False  # ... and each ends with its next answer
+        self.gone: Callable[[str], None] = lambda origin: None  # hears of each end of a connection of which calls came
         self._has_list = has_list
         self._listener: Listener | None = None
         self._open: dict[Consumer, asyncio.Task[None]] = {}
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -61,6 +61,8 @@
     if others is not None:
         calls.beside = others.beside
     consumers = Consumers(calls, facade, sockets, listed.is_set, settings.consumers, budget)
+    if others is not None:
+        consumers.gone = others.gone
 
     def banned(name: str, out: bool, at_ms: float) -> None:
         log.info("taken out" if out else "may serve again", provider=name)
@@ -101,6 +103,9 @@
     successor = Successor(config.kept, config.listen, tell, together)
 
     parts = Following(figures, providers, calls, facade, directory, banned)
+    if others is not None:
+        parts.adopted = others.adopted
+        parts.adopted(config)
     acting = follow(others, config, parts) if others is not None else None
 
     def reload() -> None:
@@ -176,9 +181,11 @@
         self._figures, self._providers, self._calls = figures, providers, calls
         self._facade, self._directory, self.ban = facade, directory, banned
         self.now: Callable[[], float] = lambda: 0.0  # the clock of leases, in ms
+        self.adopted: Callable[[Config], None] = lambda config: None  # hears of it before the decisions
 
     def adopt(self, config: Config) -> None:
         """For what comes from now on; open calls go on under what they were taken with."""
+        self.adopted(config)
         self._figures.know(cls.name for cls in config.settings.classes)
         self._providers.tune(config.connect_ms, config.idle_ms)
         self._calls.max_open = config.max_open
--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -19,7 +19,7 @@
 
 from . import logs, toml
 from .acting import Acting
-from .config import Address, host_port
+from .config import Address, Config, host_port
 from .facade import Provider
 from .fleet import above
 from .fleet.agreement import Agreement
@@ -93,6 +93,10 @@
     def _made(self, table: Fleet) -> list[Layer]:
         """Those that the table has, in the order in which they hear of what all are told."""
         layers: list[Layer] = []
+        if table.bindings is not None:
+            from .layers.bindings import BindingsLayer
+
+            layers.append(BindingsLayer(self._among, table.bindings))
         if table.voters:
             layers.append(PromisesLayer(self._among, table.agreement))
         if self._rules is not None:
@@ -132,6 +136,16 @@
         for layer in self._layers:
             layer.banned(name, out, at_ms)
 
+    def adopted(self, config: Config) -> None:
+        """What is in force for the calls to come. To be called before `start`, too."""
+        for layer in self._layers:
+            layer.adopted(config)
+
+    def gone(self, origin: str) -> None:
+        """A consumer's connection of which calls came has ended."""
+        for layer in self._layers:
+            layer.gone(origin)
+
     # Life
 
     def start(self) -> None:
