--- a/limenotch/fleet/bindings/spans.py
+++ b/limenotch/fleet/bindings/spans.py
@@ -17,19 +17,19 @@
 
 
 class Spans:
-    """Idle and longest times by kind and state, as lists, for speed: `idle[4 * kind + state]`, `longest[kind]`."""
+    """Idle and longest times as lists, for speed: `idle[kind | state << 2]`, as a row has them, and `longest[kind]`."""
 
     def __init__(self, tuning: Tuning) -> None:
         self._ages: tuple[Ages, ...] = (tuning.key, tuning.sessions, tuning.conn, tuning.flow)
-        self.idle: list[float] = [getattr(ages, state.name.lower()) for ages in self._ages for state in State]
+        self.idle: list[float] = [getattr(ages, state.name.lower()) for state in State for ages in self._ages]
         self.longest: list[float] = [ages.longest for ages in self._ages]
         self.window(tuning.key.open)
 
     def window(self, longest_ms: float) -> None:
         """Of a key whatever was sent out may have run, answered or not: it is kept for the window in all its states."""
         for state in State:
-            self.idle[4 * Kind.KEY + state] = max(longest_ms, getattr(self._ages[Kind.KEY], state.name.lower())
-                                                  if state is not State.OPEN else 0.0)
+            least = 0.0 if state is State.OPEN else getattr(self._ages[Kind.KEY], state.name.lower())
+            self.idle[Kind.KEY | state << 2] = max(longest_ms, least)
         self.longest[Kind.KEY] = max(self._ages[Kind.KEY].longest, longest_ms)
 
 
--- a/limenotch/layers/bindings.py
+++ b/limenotch/layers/bindings.py
@@ -164,10 +164,13 @@
             self._see(Kind.CONN, kept.key, kept.provider, State.CLOSING)
 
     def figures(self) -> dict[str, Any]:
-        return {"state": "whole" if self._table.whole else "joining", **self._table.figures(),
-                "calls": {**self.counts, "open": len(self._mine)},
-                # Words of sights so far; of each other member, those heard here.
-                "told": self._bindings.teller.seq, "heard": {peer.name: peer.seq for peer in self._bindings.peers.all()}}
+        part = self._bindings
+        return {
+            "state": "whole" if self._table.whole else "joining", **self._table.figures(),
+            "calls": {**self.counts, "open": len(self._mine)},
+            "told": part.teller.seq,  # words of sights so far; of each other member, those heard here:
+            "heard": {peer.name: peer.seq for peer in part.peers.all()},
+        }
 
     # Calls
 
--- /dev/null
+++ b/tests/fleet/test_bindings_program.py
@@ -0,0 +1,449 @@
+"""Bindings at one sidecar: which calls are bound when, where a bound one goes, what frees it. No sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+import pytest
+
+from limenotch import toml
+from limenotch.config import parse
+from limenotch.facade import Ending, Facade, Provider, Status
+from limenotch.fleet.bindings.api import Bound, Kind, State
+from limenotch.fleet.contract import MemberChanged, Started, TimerFired
+from limenotch.fleet.hub import Asked
+from limenotch.fleet.settings import Bindings as Table
+from limenotch.layers.base import Among
+from limenotch.layers.bindings import NEVER_RAN, BindingsLayer, joined
+from limenotch.net.calls import About, Calls, Final, InvokerCall, Verdict
+from limenotch.net.http1 import Message
+from limenotch.settings import parse as parse_settings
+
+KEY = b"a key for tests, of 16 bytes"
+CLASSES: list[dict[str, Any]] = [
+    {"name": "free", "effect": "idempotent", "target_ms": 60.0, "hard_limit_ms": 900.0, "late_worth": 1.0},
+    {"name": "keyed", "effect": "deduplicated", "dedup_scope": "zone", "window_ms": 9000.0, "target_ms": 60.0,
+     "hard_limit_ms": 900.0, "late_worth": 1.0},
+    {"name": "other", "effect": "deduplicated", "dedup_scope": "zone", "window_ms": 2000.0, "target_ms": 60.0,
+     "hard_limit_ms": 900.0, "late_worth": 1.0},
+    {"name": "once", "effect": "at_most_once", "target_ms": 60.0, "hard_limit_ms": 900.0, "late_worth": 1.0},
+]
+SETTINGS: dict[str, Any] = {
+    "classes": CLASSES, "zones": ["east", "west"],
+    "tenants": [{"name": "acme", "quota_per_s": 1000.0}, {"name": "bolt", "quota_per_s": 1000.0}],
+    "permissions": {"cancel": True, "parallel_tries": False, "max_attempts": 3}, "registry_mode": "ask", "layer": 1,
+}
+ANSWER = Message([], {})
+SERVED, FAR = Ending.SERVED, [f"w{number}" for number in range(3)]
+NEAR = [f"e{number}" for number in range(3)]
+
+
+def config(settings: dict[str, Any]) -> Any:
+    return parse({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": settings}, {})
+
+
+def provider(name: str, status: Status = Status.IN_SERVICE) -> Provider:
+    zone = "east" if name[0] == "e" else "west"
+    return Provider(name, ("127.0.0.1", 1), status, zone, "k", 1 if zone == "east" else 2)
+
+
+class House:
+    """A sidecar's calls with the layer beside them; attempts end as they are told."""
+
+    def __init__(self, table: Table | None = None, begun: bool = True, whole: bool = True) -> None:
+        self.skew = 0.0
+        self.layer = BindingsLayer(Among("a", 7, (), KEY, self.tell, self.now), table or Table())
+        self.part = self.layer.part(None, 0)
+        self.begun = False
+        held = config(SETTINGS)
+        self.facade = Facade(held.settings, 5, held.zones, held.kinds, clock=self.now)
+        self.calls = Calls(self.facade, 1000)
+        self.calls.beside = (self.layer,)
+        self.calls.invoker = self
+        self.calls.watch = lambda: None
+        self.made: list[InvokerCall] = []
+        self.bound_when_made: list[Bound | None] = []
+        self.calls.carry_out(self.facade.start())
+        self.layer.adopted(held)
+        self.names = itertools.count()
+        if begun:
+            self.begin(whole)
+        self.list(NEAR + FAR, whole=True)
+
+    def now(self) -> float:
+        return monotonic() * 1000.0 + self.skew
+
+    def begin(self, whole: bool = True) -> None:
+        self.part.handle(self.now(), Started())
+        self.begun = True
+        if whole:
+            self.part.handle(self.now(), MemberChanged("a", "alive", ("127.0.0.1", 9), 0, 7))
+            self.skew += 300.0
+            for _ in range(5):  # alone, it is whole a cover later
+                self.skew += 60.0
+                self.part.handle(self.now(), TimerFired(1))
+            assert self.layer.figures()["state"] == "whole"
+
+    def tell(self, asked: Asked) -> None:
+        if self.begun:
+            self.part.handle(self.now(), asked.event)
+
+    def list(self, names: list[str], status: Status = Status.IN_SERVICE, whole: bool = False) -> None:
+        entries = [provider(name, status) for name in names]
+        self.layer.listed(entries, whole)
+        self.calls.carry_out(self.facade.heard(entries, whole))
+
+    def make(self, invoker_call: InvokerCall) -> None:
+        call = invoker_call.call
+        self.bound_when_made.append(self.bound(call.kind, call.tenant, call.about.key) if call.about.key else None)
+        self.made.append(invoker_call)
+
+    def abandon(self, invoker_call: InvokerCall) -> None:
+        asyncio.get_running_loop().call_soon(self.calls.ended, invoker_call, Ending.ABANDONED)
+
+    def bound(self, kind: str, tenant: str, key: bytes) -> Bound | None:
+        return self.layer._table.find(self.now(), Kind.KEY, joined(kind.encode(), tenant.encode(), key))
+
+    def session(self, name: bytes, tenant: str = "acme") -> Bound | None:
+        return self.layer._table.find(self.now(), Kind.SESSION, joined(tenant.encode(), b"", name))
+
+    def take(self, kind: str = "keyed", key: bytes = b"", tenant: str = "acme", resent: bool = False,
+             origin: str = "", fields: dict[str, str] | None = None) -> asyncio.Future[Final]:
+        final: asyncio.Future[Final] = asyncio.get_running_loop().create_future()
+        about = About(key, {name.encode(): value.encode() for name, value in (fields or {}).items()}, origin, resent)
+        self.last = self.calls.take(
+            b"%d" % next(self.names), None, kind, tenant, 900.0, final.set_result, about=about)
+        return final
+
+    def end(self, ending: Ending = SERVED, attempt: int = -1) -> str:
+        """Of the latest attempt; the provider that it was at."""
+        invoker_call = self.made[attempt]
+        self.calls.ended(invoker_call, ending, ANSWER if ending is SERVED else None)
+        return invoker_call.provider
+
+    async def served(self, **about: Any) -> str:
+        """A call that is served at its first attempt; by whom."""
+        before, final = len(self.made), self.take(**about)
+        async with asyncio.timeout(5):
+            while len(self.made) == before and not final.done():
+                await asyncio.sleep(0.001)
+        by = self.end()
+        assert (await final).verdict is Verdict.SERVED
+        return by
+
+    def count(self, word: str) -> int:
+        return int(self.layer.counts[word])
+
+
+def run(case: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    asyncio.run(asyncio.wait_for(case(), 30))
+
+
+# Keys
+
+
+def test_a_key_is_bound_before_its_first_byte_and_its_repeats_stay_in_that_zone() -> None:
+    async def case() -> None:
+        house = House()
+        zones = set()
+        for number in range(12):
+            key = b"%d" % number
+            by = await house.served(key=key)
+            first, bound = house.bound_when_made[-1], house.bound("keyed", "acme", key)
+            assert first is not None and (first.provider, first.state, first.charged) == (by, State.OPENING, False)
+            assert bound is not None and (bound.provider, bound.state, bound.charged) == (by, State.OPEN, True)
+            assert bound.zone == provider(by).zone
+            zones.add(bound.zone)
+            for _ in range(6):
+                assert provider(await house.served(key=key, resent=True)).zone == bound.zone
+                assert house.last.paid
+        assert zones == {"east", "west"} and house.count("repeats") == 72 and house.count("keyed") == 84
+        assert not house.layer._mine and not house.layer._uses
+
+    run(case)
+
+
+def test_keys_of_another_tenant_or_class_and_calls_of_other_effects_are_others() -> None:
+    async def case() -> None:
+        house = House()
+        await house.served(key=b"k")
+        assert house.bound("keyed", "bolt", b"k") is None and house.bound("other", "acme", b"k") is None
+        for about in ({"tenant": "bolt"}, {"kind": "other"}):
+            await house.served(key=b"k", **about)
+            assert house.last.hint is None and not house.last.paid
+        for kind in ("free", "once"):
+            await house.served(kind=kind, key=b"k")
+            assert house.bound(kind, "acme", b"k") is None and house.last.hint is None
+        await house.served(kind="keyed")  # without a key nobody would know its repeat
+        assert house.count("keyed") == 3
+        assert joined(b"ab", b"c", b"") != joined(b"a", b"bc", b"") != joined(b"a", b"b", b"c")
+
+    run(case)
+
+
+def test_where_nobody_is_left_who_drops_it_a_repeat_is_rejected_and_never_sent() -> None:
+    async def case() -> None:
+        house = House()
+        by = await house.served(key=b"k")
+        zone = NEAR if by in NEAR else FAR
+        house.list(zone, Status.TERMINATING)
+        bound = house.bound("keyed", "acme", b"k")
+        assert bound is not None and bound.zone == provider(by).zone  # a key stays where it ran
+        made = len(house.made)
+        assert (await house.take(key=b"k", resent=True)).verdict is Verdict.REJECTED
+        assert len(house.made) == made
+        house.list(zone[:1], whole=False)
+        assert await house.served(key=b"k", resent=True) == zone[0]
+
+    run(case)
+
+
+def test_after_its_class_s_window_a_repeat_is_not_sent_though_its_binding_lives_for_the_longest() -> None:
+    async def case() -> None:
+        house = House()
+        await house.served(kind="other", key=b"k")
+        house.skew += 1900.0
+        await house.served(kind="other", key=b"k")
+        house.skew += 200.0  # 2.1 s after the first of them, 0.2 s after the latest
+        made = len(house.made)
+        assert (await house.take(kind="other", key=b"k")).verdict is Verdict.REJECTED and len(house.made) == made
+
+    run(case)
+
+
+@pytest.mark.parametrize("ending", [each for each in Ending if each is not SERVED])
+def test_only_what_surely_never_ran_frees_the_key(ending: Ending) -> None:
+    async def case() -> None:
+        house = House()
+        house.take(key=b"k")
+        house.calls.depart(house.last)  # its attempt is still out
+        assert house.bound("keyed", "acme", b"k") is not None
+        house.end(ending)
+        assert (house.bound("keyed", "acme", b"k") is None) is (ending in NEVER_RAN)
+        assert not house.layer._mine and not house.layer._uses
+        assert house.count("undone") == (ending in NEVER_RAN)
+
+    run(case)
+
+
+def test_a_key_that_was_turned_away_is_bound_anew_where_its_next_attempt_goes() -> None:
+    async def case() -> None:
+        house = House()
+        moved = 0
+        for number in range(20):
+            final = house.take(key=b"%d" % number)
+            first, made = house.end(Ending.TURNED_AWAY), len(house.made)
+            second = house.made[-1].provider
+            bound = house.bound("keyed", "acme", b"%d" % number)
+            if final.done():
+                assert final.result().verdict is Verdict.REJECTED and bound is None
+                continue
+            assert house.made[-2].provider == first and bound is not None and bound.provider == second
+            moved += provider(first).zone != provider(second).zone
+            house.end()
+            assert (await final).verdict is Verdict.SERVED and len(house.made) == made
+        assert moved and house.count("undone") == 20
+
+    run(case)
+
+
+def test_a_key_is_not_freed_while_another_call_of_it_is_out_or_may_have_run_or_bound_it() -> None:
+    async def case() -> None:
+        house = House()
+        for other in (None, Ending.TIMED_OUT):
+            key = b"%r" % other
+            house.take(key=key)
+            one = house.made[-1]
+            house.calls.depart(one.call)
+            house.take(key=key)
+            two = house.made[-1]
+            house.calls.depart(two.call)
+            if other is not None:
+                house.calls.ended(two, other)
+            house.calls.ended(one, Ending.CONNECT_FAILED)
+            assert house.bound("keyed", "acme", key) is not None
+            if other is None:
+                house.calls.ended(two, Ending.NOT_SENT)  # now nothing can have run
+                assert house.bound("keyed", "acme", key) is None
+        house.take(key=b"before")
+        house.calls.depart(house.last)
+        house.end(Ending.TIMED_OUT)
+        house.take(key=b"before")
+        house.calls.depart(house.last)
+        house.end(Ending.CONNECT_FAILED)  # not what the first was
+        assert house.bound("keyed", "acme", b"before") is not None
+        assert not house.layer._mine and not house.layer._uses
+
+    run(case)
+
+
+def test_while_the_table_is_not_whole_a_marked_repeat_of_an_unknown_key_is_rejected() -> None:
+    async def case() -> None:
+        house = House(whole=False)
+        assert house.layer.figures()["state"] == "joining"
+        final = await house.take(key=b"k", resent=True)
+        assert (final.verdict, final.paused, house.made, house.count("unsure")) == (Verdict.REJECTED, False, [], 1)
+        await house.served(key=b"k")
+        await house.served(key=b"k", resent=True)  # known by now
+        await house.served(kind="free", resent=True)
+        assert not house.layer._mine and not house.layer._uses
+
+    run(case)
+
+
+def test_a_full_table_refuses_no_call() -> None:
+    async def case() -> None:
+        house = House(Table(most=16, most_opening=1.0))
+        for number in range(20):
+            await house.served(key=b"%d" % number)
+        assert house.count("unbound") >= 4 and house.layer.figures()["held"] == 16
+        assert house.bound("keyed", "acme", b"0") is not None and house.bound("keyed", "acme", b"19") is None
+
+    run(case)
+
+
+def test_without_keys_none_are_bound() -> None:
+    async def case() -> None:
+        house = House(Table(keys=False), whole=False)
+        await house.served(key=b"k", resent=True)
+        assert house.layer.figures()["held"] == 0 and house.count("keyed") == 0
+
+    run(case)
+
+
+def test_what_was_bound_before_the_part_began_is_kept_and_so_is_what_it_is_to_know() -> None:
+    async def case() -> None:
+        house = House(Table(session="x-session"), begun=False)
+        by = await house.served(key=b"k", fields={"x-session": "s"})
+        house.take(key=b"free")
+        house.calls.depart(house.last)
+        house.end(Ending.CONNECT_FAILED)
+        house.begin()
+        bound = house.bound("keyed", "acme", b"k")
+        assert bound is not None and (bound.provider, bound.zone, bound.charged) == (by, provider(by).zone, True)
+        assert house.bound("keyed", "acme", b"free") is None and house.session(b"s") is not None
+        house.skew += 8000.0  # the window is told too: its class's, 9 s, not the settings' 2 s of what is opening
+        assert house.bound("keyed", "acme", b"k") is not None
+
+    run(case)
+
+
+def test_windows_follow_the_classes_in_force() -> None:
+    async def case() -> None:
+        house = House()
+        longer = {**SETTINGS, "classes": [*CLASSES[:1], {**CLASSES[1], "window_ms": 30_000.0}, *CLASSES[3:]]}
+        house.layer.adopted(config(longer))
+        house.calls.carry_out(house.facade.retune(config(longer).settings))
+        await house.served(key=b"k")
+        house.skew += 20_000.0
+        assert house.bound("keyed", "acme", b"k") is not None
+        await house.served(kind="free")
+        house.skew += 11_000.0
+        assert house.bound("keyed", "acme", b"k") is None
+
+    run(case)
+
+
+# Sessions and connections
+
+
+def test_a_session_stays_until_its_provider_may_take_no_work_then_moves_once() -> None:
+    async def case() -> None:
+        house = House(Table(session="X-Session"))
+        for go in ("drains", "leaves", "banned"):
+            name = {"x-session": go}
+            by = await house.served(kind="free", fields=name)
+            assert {await house.served(kind="free", fields=name) for _ in range(15)} == {by}
+            others = {await house.served(kind="free", tenant="bolt", fields=name) for _ in range(15)}
+            assert len(others) == 1  # the same name of another tenant is another session
+            if go == "banned":
+                house.layer.banned(by, True, 0.0)
+                house.calls.carry_out(house.facade.ban(by, True))
+            else:
+                house.list([by], Status.TERMINATING if go == "drains" else Status.TERMINATED)
+            assert house.session(go.encode()) is None  # at once
+            then = await house.served(kind="free", fields=name)
+            assert then != by and {await house.served(kind="free", fields=name) for _ in range(15)} == {then}
+            if go == "banned":
+                house.layer.banned(by, False, 1.0)
+                house.calls.carry_out(house.facade.ban(by, False, 1.0))
+            else:
+                house.list([by])
+            assert await house.served(kind="free", fields=name) == then  # the other one is back: it does not move again
+
+    run(case)
+
+
+def test_a_connection_stays_with_its_provider_and_closes_with_its_end() -> None:
+    async def case() -> None:
+        house = House(Table(connections=True))
+        by = await house.served(kind="free", origin="1.2.3.4:5")
+        assert {await house.served(kind="free", origin="1.2.3.4:5") for _ in range(15)} == {by}
+        key = house.layer._conns["1.2.3.4:5"].key
+        house.layer.gone("1.2.3.4:5")
+        bound = house.layer._table.find(house.now(), Kind.CONN, key)
+        assert bound is not None and bound.state is State.CLOSING and not house.layer._conns
+        seen = {await house.served(kind="free", origin=f"1.2.3.4:{port}") for port in range(5, 25)}
+        assert len(seen) > 1  # the first of them is another connection from the same place
+        house.layer.gone("unknown")
+
+    run(case)
+
+
+def test_of_key_session_and_connection_the_first_that_is_bound_counts() -> None:
+    async def case() -> None:
+        house = House(Table(session="x-session", connections=True))
+        home = await house.served(kind="free", origin="o", fields={"x-session": "s"})
+        away = next(name for name in NEAR + FAR if provider(name).zone != provider(home).zone)
+        table, now = house.layer._table, house.now()
+        table.see(now, Kind.KEY, joined(b"keyed", b"acme", b"k"), away, State.OPEN)
+        by = await house.served(key=b"k", origin="o", fields={"x-session": "s"})
+        assert provider(by).zone == provider(away).zone
+        assert await house.served(kind="free", origin="o", fields={"x-session": "s"}) == home  # not moved
+        assert await house.served(key=b"new", origin="o", fields={"x-session": "s"}) == home
+        table.see(now, Kind.SESSION, joined(b"acme", b"", b"t"), away, State.OPEN)
+        assert await house.served(kind="free", origin="o", fields={"x-session": "t"}) == away
+        assert await house.served(kind="free", origin="o") == home
+
+    run(case)
+
+
+def test_what_a_long_answer_began_with_is_seen_though_its_attempt_goes_on() -> None:
+    async def case() -> None:
+        house = House(Table(session="x-session"))
+        final = house.take(key=b"k", fields={"x-session": "s"})
+        invoker_call = house.made[-1]
+        assert house.calls.begun(invoker_call, ANSWER)
+        assert (await final).verdict is Verdict.SERVED
+        bound, session = house.bound("keyed", "acme", b"k"), house.session(b"s")
+        assert bound is not None and bound.charged and session is not None and session.provider == invoker_call.provider
+        house.calls.passed_on(house.last, "answered")
+        house.calls.ended(invoker_call, Ending.RESET)
+        assert not house.layer._mine and not house.layer._uses
+        assert house.bound("keyed", "acme", b"k") is not None
+
+    run(case)
+
+
+# Settings
+
+
+def test_the_example_has_every_key_at_its_default(tmp_path: Path) -> None:
+    example = (Path(__file__).parent.parent.parent / "deploy" / "fleet.toml").read_text()
+    (tmp_path / "key").write_text("sixteen bytes ok")
+    text = example.replace("/etc/limenotch/fleet.key", str(tmp_path / "key"))
+    assert parse_settings(text, "x").fleet.bindings == Table()
+    part = text[text.index("[fleet.bindings]"):]
+    keys = {line.split(" ")[0] for line in part.splitlines() if " = " in line.split("#")[0]}
+    tables = {line.split("]")[0].rpartition(".")[2] for line in part.splitlines() if line.startswith("[")}
+    assert keys | tables >= set(Table.__struct_fields__) | {"opening", "open", "closing", "lingering", "longest"}
+    for more, says in ((' session = "x y"', "fleet.bindings.session: expected the name of a header field"),
+                       ('sesion = "x"', "fleet.bindings.sesion: unknown key"), ("most = 1", "fleet.bindings.most")):
+        bad = text[:text.index("[fleet.bindings]")] + f"[fleet.bindings]\n{more}\n"
+        with pytest.raises(toml.FaultError, match=says):
+            parse_settings(bad, "f.toml")
