Hear what many hold and not what a lease's end leaves; tell parts one event at a time

Others.tell keeps what is told meanwhile. Without a lease every class is narrow; the bindings' windows follow what is held under one.

--- a/limenotch/layers/bindings.py
+++ b/limenotch/layers/bindings.py
@@ -104,6 +104,7 @@
         self._table = self._bindings.table
         self._header = tuning.session.lower().encode("latin-1")
         self._windows: dict[str, float] = {}  # of keyed classes
+        self._classes: set[str] = set()  # a class that no longer is has bindings of before
         self._listed: dict[str, Provider] = {}
         self._out: set[str] = set()
         self._there: dict[str, tuple[str, str]] = {}
@@ -135,6 +136,7 @@
                    if cls.effect is Effect.DEDUPLICATED and cls.window_ms > 0}
         if windows != self._windows:
             self._windows = windows
+            self._classes |= windows.keys()
             self._among.tell(Asked(PREFIX, Window(max(windows.values(), default=0.0))))
 
     def listed(self, providers: Iterable[Provider], whole: bool) -> None:
@@ -167,7 +169,8 @@
         part = self._bindings
         return {
             "state": "whole" if self._table.whole else "joining", **self._table.figures(),
-            "calls": {**self.counts, "open": len(self._mine)},
+            "calls": {**self.counts, "open": len(self._mine)}, "consumers": len(self._conns),
+            "providers": len(self._there), "window_ms": max(self._windows.values(), default=0.0),
             "told": part.teller.seq,  # words of sights so far; of each other member, those heard here:
             "heard": {peer.name: peer.seq for peer in part.peers.all()},
         }
@@ -176,7 +179,7 @@
 
     def taken(self, call: Call) -> Final | None:
         about, mine = call.about, Mine()
-        if self._tuning.keys and about.key and call.kind in self._windows:
+        if self._tuning.keys and about.key and call.kind in self._classes:
             mine.key = joined(call.kind.encode(), call.tenant.encode(), about.key)
             final = self._keyed(call, mine)
             if final is not None:
--- a/limenotch/net/others.py
+++ b/limenotch/net/others.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import socket
+from collections import deque
 from collections.abc import Awaitable, Callable
 from functools import lru_cache
 from typing import Any, Protocol
@@ -91,6 +92,7 @@
         self._storing = 0
         self._now = 0.0
         self._off = self._closed = self._begun = False
+        self._events: deque[Event | Asked] = deque()  # the first is being handled
         self.counts = dict.fromkeys(COUNTS, 0)
         hub.faulty = self._faulty
 
@@ -188,8 +190,20 @@
     # Events
 
     def tell(self, event: Event | Asked) -> None:
-        """Raises nothing."""
-        if self._off or self._closed or not self._begun:
+        """Raises nothing. Told while another is handled, by who hears what parts do, it is handled right after that."""
+        if not self._begun:
+            return
+        self._events.append(event)
+        if len(self._events) > 1:
+            return
+        while self._events:
+            try:
+                self._tell(self._events[0])
+            finally:
+                self._events.popleft()
+
+    def _tell(self, event: Event | Asked) -> None:
+        if self._off or self._closed:
             return
         self._now = self.now()
         if isinstance(event, TimerFired):
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -181,11 +181,16 @@
         self._figures, self._providers, self._calls = figures, providers, calls
         self._facade, self._directory, self.ban = facade, directory, banned
         self.now: Callable[[], float] = lambda: 0.0  # the clock of leases, in ms
-        self.adopted: Callable[[Config], None] = lambda config: None  # hears of it before the decisions
+        self.adopted: Callable[[Config], None] = lambda config: None  # hears of what many hold, or of the file alone
+        self.ruled = False
+        self._unheard: Config | None = None
 
     def adopt(self, config: Config) -> None:
         """For what comes from now on; open calls go on under what they were taken with."""
-        self.adopted(config)
+        if self.ruled:
+            self._unheard = config
+        else:
+            self.adopted(config)
         self._figures.know(cls.name for cls in config.settings.classes)
         self._providers.tune(config.connect_ms, config.idle_ms)
         self._calls.max_open = config.max_open
@@ -198,6 +203,10 @@
         return count("taken"), count("deferred") + count("errored")
 
     def lease(self, until_ms: float, cold_parts: float, refusing: bool) -> None:
+        if self._unheard is not None and until_ms > self.now():
+            # Without a lease classes are narrower than what is agreed on, and than what providers do.
+            heard, self._unheard = self._unheard, None
+            self.adopted(heard)
         until = self._facade.now_ms() + (until_ms - self.now())
         self._calls.carry_out(self._facade.lease(until, cold_parts, refusing))
 
@@ -208,7 +217,7 @@
         return None
     from .acting import Acting
 
-    parts.now = others.now
+    parts.now, parts.ruled = others.now, True
     acting = Acting(config, parts)
     others.follow(acting, parts.counted)
     return acting
