--- a/limenotch/fleet/bindings/clocks.py
+++ b/limenotch/fleet/bindings/clocks.py
@@ -36,8 +36,10 @@
 
     def latest(self, now: float, theirs: float) -> float:
         """No earlier than it truly was; `now` if nothing was ever heard."""
-        return min(now, theirs + self._upper + self.drift * now) if self._upper < INFINITE else now
+        at = theirs + self._upper + self.drift * now
+        return min(now, at + self.drift * (now - at)) if self._upper < INFINITE else now
 
     def earliest(self, now: float, theirs: float) -> float:
         """No later than it truly was; minus infinite if nothing was ever answered."""
-        return min(now, theirs + self._lower - self.drift * now)
+        at = theirs + self._lower - self.drift * now
+        return min(now, at - self.drift * max(0.0, now - at)) if self._lower > -INFINITE else -INFINITE
--- /dev/null
+++ b/limenotch/fleet/bindings/ground.py
@@ -0,0 +1,49 @@
+"""What all sides of the part stand on: who one is, the table, the others, and how one speaks."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from ..contract import Carrier, Message, Note, Tell
+from .clocks import INFINITE
+from .held import Noted
+from .peers import Peer, Peers
+from .sights import Teller
+from .spans import pace
+from .table import Shared
+from .tuning import Tuning
+
+
+class Ground:
+    def __init__(self, name: str, life: int, key: bytes, tuning: Tuning, seed: int, noted: Noted | None) -> None:
+        self.name, self.life, self.tuning = name, life, tuning
+        self.table = Shared(name, key, tuning, noted=noted)
+        self.peers = Peers(name, tuning.drift)
+        self.teller = Teller(self.table, life, 0.0)
+        self.random = Random(f"{seed} {name} {life} bindings")
+        self.now = -INFINITE
+        self.inside = INFINITE  # since when one is a member
+        self.out: list[Any] = []
+        self._serial = 0
+
+    @property
+    def scale(self) -> float:
+        return pace(len(self.peers.live()) + 1)
+
+    def serial(self) -> int:
+        self._serial += 1
+        return self._serial
+
+    def say(self, peer: Peer, message: Message, carrier: Carrier = Carrier.STREAM) -> None:
+        self.out.append(Tell(peer.name, message, carrier))
+
+    def all(self, message: Message) -> None:
+        for peer in self.peers.live():
+            self.say(peer, message)
+
+    def note(self, text: str, **fields: Any) -> None:
+        self.out.append(Note(text, fields))
+
+    def least(self) -> None:
+        self.table.least = self.peers.covered(self.now, self.tuning.grave_ms)
--- a/limenotch/fleet/bindings/held.py
+++ b/limenotch/fleet/bindings/held.py
@@ -6,12 +6,12 @@
 from collections.abc import Callable
 from hashlib import blake2b
 
-from .api import Kind
+from .api import Kind, State
 from .clocks import INFINITE
 from .full import CLASSES, GOING, OPENED, OPENING, Order, class_of
 from .messages import Place
 from .names import Members, Providers
-from .rows import CHARGED, ENDED, GRAVE, KIND, NIL, OWN, STATE, TELL, Rows
+from .rows import CHARGED, ENDED, GRAVE, KIND, NIL, OWN, STATE, STATE_AT, TELL, Rows
 from .spans import Spans
 from .tuning import Tuning
 from .wheel import OVER, Wheel
@@ -62,6 +62,14 @@
         return min(rows.seen[row] + self.spans.idle[what & (KIND | STATE)],
                    rows.made[row] + self.spans.longest[what & KIND])
 
+    def forgets(self, row: int) -> float:
+        """When it may be forgotten at the soonest: surely over for whoever saw it, by a clock as slow as may be."""
+        rows, what = self.rows, self.rows.what[row]
+        idle, longest = self.spans.idle[what & (KIND | STATE)], self.spans.longest[what & KIND]
+        slow = 1 + self.tuning.drift
+        # What came as a copy is held to be older than it is, by a way there and back at most: see sights.take.
+        return min(rows.seen[row] + idle * slow, rows.made[row] + longest * slow) + self.tuning.cover_ms
+
     def bury(self, now: float, row: int, why: str) -> None:
         """Forgotten here. What is left says which `gen` that was, for as long as a copy may be under way."""
         rows = self.rows
@@ -74,6 +82,7 @@
             rows.free(row)
             return
         rows.what[row] = rows.what[row] & KIND | GRAVE
+        rows.made[row] = now
         self.wheel.put(row, now + self.tuning.grave_ms)
 
     def end(self, row: int) -> None:
@@ -164,6 +173,8 @@
         told, stamp = rows.told[row], max(stamp, rows.stamp[row])
         keep = held & TELL
         if same_gen:
+            if not what & STATE and held & STATE:
+                what |= State.OPEN << STATE_AT  # values.besides
             what, seen, told = what | held & (CHARGED | OWN), max(seen, rows.seen[row]), max(told, seen)
         else:
             keep, told = 0, seen
@@ -176,27 +187,27 @@
         if moved:
             self._note("moved", row)
 
-    def _room(self, now: float, key: int, row: int, what: int, stamp: int, own: bool) -> int:
+    def _room(self, now: float, key: int, row: int, what: int, stamp: int) -> int:
         """A row for it, NIL if there is none: for its key, or its grave's."""
         opening = not what & STATE
         if opening and self.opening >= self.tuning.most_opening * self.tuning.most:
-            if not self._give_way(now, (OPENING,), what, stamp, key, own):
+            if not self._give_way(now, (OPENING,), what, stamp, key):
                 return NIL
         elif self.live >= self.tuning.most:
-            if not self._give_way(now, (GOING, OPENING) if opening else (GOING, OPENED), what, stamp, key, own):
+            if not self._give_way(now, (GOING, OPENING) if opening else (GOING, OPENED), what, stamp, key):
                 return NIL
         elif self.live < 0.9 * self.tuning.most:
             self.full = False
         return self.rows.add(key) if row == NIL else row
 
-    def _give_way(self, now: float, classes: tuple[int, ...], what: int, stamp: int, key: int, own: bool) -> bool:
+    def _give_way(self, now: float, classes: tuple[int, ...], what: int, stamp: int, key: int) -> bool:
         mine = class_of(what)
         for number in classes:
             row = self.orders[number].lowest()
+            if mine == number and (row == NIL or (stamp, key) < (self.rows.stamp[row], self.rows.key(row))):
+                break  # it would itself be the next
             if row == NIL:
                 continue
-            if not own and mine == number and (stamp, key) < (self.rows.stamp[row], self.rows.key(row)):
-                break
             self.count("gave way")
             self.bury(now, row, "full")
             self.full = True
--- a/limenotch/fleet/bindings/join.py
+++ b/limenotch/fleet/bindings/join.py
@@ -1,86 +1,161 @@
-"""Fetching what is missing, page by page and newest first: the whole table, or what was told since some counter.
+"""What is missing here, and of whom it is asked: at joining, after a gap, and of one who can't be heard.
 
-    state   | a page came       | it was the last          | nothing came for WAIT_MS
-    asks    | asks for the next | done: `whole` or not     | given up; its owner asks somebody else
+| what is missing | floor of the question | asked of |
+| --- | --- | --- |
+| all: a process that starts | none | one that is whole; of all, one by one, if none is |
+| what was told while one was held dead | the least counter known of those who are there | the same |
+| of one member: its Sights have a gap | its counter | itself |
+| of one member held alive and not heard for SILENT covers | its counter | another who hears it |
 
-One who serves keeps nothing between pages: the place in the table is in the question. What is told meanwhile comes by
-itself, as who asks is a member already.
+A first page says of whom all is known there. So one fetch closes the gaps of many.
 """
 
 from __future__ import annotations
 
-from heapq import merge
-from itertools import islice
-
-from .messages import MOST_PAGE, Ask, Page
-from .peers import Peer, Peers
-from .sights import MOST_COUNT, TENTHS, Teller, pack, take
-from .table import Shared
-
-WAIT_MS = 1000.0  # for a page, beyond what its bytes may take
-ROW_BYTES = 56  # of one copy in a page, about
-LAST_KEY = (1 << 128) - 1
-
-
-def page(table: Shared, peers: Peers, teller: Teller, name: str, now: float, ask: Ask) -> Page | None:
-    """The answer; None to what makes no sense."""
-    if len(ask.key) != 16 or not (0 <= ask.stamp <= MOST_COUNT and -1 <= ask.floor <= MOST_COUNT):
-        return None
-    seq, counter, covered = teller.seq, teller.counter, now - teller.covered
-    if ask.of and ask.of != name:
-        of = peers.get(ask.of)
-        known = of is not None and of.life == ask.of_life and not of.gap and of.seq >= 0
-        if of is None or not known:
-            return Page(teller.life, ask.serial, now, (), (), (), True, table.whole)
-        seq, counter, covered = of.seq, of.upto, now - of.covered
-    rows, key = table.rows, int.from_bytes(ask.key, "big")
-    newest = merge(*(order.newest(ask.floor, ask.stamp, key) for order in table.orders),
-                   key=lambda row: (-rows.stamp[row], -rows.key(row)))
-    chosen = list(islice(newest, MOST_PAGE + 1))
-    last = len(chosen) <= MOST_PAGE
-    age = int(covered * TENTHS) + 1 if 0 <= covered < 1e15 else -1
-    return Page(teller.life, ask.serial, now, *pack(table, chosen[:MOST_PAGE], now), last, table.whole, seq, counter,
-                age)
-
-
-class Fetch:
-    """One table, or what was told since `floor`, from `peer`."""
-
-    def __init__(self, peer: Peer, serial: int, floor: int, of: Peer | None, rate: float, now: float) -> None:
-        self.peer, self.serial, self.floor, self.of, self.rate = peer, serial, floor, of, rate
-        self.life = peer.life
-        self.began = self.asked = now
-        self.done = self.whole = False
-        self.rows = 0
-        self.first: Page | None = None  # what it knows of `of`: later rows come by themselves, or are asked for again
-        self._stamp, self._key = MOST_COUNT, LAST_KEY
-        self._next = now
-        self._waits = False
-
-    def ask(self, now: float, life: int) -> Ask | None:
-        """The next question, when its time has come."""
-        if self.done or self._waits or now < self._next:
-            return None
-        self._waits, self.asked = True, now
-        of = ("", 0) if self.of is None else (self.of.name, self.of.life)
-        return Ask(life, self.serial, self.floor, self._stamp, self._key.to_bytes(16, "big"), *of)
-
-    def late(self, now: float) -> bool:
-        return self._waits and now >= self.asked + WAIT_MS + 1000.0 * MOST_PAGE * ROW_BYTES / self.rate
-
-    def heard(self, table: Shared, now: float, answer: Page) -> None:
-        if answer.serial != self.serial or not self._waits or self.done:
+from .clocks import INFINITE
+from .ground import Ground
+from .messages import Page
+from .pages import Fetch
+from .peers import Peer
+from .sights import MOST_COUNT, TENTHS
+
+SILENT = 4  # covers
+
+
+class Missing:
+    def __init__(self, ground: Ground) -> None:
+        self.ground = ground
+        self._join: Fetch | None = None
+        self._join_at = INFINITE
+        self._kept = self._noted = False
+        self._asked: set[tuple[str, int]] = set()  # whose tables have come since one began to join
+        self._mends: dict[str, Fetch] = {}
+        self._mend_at: dict[str, float] = {}
+
+    def begin(self, kept: bool) -> None:
+        """Joins, once others have come to know of it. `kept`: it has a table, and lacks what was told since."""
+        ground = self.ground
+        ground.table.whole, self._kept, self._noted = False, kept, False
+        self._join = None
+        self._mends.clear()
+        self._mend_at.clear()
+        self._asked.clear()
+        self._join_at = ground.now + ground.tuning.batch_ms
+
+    def tick(self) -> None:
+        if self.ground.table.whole:
+            self._mend()
+        else:
+            self._go_on()
+
+    def page(self, peer: Peer, answer: Page) -> None:
+        ground, join = self.ground, self._join
+        if join is not None and join.peer is peer and join.serial == answer.serial:
+            join.heard(ground.table, ground.now, answer)
+            self._go_on()
+            return
+        for name, fetch in list(self._mends.items()):
+            if fetch.peer is peer and fetch.serial == answer.serial:
+                fetch.heard(ground.table, ground.now, answer)
+                if fetch.done:
+                    del self._mends[name]
+                    self._close(fetch)
+                else:
+                    self._next(fetch)
+                return
+        ground.table.count("late page")
+
+    def _next(self, fetch: Fetch) -> None:
+        if (ask := fetch.ask(self.ground.now, self.ground.life)) is not None:
+            self.ground.say(fetch.peer, ask)
+
+    def _close(self, fetch: Fetch) -> None:
+        """All that was told by those whom the first page names has come, as far as it says."""
+        ground, first = self.ground, fetch.first
+        if first is None:
+            return
+        for known in first.knows:
+            of = ground.peers.get(known.name)
+            if of is None or of.life != known.life or fetch.floor > of.upto or known.covered < 0:
+                continue
+            if not 0 <= known.counter < MOST_COUNT:
+                continue
+            of.spoke = max(of.spoke, of.since)  # through another: it has bindings, and is waited for
+            of.seq = max(of.seq, known.seq)
+            if of.gap and known.seq < of.missed:
+                continue
+            of.gap = False
+            of.upto = max(of.upto, known.counter)
+            at = fetch.peer.clock.earliest(ground.now, first.sent) - known.covered / TENTHS
+            of.covered = max(of.covered, at)
+        ground.least()
+
+    # Joining
+
+    def _go_on(self) -> None:
+        ground, now = self.ground, self.ground.now
+        if now < self._join_at or ground.inside > now:
             return
-        self._waits = False
-        self.first = self.first or answer
-        take(table, now, self.peer, answer.sent, (answer.providers, answer.names, answer.rows), seer=False)
-        self.rows += len(answer.rows)
-        self.done, self.whole = answer.last or not answer.rows, answer.whole
-        if answer.rows:
-            end = answer.rows[-1]
-            place = (end.stamp, int.from_bytes(end.key, "big"))
-            if not (0 <= place[0] and place < (self._stamp, self._key)):
-                self.done, self.whole = True, False  # it goes round in circles
-            self._stamp, self._key = place
-        # A page's bytes at the rate, from when it was asked for.
-        self._next = max(now, self.asked + 1000.0 * len(answer.rows) * ROW_BYTES / self.rate)
+        join = self._join
+        if join is not None:
+            if not join.done and not join.late(now) and join.peer.live:
+                self._next(join)
+                return
+            self._join = None
+            if join.done:
+                self._asked.add((join.peer.name, join.peer.life))
+                self._close(join)
+                if join.whole:
+                    self._whole()
+                    return
+            else:
+                # Another is tried soon; a random one, so that a silent one doesn't stop it for long.
+                self._join_at = now + ground.tuning.batch_ms
+                return
+        live = ground.peers.live()
+        others = [peer for peer in live if (peer.name, peer.life) not in self._asked]
+        if self._kept and self._asked and all(peer.seq >= 0 and not peer.gap for peer in live):
+            others = []  # what it has, and what is known now of all since then, is all there is
+        if not others:
+            if now >= ground.inside + ground.tuning.cover_ms:
+                self._whole()
+            return
+        if not self._noted:
+            self._noted = True
+            ground.note("joins bindings")
+        peer = ground.random.choice([peer for peer in others if peer.whole] or others)
+        known = [each.upto for each in live if each.upto >= 0]
+        floor = min(known) if self._kept and known else -1
+        self._join = Fetch(peer, ground.serial(), floor, None, ground.tuning.join_bytes_per_s, now)
+        self._next(self._join)
+
+    def _whole(self) -> None:
+        ground = self.ground
+        ground.table.whole = True
+        ground.note("whole", held=ground.table.live)
+        ground.all(ground.teller.cover(ground.now))
+
+    # Gaps
+
+    def _mend(self) -> None:
+        ground, now = self.ground, self.ground.now
+        pause = ground.tuning.cover_ms * ground.scale
+        for name, fetch in list(self._mends.items()):
+            if fetch.late(now) or not fetch.peer.live:
+                del self._mends[name]
+            else:
+                self._next(fetch)
+        live = ground.peers.live()
+        heard = [peer for peer in live if now - peer.spoke <= SILENT * pause and peer.seq >= 0]
+        for peer in live:
+            silent = now - max(peer.spoke, peer.since) > SILENT * pause
+            if not (peer.gap or silent) or peer.name in self._mends or now < self._mend_at.get(peer.name, now):
+                continue
+            others = [other for other in heard if other is not peer]
+            if silent and not others:
+                continue
+            self._mend_at[peer.name] = now + pause
+            whom = ground.random.choice(others) if silent else peer
+            fetch = Fetch(whom, ground.serial(), peer.upto, peer, ground.tuning.repair_bytes_per_s, now)
+            self._mends[peer.name] = fetch
+            self._next(fetch)
--- a/limenotch/fleet/bindings/messages.py
+++ b/limenotch/fleet/bindings/messages.py
@@ -42,7 +42,10 @@
 
 
 class Sights(Message, frozen=True, array_like=True, tag="bi.sights"):
-    """To all. `seq` counts them without a gap, per life; `born`: the sender's counter when that life began to tell."""
+    """To all. `seq` counts them without a gap, per life; `born`: the sender's counter when that life began to tell.
+
+    `kept`: it has rows of an earlier life, which must be asked for from what was last known of that life.
+    """
 
     life: int
     seq: int
@@ -55,10 +58,11 @@
     names: tuple[str, ...]
     rows: tuple[Copy, ...]
     undone: tuple[Undone, ...] = ()
+    kept: bool = False
 
 
 class Cover(Message, frozen=True, array_like=True, tag="bi.cover"):
-    """To all, where nothing else is to be told. `seq`: of the last Sights."""
+    """To all, where nothing else is to be told. `seq`: of the last Sights. All told later has a higher stamp."""
 
     life: int
     seq: int
@@ -67,6 +71,7 @@
     sent: float
     covered: float
     whole: bool
+    kept: bool = False
 
 
 class Ping(Message, frozen=True, array_like=True, tag="bi.ping"):
@@ -83,7 +88,7 @@
 class Ask(Message, frozen=True, array_like=True, tag="bi.ask"):
     """For the next page, newest first: stamps above `floor`, before (`stamp`, `key`) of the page before.
 
-    `of`: whose sights are missing here; the answer says how far they are known there. Empty: the whole table is.
+    `of`: whose sights are missing here; who does not know all of that life gives nothing. Empty: all is missing.
     """
 
     life: int
@@ -95,6 +100,16 @@
     of_life: int = 0
 
 
+class Knows(Struct, frozen=True, array_like=True):
+    """All Sights of that life up to `seq` are known, and those of its earlier lives. `covered`: age of its cover."""
+
+    name: str
+    life: int
+    seq: int
+    counter: int
+    covered: int
+
+
 class Page(Message, frozen=True, array_like=True, tag="bi.page"):
     life: int
     serial: int
@@ -104,9 +119,7 @@
     rows: tuple[Copy, ...]
     last: bool
     whole: bool
-    seq: int = 0  # of `of`: its last Sights known here without a gap ...
-    counter: int = 0  # ... its counter ...
-    covered: int = -1  # ... and the age of what it covered; -1: not known
+    knows: tuple[Knows, ...] = ()  # on the first page: of whom all is in this table, the sender first
 
 
 class Compare(Message, frozen=True, array_like=True, tag="bi.compare"):
--- a/limenotch/fleet/bindings/names.py
+++ b/limenotch/fleet/bindings/names.py
@@ -39,14 +39,14 @@
         self.there: Mapping[str, tuple[str, str]] = {}
         self._rows: list[int] = []  # how many hold it
         self._numbers: dict[Place, int] = {}
-        self._free: list[int] = []
+        self._unheld: dict[int, None] = {}  # numbers that may be used again, if still none holds them
         self._went: dict[str, None] = {}
 
     def number(self, place: Place) -> int:
         found = self._numbers.get(place)
         if found is None:
-            if self._free:
-                found = self._free.pop()
+            found = self._again()
+            if found >= 0:
                 self.places[found], self.gone[found] = place, place[0] in self._went
             else:
                 found = len(self.places)
@@ -66,9 +66,16 @@
     def leave(self, number: int) -> None:
         self._rows[number] -= 1
         if not self._rows[number]:
-            if self._numbers.get(self.places[number]) == number:
-                del self._numbers[self.places[number]]
-            self._free.append(number)
+            self._unheld[number] = None  # a row that is changed leaves it and holds it again
+
+    def _again(self) -> int:
+        while self._unheld:
+            number, _ = self._unheld.popitem()
+            if not self._rows[number]:
+                if self._numbers.get(self.places[number]) == number:
+                    del self._numbers[self.places[number]]
+                return number
+        return -1
 
     def held(self, number: int) -> int:
         return self._rows[number]
--- a/limenotch/fleet/bindings/peers.py
+++ b/limenotch/fleet/bindings/peers.py
@@ -6,8 +6,9 @@
 | held dead or left, or not held at all | no; and nothing is taken from a life held dead |
 | heard in a higher life than is held | as before; nothing is known of this life's sights yet |
 
-A word of a life lower than known is dropped. A gap in the count of Sights (a stream that was lost) stops the cover of
-that member until what is missing has been asked for and has come.
+A word of a life lower than known is dropped. A gap stops the cover of a member until what is missing has been asked for
+and has come: in the count of its Sights (a stream was lost), or before the first word heard of its life, where it told
+others something, or kept rows of an earlier life.
 """
 
 from __future__ import annotations
@@ -21,13 +22,13 @@
 
 
 class Peer:
-    def __init__(self, name: str, life: int, state: str, now: float, drift: float) -> None:
+    def __init__(self, name: str, life: int, state: str, now: float, drift: float, floor: int = -1) -> None:
         self.name, self.life, self.state, self.since = name, life, state, now
         self.clock = Clock(drift)
         self.spoke = -INFINITE  # last word in this life
         self.whole = False
-        self.seq = -1  # of the last Sights heard; -1: none yet
-        self.upto = 0  # counter up to which all it told is known here
+        self.seq = -1  # of the last Sights heard; -1: nothing was heard yet
+        self.upto = floor  # counter up to which all that it told, in earlier lives too, is known here
         self.gap = False
         self.missed = 0  # seq that has to be reached before the gap is closed
         self.covered = -INFINITE  # own clock
@@ -65,7 +66,7 @@
         if peer is None or peer.life < life:
             if peer is None and len(self._peers) >= MOST:
                 self._forget()
-            self._peers[name] = Peer(name, life, state, now, self._drift)
+            self._peers[name] = Peer(name, life, state, now, self._drift, peer.upto if peer is not None else -1)
             return state in LIVE
         came = state in LIVE and not peer.live
         peer.state = state
@@ -79,8 +80,9 @@
         if peer is None or life > peer.life:
             if peer is None and len(self._peers) >= MOST:
                 return None
-            peer = self._peers[name] = Peer(name, life, peer.state if peer is not None and peer.live else "", now,
-                                            self._drift)
+            state = peer.state if peer is not None and peer.live else ""
+            floor = peer.upto if peer is not None else -1
+            peer = self._peers[name] = Peer(name, life, state, now, self._drift, floor)
         if peer.state and not peer.live:
             return None
         peer.spoke = now
@@ -92,9 +94,9 @@
                     if peer.live and (peer.spoke > -INFINITE or now < peer.since + patience)), default=INFINITE)
 
     def fenced(self, now: float) -> None:
-        """Of a new life of one's own: they count one's words anew, as one does theirs."""
+        """One's own new life: what they told while one was held dead went to others only."""
         for name, peer in list(self._peers.items()):
-            self._peers[name] = Peer(name, peer.life, peer.state, now, self._drift)
+            self._peers[name] = Peer(name, peer.life, peer.state, now, self._drift, peer.upto)
 
     def _forget(self) -> None:
         gone = next((name for name, peer in self._peers.items() if not peer.live), None)
--- a/limenotch/fleet/bindings/repair.py
+++ b/limenotch/fleet/bindings/repair.py
@@ -12,11 +12,12 @@
 from collections.abc import Sequence
 from typing import Any
 
-from .join import ROW_BYTES, WAIT_MS
+from .ground import Ground
 from .messages import KEY_BYTES, MOST_KEYS, MOST_PAGE, AskKeys, Compare, Copies, Digests, Keys, Want
+from .pages import ROW_BYTES, WAIT_MS
 from .peers import Peer
 from .rows import GRAVE, NIL, RANGES
-from .sights import pack
+from .sights import pack, take
 from .table import Shared
 
 DIGEST_BYTES = 8
@@ -54,14 +55,12 @@
 
 
 class Exchange:
-    """With one peer. `done`: to its end; `whole`: the other's table is. `mended`: copies that went either way."""
+    """With one peer. `mended`: copies that went either way."""
 
     def __init__(self, peer: Peer, serial: int, rate: float, settle: float, now: float) -> None:
         self.peer, self.serial, self.rate, self.settle = peer, serial, rate, settle
-        self.life = peer.life
-        self.done = self.whole = False
+        self.done = False
         self.mended = 0
-        self.differed = 0  # ranges
         self.asked = now
         self._ranges: deque[int] = deque()
         self._want: deque[int] = deque()
@@ -104,7 +103,6 @@
             return
         theirs = [int.from_bytes(answer.values[at : at + size], "big") for at in range(0, RANGES * size, size)]
         self._ranges.extend(each for each in range(RANGES) if theirs[each] != table.rows.digests[each])
-        self.differed, self.whole = len(self._ranges), answer.whole
         self._paid(now, len(answer.values))
 
     def keys(self, table: Shared, life: int, now: float, answer: Keys) -> list[Copies]:
@@ -143,3 +141,89 @@
 
     def _paid(self, now: float, size: int) -> None:
         self._next = max(now, self.asked + 1000.0 * size / self.rate)
+
+
+class Repair:
+    """One exchange each `digest_ms`, with a member at random; and the answers to others'."""
+
+    def __init__(self, ground: Ground) -> None:
+        self.ground = ground
+        self._exchange: Exchange | None = None
+        self._at = 0.0
+        self._noted = False
+
+    def begin(self) -> None:
+        self._exchange = None
+        self._at = self.ground.now + self.ground.tuning.digest_ms * self.ground.random.random()
+
+    def tick(self) -> None:
+        ground, now, exchange = self.ground, self.ground.now, self._exchange
+        if not ground.table.whole:
+            self._exchange = None
+            return
+        if exchange is not None:
+            if not exchange.done and not exchange.late(now) and exchange.peer.live:
+                self._go_on(exchange)
+                return
+            self._exchange = None
+            if exchange.done and not exchange.mended:
+                self._noted = False
+        live = ground.peers.live()
+        if now < self._at or not live:
+            return
+        tuning, scale = ground.tuning, ground.scale
+        self._at = now + tuning.digest_ms * scale
+        settle = 2 * (tuning.batch_ms + tuning.cover_ms) * scale
+        self._exchange = Exchange(ground.random.choice(live), ground.serial(), tuning.repair_bytes_per_s, settle, now)
+        self._go_on(self._exchange)
+
+    def _go_on(self, exchange: Exchange) -> None:
+        for question in exchange.ask(self.ground.now, self.ground.life):
+            self.ground.say(exchange.peer, question)
+
+    def _open(self, peer: Peer, answer: Any) -> Exchange | None:
+        exchange = self._exchange
+        if exchange is None or exchange.peer is not peer or not exchange.awaits(answer):
+            self.ground.table.count("late answer")
+            return None
+        return exchange
+
+    def compared(self, peer: Peer, compare: Compare) -> None:
+        self.ground.say(peer, digests(self.ground.table, self.ground.life, compare.serial))
+
+    def digests(self, peer: Peer, answer: Digests) -> None:
+        if (exchange := self._open(peer, answer)) is not None:
+            exchange.digests(self.ground.table, self.ground.now, answer)
+            self._go_on(exchange)
+
+    def keys_asked(self, peer: Peer, ask: AskKeys) -> None:
+        answer = keys(self.ground.table, self.ground.life, ask)
+        if answer is not None:
+            self.ground.say(peer, answer)
+
+    def keys(self, peer: Peer, answer: Keys) -> None:
+        ground = self.ground
+        if (exchange := self._open(peer, answer)) is not None:
+            for given in exchange.keys(ground.table, ground.life, ground.now, answer):
+                ground.say(peer, given)
+            self._go_on(exchange)
+
+    def wanted(self, peer: Peer, want: Want) -> None:
+        ground = self.ground
+        wanted = [int.from_bytes(want.keys[at : at + 16], "big") for at in range(0, len(want.keys) // 16 * 16, 16)]
+        ground.say(peer, copies(ground.table, ground.life, want.serial, wanted, ground.now, want.settle))
+
+    def copies(self, peer: Peer, given: Copies) -> None:
+        ground, table = self.ground, self.ground.table
+        exchange = self._open(peer, given) if given.serial else None
+        if given.serial and exchange is None:
+            return
+        before = table.changes
+        take(table, ground.now, peer, given.sent, (given.providers, given.names, given.rows), seer=False)
+        mended = table.changes - before
+        if mended and table.whole and not self._noted:
+            self._noted = True
+            ground.note(f"repairs {peer.name}", rows=mended)
+        if exchange is not None:
+            exchange.copied(ground.now, mended)
+            self._go_on(exchange)
--- a/limenotch/fleet/bindings/sights.py
+++ b/limenotch/fleet/bindings/sights.py
@@ -13,12 +13,12 @@
 from collections.abc import Iterable, Sequence
 from math import isfinite
 
-from .messages import MOST_ROWS, Copy, Place, Sights, Undone
+from .messages import MOST_ROWS, Copy, Cover, Place, Sights, Undone
 from .peers import Peer
 from .rows import CHARGED, GRAVE, KIND, STATE, TELL
 from .table import BITS, Shared
 
-MOST_MESSAGES = 4  # of a round, in one turn
+MOST_MESSAGES = 2  # of a round, in one turn
 MOST_COUNT = 1 << 62
 TENTHS = 10
 Packed = tuple[tuple[Place, ...], tuple[str, ...], tuple[Copy, ...]]
@@ -52,7 +52,9 @@
         table.count("unsound message")
         return []
     providers, names, copies = packed
-    at = peer.clock.latest(now, sent)
+    # A seer's own word is never older here than it is in truth. A copy is never younger: it may be of a sight of one's
+    # own, and would else get younger each time it came round.
+    at = peer.clock.latest(now, sent) if seer else peer.clock.earliest(now, sent)
     keys = []
     for copy in copies:
         if not sound(copy, providers, names):
@@ -71,11 +73,11 @@
 class Teller:
     """One's own sights, in rounds. Of one life."""
 
-    def __init__(self, table: Shared, life: int, now: float) -> None:
-        self.table, self.life = table, life
+    def __init__(self, table: Shared, life: int, now: float, kept: bool = False) -> None:
+        """`kept`: it has rows that it saw in an earlier life, which others may not have heard of."""
+        self.table, self.life, self.kept = table, life, kept
         self.seq = 0
         self.born = table.counter
-        self.counter = table.counter  # of the last batch
         self.covered = now
         self._round: deque[int] | None = None
         self._undo: deque[tuple[int, int, int, int]] = deque()
@@ -94,19 +96,19 @@
             undone = [self._undo.popleft() for _ in range(min(len(self._undo), MOST_ROWS))]
             over = not self._round and not self._undo
             if chosen or undone:
+                self.born = self.born if self.seq else table.counter
                 table.counter += 1
-                self.counter = table.counter
                 self.seq += 1
                 packed = pack(table, chosen, now)
                 for row in chosen:
                     table.rows.told[row] = table.rows.seen[row]
-                    table.restamp(row, self.counter)
+                    table.restamp(row, table.counter)
             if over:
                 self.covered, self._round = max(self.covered, self._mark), None
             if chosen or undone:
-                out.append(Sights(self.life, self.seq, self.counter, self.born, now, self.covered, table.whole,
-                                  *packed, undone=tuple(Undone(key.to_bytes(16, "big"), *rest)
-                                                        for key, *rest in undone)))
+                ended = tuple(Undone(key.to_bytes(16, "big"), *rest) for key, *rest in undone)
+                out.append(Sights(self.life, self.seq, table.counter, self.born, now, self.covered, table.whole,
+                                  *packed, ended, self.kept))
             if over:
                 break
         return out
@@ -115,6 +117,10 @@
         self.table.to_tell.extendleft(reversed(self._round or ()))
         self.table.to_undo.extendleft(reversed(self._undo))
 
+    def cover(self, now: float) -> Cover:
+        born = self.born if self.seq else self.table.counter
+        return Cover(self.life, self.seq, self.table.counter, born, now, self.covered, self.table.whole, self.kept)
+
     @property
     def behind(self) -> bool:
         return self._round is not None
--- a/limenotch/fleet/bindings/spans.py
+++ b/limenotch/fleet/bindings/spans.py
@@ -17,19 +17,19 @@
 
 
 class Spans:
-    """Idle and longest times by kind and state, as lists, for speed: `idle[4 * kind + state]`, `longest[kind]`."""
+    """Idle and longest times as lists, for speed: `idle[kind | state << 2]`, as a row has them, and `longest[kind]`."""
 
     def __init__(self, tuning: Tuning) -> None:
         self._ages: tuple[Ages, ...] = (tuning.key, tuning.sessions, tuning.conn, tuning.flow)
-        self.idle: list[float] = [getattr(ages, state.name.lower()) for ages in self._ages for state in State]
+        self.idle: list[float] = [getattr(ages, state.name.lower()) for state in State for ages in self._ages]
         self.longest: list[float] = [ages.longest for ages in self._ages]
         self.window(tuning.key.open)
 
     def window(self, longest_ms: float) -> None:
         """Of a key whatever was sent out may have run, answered or not: it is kept for the window in all its states."""
         for state in State:
-            self.idle[4 * Kind.KEY + state] = max(longest_ms, getattr(self._ages[Kind.KEY], state.name.lower())
-                                                  if state is not State.OPEN else 0.0)
+            least = 0.0 if state is State.OPEN else getattr(self._ages[Kind.KEY], state.name.lower())
+            self.idle[Kind.KEY | state << 2] = max(longest_ms, least)
         self.longest[Kind.KEY] = max(self._ages[Kind.KEY].longest, longest_ms)
 
 
@@ -44,11 +44,12 @@
     """After a binding's last sight anywhere all have dropped it within this.
 
     What was seen last is told when the told age runs out, at the latest: a tick and a batch later. Then each member
-    has to cover that time (a cover, a tick here), or to be held dead (`death`). `path_ms`: the longest way of a
-    message, there and back; one that carries a sight and is lost with its stream costs two covers and a page more.
+    has to cover that time (a cover, a tick here), or to be held dead (`death`). All wait one cover more, for ages that
+    came as copies and may be too old by a way. `path_ms`: the longest way of a message, there and back; one that
+    carries a sight and is lost with its stream costs two covers and a page more.
     """
     scale = pace(members)
     told = tuning.tick_ms + tuning.batch_ms * scale
     covered = tuning.cover_ms * scale + tuning.tick_ms + tuning.batch_ms * scale
     again = 2 * tuning.cover_ms * scale + 2 * path_ms
-    return (idle_ms + told + covered + again + 2 * path_ms) * (1 + tuning.drift) + death
+    return (idle_ms + tuning.cover_ms + told + covered + again + 2 * path_ms) * (1 + tuning.drift) + death
--- a/limenotch/fleet/bindings/table.py
+++ b/limenotch/fleet/bindings/table.py
@@ -45,7 +45,7 @@
         if row == NIL:
             return None
         what = rows.what[row]
-        if what & GRAVE or self.forgettable(row, now):
+        if what & GRAVE or self._forgotten(row, now):
             return None
         number = rows.who[row]
         if kind and self.providers.gone[number]:
@@ -58,7 +58,7 @@
         hashed = self.hash(kind, key)
         rows = self.rows
         row = rows.find(hashed)
-        if row == NIL or rows.what[row] & GRAVE:
+        if row == NIL or rows.what[row] & GRAVE or self._forgotten(row, now):
             gen = 0 if row == NIL else rows.gen[row] + 1
             return self._bind(now, hashed, row, kind, self.providers.place(provider), state, charged, gen)
         if now >= self.ends(row):
@@ -101,7 +101,7 @@
     def _bind(self, now: float, key: int, row: int, kind: Kind, place: Place, state: State, charged: bool,
               gen: int) -> bool:
         what = kind | state << STATE_AT | (CHARGED if charged else 0)
-        row = self._room(now, key, row, what, self.counter + 1, own=True)
+        row = self._room(now, key, row, what, self.counter + 1)
         if row == NIL:
             self.count("refused")
             return False
@@ -116,14 +116,13 @@
         return True
 
     def _again(self, now: float, row: int, kind: Kind, provider: str, state: State, charged: bool) -> bool:
-        """A sight of what is over by its age: a new one. Where another may have seen it since, it stays where it is."""
+        """A sight of what is over by its age: a new one. As another may have seen it since, it stays where it is."""
         rows = self.rows
         number = rows.who[row]
         place, bound = self.providers.place(provider), self.providers.places[number]
-        if self.least < self.ends(row):
-            charged = charged or bool(rows.what[row] & CHARGED)
-            stays = not self.providers.gone[number] or (kind == Kind.KEY and place[1:] != bound[1:])
-            place = bound if stays else place
+        charged = charged or bool(rows.what[row] & CHARGED)
+        if not self.providers.gone[number] or (kind == Kind.KEY and place[1:] != bound[1:]):
+            place = bound
         gen = rows.gen[row] + 1
         self._ended("over", row)
         self._leave(row)
@@ -154,9 +153,13 @@
         self.least = least
         return more
 
-    def forgettable(self, row: int, now: float) -> bool:
-        ends = self.ends(row)
-        return now >= ends and self.least >= ends
+    def _forgotten(self, row: int, now: float) -> bool:
+        """Whether it may be, and then it is: what was found to be over once is not found again later."""
+        forgets = self.forgets(row)
+        if now < forgets or self.least < forgets:
+            return False
+        self.bury(now, row, "over")
+        return True
 
     def age(self, now: float, most: int, why: str = "over") -> bool:
         """Looks at what is due and drops what may be forgotten: `most` rows. Whether more is due."""
@@ -168,22 +171,27 @@
             if rows.what[row] & GRAVE:
                 rows.free(row)
                 continue
-            ends = self.ends(row)
-            if ends <= now:
+            forgets = self.forgets(row)
+            if forgets <= now:
                 wheel.link(row, OVER)
                 continue
-            if rows.seen[row] > rows.told[row]:
+            out = self._told_out(row)
+            if now < out:
+                wheel.put(row, min(out, forgets))
+            elif now < (ends := self.ends(row)):
                 # The others' age of it runs out by now: they must not think that it is over.
                 self.tell(row)
-            wheel.put(row, ends)
+                wheel.put(row, ends)
+            else:
+                wheel.put(row, forgets)
         for _ in range(most):
             row = wheel.over
             if row == NIL:
                 break
-            ends = self.ends(row)
-            if now < ends:
-                wheel.put(row, ends)
-            elif self.least >= ends:
+            forgets = self.forgets(row)
+            if now < forgets:
+                wheel.put(row, forgets)
+            elif self.least >= forgets:
                 self.bury(now, row, why)
             else:
                 return wheel.behind(now)
@@ -205,10 +213,11 @@
         if row == NIL or rows.what[row] & GRAVE:
             if over:
                 return False
-            if row != NIL and gen <= rows.gen[row] and not (seer and gen == rows.gen[row]):
+            # What was made after it was forgotten here is nothing old, though its maker knew of no earlier one.
+            if row != NIL and gen <= rows.gen[row] and made <= rows.made[row] and not (seer and gen == rows.gen[row]):
                 self.count("copy of what is forgotten")
                 return False
-            row = self._room(now, key, row, what, stamp, own=False)
+            row = self._room(now, key, row, what, stamp)
             if row == NIL:
                 return False
             self._set(row, what, place, gen, move, count, by, seen, made, seen, stamp)
@@ -227,6 +236,8 @@
         elif same_gen:
             held = rows.what[row]
             new = held | (what & CHARGED)
+            if order < 0 and not held & STATE and what & STATE:
+                new |= State.OPEN << STATE_AT  # values.besides
             if order == 0:
                 after = AFTER_BITS[(held & STATE) >> STATE_AT][(what & STATE) >> STATE_AT]
                 new = new & ~STATE | after << STATE_AT
--- a/limenotch/fleet/bindings/values.py
+++ b/limenotch/fleet/bindings/values.py
@@ -10,7 +10,8 @@
     closing       closing    closing    closing    lingering
     lingering     lingering  lingering  lingering  lingering
 
-holds within one value, told by another as seen by oneself: nothing goes back but by a new `gen`.
+holds within one value, told by another as seen by oneself: nothing goes back but by a new `gen`. Of two values of one
+`gen` the winner keeps its state, but an opening one is open if the other was: the key is in use.
 
 `merge` is commutative, associative and idempotent, so it is of no account in which order and how often copies come.
 """
@@ -64,10 +65,16 @@
     return 1 if (count, by) < than[2:] else -1
 
 
+def besides(won: State, lost: State) -> State:
+    """The winner's state, where the other value of the same `gen` had that one."""
+    return State.OPEN if won == State.OPENING and lost != State.OPENING else won
+
+
 def merge(one: Value, other: Value) -> Value:
     """What is held once both are known.
 
-    Use and charge are of the key, not of who won: the later sight and any charge within the higher `gen` stay.
+    Use and charge are of the key, not of who won: the later sight, any charge within the higher `gen`, and that it was
+    open once, stay.
     """
     order = beats(*one[:4], than=other[:4])
     if order < 0:
@@ -76,6 +83,6 @@
         return one
     seen, charged = max(one.seen, other.seen), one.charged or other.charged
     if order:
-        return one._replace(seen=seen, charged=charged)
+        return one._replace(state=besides(one.state, other.state), seen=seen, charged=charged)
     return one._replace(provider=min(one.provider, other.provider), state=AFTER[one.state, other.state],
                         charged=charged, seen=seen, made=min(one.made, other.made))
--- /dev/null
+++ b/tests/fleet/bindings_worlds.py
@@ -0,0 +1,129 @@
+"""Members with bindings in simulated time, for tests. Membership is told by the test, or is the real one in a hub."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from limenotch.fleet.bindings import Bindings, Tuning
+from limenotch.fleet.bindings.api import Bound, Kind, Providers, State
+from limenotch.fleet.bindings.table import Shared
+from limenotch.fleet.bindings.tuning import Ages
+from limenotch.fleet.contract import Fenced, MemberChanged, Started
+from limenotch.fleet.hub import Asked, Hub
+from limenotch.fleet.membership import Membership
+from limenotch.lab.fleet.members import TUNING
+from limenotch.lab.fleet.world import World, address
+from limenotch.store.records import Held
+
+KEY = b"0123456789abcdef"
+THERE = {"p1": ("c1", "z1"), "p2": ("c1", "z1"), "p3": ("c2", "z2")}
+QUICK = Tuning(sessions=Ages(opening=1000, open=4000, closing=500, lingering=500), key=Ages(open=3000),
+               flow=Ages(opening=1000, open=4000, closing=500, lingering=500))
+
+
+def alone(tuning: Tuning = QUICK, name: str = "a") -> Bindings:
+    """One that nobody else is with, whole, at 1000 ms."""
+    part = Bindings(name, 1, KEY, tuning)
+    part.handle(0.0, Started())
+    part.handle(0.0, MemberChanged(name, "alive", address(name), 0, 1))
+    part.handle(0.0, Providers(THERE))
+    part.handle(1000.0, _fired())
+    part.handle(1000.0, _fired())
+    assert part.table.whole
+    return part
+
+
+def _fired() -> Any:
+    from limenotch.fleet.contract import TimerFired
+
+    return TimerFired(1)
+
+
+class Told:
+    """A member whose membership is what `Fleet` says."""
+
+    def __init__(self, fleet: Fleet, name: str, life: int) -> None:
+        self.fleet, self.name, self.life = fleet, name, life
+        self.bindings = Bindings(name, life, KEY, fleet.tuning, 5)
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        out = self.bindings.handle(now, event)
+        if isinstance(event, Started):
+            for other in self.fleet.names:
+                life = self.life if other == self.name else self.fleet.lives.get(other, 1)
+                out += self.bindings.handle(now, MemberChanged(other, "alive", address(other), 0, life))
+            out += self.bindings.handle(now, Providers(THERE))
+        return out
+
+
+class Hubbed:
+    """A member with the real membership below."""
+
+    def __init__(self, fleet: Fleet, name: str, seed: int, life: int) -> None:
+        membership = Membership(name, address(name), life, [address("a"), address("b")], TUNING, seed)
+        self.bindings = Bindings(name, life, KEY, fleet.tuning, seed)
+        self.hub = Hub((("mb.", membership), ("bi.", self.bindings)), membership)
+
+    def handle(self, now: float, event: Any) -> list[Any]:
+        out: list[Any] = self.hub.handle(now, event)
+        if isinstance(event, Started):
+            out += self.hub.handle(now, Asked("bi.", Providers(THERE)))
+        return out
+
+
+class Fleet:
+    def __init__(self, names: Iterable[str], seed: int = 1, tuning: Tuning = QUICK, real: bool = False,
+                 **weather: Any) -> None:
+        self.names, self.tuning = list(names), tuning
+        self.lives: dict[str, int] = {}
+        self._real = real
+        self.world = World(self.names, self._make, seed, **weather)
+
+    def _make(self, name: str, seed: int, life: int, held: Held) -> Any:
+        self.lives[name] = life
+        return Hubbed(self, name, seed, life) if self._real else Told(self, name, life)
+
+    def of(self, name: str) -> Bindings:
+        part: Bindings = self.world.part(name).bindings
+        return part
+
+    def table(self, name: str) -> Shared:
+        return self.of(name).table
+
+    def now(self, name: str) -> float:
+        node = self.world.nodes[name]
+        return max(node.now, node.clock(self.world.now))
+
+    def run(self, span: float) -> None:
+        self.world.run(self.world.now + span)
+
+    def say(self, event: Any, *names: str) -> None:
+        for name in names or self.names:
+            if self.world.alive(name):
+                self.world.poke(name, Asked("bi.", event) if self._real else event)
+
+    def changed(self, who: str, state: str, life: int, *names: str) -> None:
+        self.say(MemberChanged(who, state, address(who), 0, life), *names)
+
+    def fence(self, who: str) -> None:
+        """It has been dead to the others; all hear of its next life."""
+        self.lives[who] += 1
+        self.say(Fenced(), who)
+        self.changed(who, "alive", self.lives[who])
+
+    def see(self, name: str, key: bytes, provider: str = "p1", state: State = State.OPEN,
+            kind: Kind = Kind.SESSION, charged: bool = False) -> bool:
+        return self.table(name).see(self.now(name), kind, key, provider, state, charged)
+
+    def find(self, name: str, key: bytes, kind: Kind = Kind.SESSION) -> Bound | None:
+        return self.table(name).find(self.now(name), kind, key)
+
+    def who(self, key: bytes, kind: Kind = Kind.SESSION) -> list[str | None]:
+        """The provider that each has it bound to."""
+        found = [self.find(name, key, kind) for name in self.names if self.world.alive(name)]
+        return [each and each.provider for each in found]
+
+    def same(self) -> bool:
+        """Whether all hold the same values."""
+        return len({tuple(self.table(name).rows.digests) for name in self.names if self.world.alive(name)}) == 1
--- /dev/null
+++ b/tests/fleet/test_bindings_sights.py
@@ -0,0 +1,367 @@
+"""The table by itself: sights, ages, moves, ends; and what of it is told."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+import pytest
+
+from limenotch.fleet.bindings import Tuning
+from limenotch.fleet.bindings import messages as say
+from limenotch.fleet.bindings.api import Kind, Providers, State, Window
+from limenotch.fleet.bindings.core import Bindings
+from limenotch.fleet.bindings.rows import NIL
+from limenotch.fleet.bindings.sights import pack, take
+from limenotch.fleet.bindings.spans import Spans, forget_ms, pace
+from limenotch.fleet.bindings.tuning import Ages
+from limenotch.fleet.contract import MOST_DATAGRAM, Fenced, Heard, MemberChanged, Started, Tell, TimerFired
+from limenotch.lab.fleet.world import address
+from tests.fleet.bindings_worlds import KEY, QUICK, THERE, alone
+
+S = Kind.SESSION
+
+
+def rounds(part: Bindings, now: float) -> list[say.Sights]:
+    return part.ground.teller.batches(now)
+
+
+def gen(part: Bindings, key: bytes, kind: Kind = S) -> int:
+    return part.table.rows.gen[part.table.rows.find(part.table.hash(kind, key))]
+
+
+def test_a_sight_makes_it_young_and_another_provider_moves_it_only_when_its_own_went() -> None:
+    part = alone()
+    table = part.table
+    assert table.see(1000.0, S, b"k", "p1", State.OPEN)
+    assert table.see(3000.0, S, b"k", "p2", State.OPEN, charged=True)
+    found = table.find(3500.0, S, b"k")
+    assert found == ("p1", "c1", "z1", State.OPEN, 500.0, 2500.0, True)
+    part.handle(3500.0, Providers({"p2": THERE["p2"], "p3": THERE["p3"]}))
+    assert table.find(3500.0, S, b"k") is None
+    assert table.see(3600.0, S, b"k", "p2", State.OPEN)
+    found = table.find(3600.0, S, b"k")
+    assert found is not None and found.provider == "p2" and found.charged
+    assert gen(part, b"k") == 0
+
+
+def test_a_provider_that_is_back_has_none_of_its_old_ones() -> None:
+    part = alone()
+    part.table.see(1000.0, S, b"k", "p1", State.OPEN)
+    part.handle(1100.0, Providers({"p2": THERE["p2"]}))
+    part.handle(1200.0, Providers(THERE))
+    assert part.table.find(1300.0, S, b"k") is None
+    part.table.see(1300.0, S, b"new", "p1", State.OPEN)
+    assert part.table.find(1400.0, S, b"new") is not None
+    assert part.table.see(1400.0, S, b"k", "p1", State.OPEN)
+    row = part.table.rows.find(part.table.hash(S, b"k"))
+    assert part.table.rows.move[row] == 0  # the same name: it is bound to what it was bound to, and that has ended
+
+
+def test_a_key_keeps_its_cell_and_zone_when_its_provider_went() -> None:
+    part = alone()
+    part.table.see(1000.0, Kind.KEY, b"k", "p1", State.OPEN)
+    part.handle(1100.0, Providers({"p2": THERE["p2"], "p3": THERE["p3"]}))
+    found = part.table.find(1200.0, Kind.KEY, b"k")
+    assert found is not None and found[:3] == ("p1", "c1", "z1")
+    part.table.see(1200.0, Kind.KEY, b"k", "p3", State.OPEN)
+    found = part.table.find(1200.0, Kind.KEY, b"k")
+    assert found is not None and found.zone == "z1"
+    part.table.see(1300.0, Kind.KEY, b"k", "p2", State.OPEN)
+    found = part.table.find(1300.0, Kind.KEY, b"k")
+    assert found is not None and found[:3] == ("p2", "c1", "z1")
+
+
+def test_alone_it_is_over_at_its_age_and_a_new_one_outranks_it() -> None:
+    part = alone()
+    table, idle = part.table, QUICK.sessions.open
+    table.see(1000.0, S, b"k", "p1", State.OPEN)
+    assert table.find(1000.0 + idle - 1, S, b"k") is not None
+    slow = 1000.0 + idle * (1 + QUICK.drift) + QUICK.cover_ms
+    assert table.find(slow, S, b"k") is None
+    table.age(slow + 100, 100)
+    assert table.live == 0
+    assert table.see(slow + 200, S, b"k", "p2", State.OPEN)
+    assert gen(part, b"k") == 1
+    found = table.find(slow + 200, S, b"k")
+    assert found is not None and found.provider == "p2"
+
+
+def test_the_longest_time_ends_what_is_seen_all_the_time() -> None:
+    part = alone(Tuning(conn=Ages(open=1000, longest=5000)))
+    for now in range(1000, 6000, 500):
+        part.table.see(float(now), Kind.CONN, b"k", "p1", State.OPEN)
+    part.table.see(6001.0, Kind.CONN, b"k", "p2", State.OPEN)
+    assert gen(part, b"k", Kind.CONN) == 1
+
+
+def test_a_closing_one_has_its_own_idle_time() -> None:
+    part = alone()
+    part.table.see(1000.0, S, b"k", "p1", State.OPEN)
+    part.table.see(1100.0, S, b"k", "p1", State.CLOSING)
+    part.table.see(1200.0, S, b"k", "p1", State.OPEN)
+    part.table.age(1200.0 + 500 * 1.02 + QUICK.cover_ms + 100, 100)
+    assert part.table.live == 0
+
+
+def test_the_window_is_the_keys_time_in_each_state() -> None:
+    spans = Spans(QUICK)
+    assert spans.idle[Kind.KEY :: 4] == [3000, 3000, 5000, 3000]
+    spans.window(90_000.0)
+    assert spans.idle[Kind.KEY :: 4] == [90_000] * 4
+    spans.window(90_000_000.0)
+    assert spans.longest[Kind.KEY] == 90_000_000
+    part = alone()
+    part.handle(1000.0, Window(60_000.0))
+    part.table.see(1000.0, Kind.KEY, b"k", "p1", State.OPENING)
+    assert part.table.find(60_000.0, Kind.KEY, b"k") is not None
+
+
+def test_nothing_is_told_a_call_and_the_last_sight_is_told_in_time() -> None:
+    """An eighth of 4 s: a sight each 100 ms is told each 600 ms, and what was held back when others' age runs out."""
+    part = alone()
+    told = 0
+    for now in range(1000, 11_000, 100):
+        part.table.see(float(now), S, b"k", "p1", State.OPEN)
+        part.table.age(float(now), 100)
+        told += len(rounds(part, float(now)))
+    assert 10_000 / 600 - 2 <= told <= 10_000 / 500 + 1
+    row = part.table.rows.find(part.table.hash(S, b"k"))
+    last, held = part.table.rows.seen[row], part.table.rows.told[row]
+    assert held < last == 10_900.0
+    for now in range(11_000, 16_000, 100):
+        part.table.age(float(now), 100)
+        batch = rounds(part, float(now))
+        if batch:
+            break
+    assert held + QUICK.sessions.open <= now <= held + QUICK.sessions.open + QUICK.tick_ms
+    assert part.table.rows.told[row] == last
+
+
+def test_covered_waits_for_the_whole_round() -> None:
+    part = alone(Tuning())
+    for number in range(3000):
+        part.table.see(1050.0, S, b"%d" % number, "p1", State.OPEN)
+    before = part.ground.teller.covered
+    part.table.age(1200.0, 10)
+    first = rounds(part, 1200.0)
+    part.table.see(1200.0, S, b"later", "p1", State.OPEN)
+    assert [len(each.rows) for each in first] == [512, 512]
+    assert part.ground.teller.covered == before < 1050.0
+    rest: list[say.Sights] = []
+    while part.ground.teller.behind:
+        rest += rounds(part, 1300.0)
+    assert [each.seq for each in first + rest] == list(range(1, 7))
+    assert rest[-1].covered == 1200.0
+    assert all(each.covered < 1050.0 for each in rest[:-1])
+    assert len(rounds(part, 1400.0)[0].rows) == 1
+
+
+def test_what_reached_nobody_is_undone_everywhere_but_where_it_was_seen() -> None:
+    one, two, three = (alone(name=name) for name in "abc")
+    one.table.see(1000.0, S, b"k", "p1", State.OPENING)
+    batch, = rounds(one, 1010.0)
+    for part in (two, three):
+        hear(part, batch, 1011.0)
+        assert part.table.find(1012.0, S, b"k") is not None
+    three.table.see(1012.0, S, b"k", "p1", State.OPENING)
+    one.table.undo(1013.0, S, b"k")
+    undone, = rounds(one, 1020.0)
+    for part in (two, three):
+        hear(part, undone, 1021.0)
+    assert [part.table.find(1022.0, S, b"k") is not None for part in (one, two, three)] == [False, False, True]
+    again, = rounds(three, 1030.0)  # it is in use there: told at once
+    hear(one, again, 1031.0, "c")
+    assert one.table.find(1032.0, S, b"k") is not None
+    one.table.see(1033.0, S, b"k", "p1", State.OPEN)
+    one.table.undo(1034.0, S, b"k")
+    assert one.table.find(1035.0, S, b"k") is not None
+    assert one.counts["not to be undone"] == 1
+
+
+def hear(part: Bindings, message: Any, now: float, sender: str = "a") -> list[Any]:
+    """As of a member whose clock is the same."""
+    if part.ground.peers.get(sender) is None:
+        part.handle(now, MemberChanged(sender, "alive", address(sender), 0, 1))
+        part.handle(now, Heard(address(sender), sender, say.Pong(1, now, now)))
+    return part.handle(now, Heard(address(sender), sender, message))
+
+
+def sights(part: Bindings, key: bytes, seen: float, now: float, seq: int = 1, **other: Any) -> say.Sights:
+    """As the member `z` would tell it."""
+    made = alone(name="z")
+    made.table.see(seen, S, key, other.get("provider", "p1"), State.OPEN)
+    batch, = made.ground.teller.batches(now)
+    return msgspec.structs.replace(batch, seq=seq)
+
+
+def test_a_batch_that_comes_late_is_older() -> None:
+    part = alone()
+    batch = sights(part, b"k", 1000.0, 1000.0)
+    hear(part, batch, 1001.0, "z")
+    part.table.bury(1002.0, part.table.rows.find(part.table.hash(S, b"k")), "over")
+    late = sights(part, b"k2", 1000.0, 1000.0, seq=2)
+    hear(part, late, 4000.0, "z")
+    found = part.table.find(4000.0, S, b"k2")
+    assert found is not None and 2850 <= found.seen_ms <= 3000
+    hear(part, sights(part, b"k3", 1000.0, 1000.0, seq=3), 6000.0, "z")
+    assert part.table.find(6000.0, S, b"k3") is None
+
+
+def test_first_words_of_a_life_wait_until_its_clock_is_known() -> None:
+    """They may have lain in a stream for as long as they like."""
+    part = alone()
+    part.handle(2000.0, MemberChanged("z", "alive", address("z"), 0, 1))
+    old = sights(part, b"k", 1000.0, 1000.0)
+    out = part.handle(9000.0, Heard(address("z"), "z", old))
+    assert [type(act.message) for act in out if isinstance(act, Tell)] == [say.Ping]
+    assert part.table.find(9000.0, S, b"k") is None
+    part.handle(9002.0, Heard(address("z"), "z", say.Pong(1, 9000.0, 9001.0)))
+    assert part.table.find(9002.0, S, b"k") is None
+    assert part.table.live == 0
+
+
+def test_a_copy_of_what_was_forgotten_revives_nothing_and_a_sight_that_crossed_does() -> None:
+    part = alone()
+    key = part.table.hash(S, b"k")
+    part.table.see(1000.0, S, b"k", "p1", State.OPEN)
+    row = part.table.rows.find(key)
+    values = (part.table.rows.gen[row], 0, part.table.rows.count[row], "a")
+    part.table.age(5500.0, 100)
+    assert part.table.live == 0
+    what = S | State.OPEN << 2
+    assert not part.table.hear(5510.0, key, what, ("p1", "c1", "z1"), *values, 4000.0, 1000.0, 9, False)
+    assert part.table.live == 0
+    assert not part.table.hear(5510.0, key, what, ("p1", "c1", "z1"), *values, 1000.0, 1000.0, 9, True)
+    assert part.table.hear(5510.0, key, what, ("p1", "c1", "z1"), *values, 4900.0, 1000.0, 9, True)
+    assert part.table.live == 1
+
+
+def test_what_was_made_after_it_was_forgotten_is_taken_though_its_maker_knew_of_no_earlier_one() -> None:
+    part = alone()
+    key, what, place = part.table.hash(S, b"k"), S | State.OPEN << 2, ("p2", "c1", "z1")
+    for now in (1000.0, 6000.0):  # twice bound, twice forgotten
+        part.table.see(now, S, b"k", "p1", State.OPEN)
+        part.table.age(now + 4500.0, 100)
+    assert part.table.live == 0
+    assert not part.table.hear(10_600.0, key, what, place, 0, 0, 7, "z", 10_550.0, 10_400.0, 9, False)
+    assert part.table.hear(10_600.0, key, what, place, 0, 0, 7, "z", 10_550.0, 10_550.0, 9, False)
+    found = part.table.find(10_601.0, S, b"k")
+    assert found is not None and found.provider == "p2"
+
+
+def test_what_was_found_to_be_over_stays_so() -> None:
+    part = alone()
+    part.table.see(1000.0, S, b"k", "p1", State.OPEN)
+    assert part.table.find(5400.0, S, b"k") is None
+    part.table.least = 0.0
+    assert part.table.find(5401.0, S, b"k") is None
+
+
+def test_an_age_grows_no_younger_by_going_round() -> None:
+    """One's own sight, back as a copy by a way of 40 ms."""
+    one, two = alone(), alone(name="z")
+    one.table.see(1000.0, S, b"k", "p1", State.OPEN)
+    batch, = rounds(one, 1000.0)
+    hear(two, batch, 1040.0, "a")
+    hear(one, say.Pong(1, 1000.0, 1040.0), 1080.0, "z")
+    before = one.table.rows.seen[0]
+    for now in range(1100, 3000, 100):
+        packed = pack(two.table, [two.table.rows.find(two.table.hash(S, b"k"))], float(now))
+        peer = one.ground.peers.get("z")
+        assert peer is not None
+        take(one.table, now + 40.0, peer, float(now), packed, False)
+        assert one.table.rows.seen[0] == before
+
+
+def test_a_row_that_changes_keeps_its_provider() -> None:
+    """The only one of it: its number must not be another's meanwhile."""
+    part = alone()
+    part.table.see(1000.0, S, b"k", "p3", State.OPENING)
+    part.table.see(1001.0, S, b"k", "p3", State.OPEN)
+    part.table.see(1002.0, S, b"other", "p2", State.OPEN)
+    part.table.see(1003.0, S, b"third", "p1", State.OPEN)
+    assert [found and found.provider for found in (part.table.find(1004.0, S, key) for key in (b"k", b"other"))] == [
+        "p3", "p2"]
+
+
+def test_ten_thousand_that_expire_in_one_ms_go_by_pieces() -> None:
+    part = alone(Tuning(conn=Ages(open=1000)))
+    for number in range(10_000):
+        part.table.see(2000.0, Kind.CONN, b"%d" % number, "p1", State.OPEN)
+    while part.ground.teller.behind or part.table.to_tell:
+        rounds(part, 2000.0)
+    now, turns, most = 3500.0, 0, 0
+    while part.table.live:
+        before = part.table.live
+        part.handle(now, TimerFired(1))
+        most, turns, now = max(most, before - part.table.live), turns + 1, now + 1.0
+        assert turns < 100
+    assert 0 < most <= 500
+
+
+def test_an_old_programs_messages_are_read_and_newer_ones_fields_skipped() -> None:
+    part = alone()
+    batch = sights(part, b"k", 1000.0, 1000.0)
+    plain = msgspec.msgpack.decode(msgspec.msgpack.encode(batch))
+    older, newer = plain[:-1], [*plain, "more"]
+    older[-1] = [row[:-1] for row in older[-1]]
+    for each in (older, newer):
+        read: say.Sights = msgspec.msgpack.decode(msgspec.msgpack.encode(each), type=say.Sights)
+        other = alone()
+        hear(other, read, 1000.0, "z")
+        assert other.table.find(1001.0, S, b"k") is not None
+
+
+@pytest.mark.parametrize("change", [
+    {"key": b"short"}, {"what": 64}, {"what": -1}, {"who": 5}, {"by": -1}, {"gen": 1 << 32}, {"move": 1 << 16},
+    {"count": 1 << 63}, {"age": -1}, {"old": -1}, {"stamp": -1}])
+def test_unsound_copies_change_nothing(change: dict[str, Any]) -> None:
+    part = alone()
+    batch = sights(part, b"k", 1000.0, 1000.0)
+    bad = msgspec.structs.replace(batch, rows=(msgspec.structs.replace(batch.rows[0], **change),))
+    hear(part, bad, 1001.0, "z")
+    assert part.table.live == 0
+    assert part.counts["unsound copy"] == 1
+
+
+def test_datagrams_are_small_and_streams_bounded() -> None:
+    part = alone(Tuning())
+    for number in range(2000):
+        part.table.see(1050.0, S, b"%d" % number, "p1", State.OPEN)
+    for batch in rounds(part, 1100.0):
+        assert len(msgspec.msgpack.encode(batch)) < 64 * 1024
+    assert len(msgspec.msgpack.encode(say.Pong(1 << 60, 1e9, 1e9))) < MOST_DATAGRAM
+
+
+def test_events_that_are_none_and_time_that_runs_back() -> None:
+    part = Bindings("a", 1, KEY)
+    with pytest.raises(TypeError):
+        part.handle(1.0, "x")
+    part.handle(2.0, Started())
+    with pytest.raises(ValueError, match="back"):
+        part.handle(1.0, TimerFired(1))
+    part.handle(3.0, Heard(address("z"), "z", MemberChanged("z", "alive", address("z"), 0, 1)))  # type: ignore[arg-type]
+    assert part.counts["no message of bindings"] == 1
+
+
+def test_fenced_keeps_the_young_and_drops_the_over_at_once() -> None:
+    part = alone()
+    part.handle(1000.0, MemberChanged("z", "alive", address("z"), 0, 1))
+    part.table.see(1000.0, S, b"old", "p1", State.OPEN)
+    part.table.see(4000.0, S, b"young", "p1", State.OPEN)
+    part.handle(5500.0, TimerFired(1))
+    assert part.table.find(5500.0, S, b"old") is not None  # z has not covered its end
+    part.handle(5500.0, Fenced())
+    part.handle(5500.0, MemberChanged("a", "alive", address("a"), 0, 2))
+    part.handle(5600.0, TimerFired(1))
+    assert part.table.find(5600.0, S, b"old") is None
+    assert part.table.find(5600.0, S, b"young") is not None
+    assert not part.table.whole
+    assert part.table.rows.find(part.table.hash(S, b"none")) == NIL
+
+
+def test_stated_times_grow_with_members_and_paths() -> None:
+    few, many = (forget_ms(QUICK, 4000, 3000, members, 10) for members in (3, 200))
+    assert 4000 + 3000 < few < many
+    assert pace(32) == 1 and pace(200) == 6.25
