Bindings: a copy of a later sight than a grave knows is taken

One side of a cut forgot a session that the other went on using; after the heal its copy had the grave's gen and was refused. A grave keeps its last sight: a copy, never younger than in truth, of a later one was used on elsewhere.

--- a/limenotch/fleet/bindings/held.py
+++ b/limenotch/fleet/bindings/held.py
@@ -83,6 +83,8 @@
             return
         rows.what[row] = rows.what[row] & KIND | GRAVE
         rows.made[row] = now
+        if why != "over":
+            rows.seen[row] = now  # young copies of it are about
         self.wheel.put(row, now + self.tuning.grave_ms)
 
     def end(self, row: int) -> None:
--- a/limenotch/fleet/bindings/table.py
+++ b/limenotch/fleet/bindings/table.py
@@ -7,7 +7,8 @@
 | over | all that count have covered the time of its end | a grave |
 | grave | an own sight | live, `gen` + 1 |
 | grave | a sight told by its seer, young by its age | live as told: the sight and the drop crossed |
-| grave | a copy of the forgotten `gen` | nothing: an old copy revives nothing |
+| grave | a copy, young by its age, of a later sight than was known here | live as copied: it was used on elsewhere |
+| grave | any other copy of the forgotten `gen` | nothing: an old copy revives nothing |
 | grave | `grave_ms` | nothing is left |
 
 One that is over is found as long as another may have seen it since: knowing it restricts.
@@ -213,8 +214,8 @@
         if row == NIL or rows.what[row] & GRAVE:
             if over:
                 return False
-            # What was made after it was forgotten here is nothing old, though its maker knew of no earlier one.
-            if row != NIL and gen <= rows.gen[row] and made <= rows.made[row] and not (seer and gen == rows.gen[row]):
+            if row != NIL and gen <= rows.gen[row] and not (
+                    (seer and gen == rows.gen[row]) or self._used_since(row, seen, made)):
                 self.count("copy of what is forgotten")
                 return False
             row = self._room(now, key, row, what, stamp)
@@ -248,6 +249,12 @@
             self._young(row, seen, stamp)
         return True
 
+    def _used_since(self, row: int, seen: float, made: float) -> bool:
+        """Whether a copy tells more than its grave knows: it was used on where it was not forgotten, or made anew by
+        one that knew of no earlier one. A copy is never younger than in truth, so what is no later is the old one.
+        """
+        return made > self.rows.made[row] or seen > self.rows.seen[row] + self.tuning.cover_ms
+
     def undone(self, now: float, key: int, gen: int, move: int, count: int, by: str) -> None:
         rows = self.rows
         row = rows.find(key)
