--- a/limenotch/layers/base.py
+++ b/limenotch/layers/base.py
@@ -68,7 +68,7 @@
         """A provider is out by hand or by the rules, or back since `at_ms` of Unix time."""
 
     def adopted(self, config: Config) -> None:
-        """What is in force for the calls to come: at the start, when the file was read again, by rules under a lease."""
+        """What is in force for the calls to come: at the start, of a file read again, by rules under a lease."""
 
     def gone(self, origin: str) -> None:
         """A consumer's connection of which calls came has ended."""
--- a/limenotch/layers/bindings.py
+++ b/limenotch/layers/bindings.py
@@ -166,13 +166,13 @@
             self._see(Kind.CONN, kept.key, kept.provider, State.CLOSING)
 
     def figures(self) -> dict[str, Any]:
-        part = self._bindings
+        ground = self._bindings.ground
         return {
             "state": "whole" if self._table.whole else "joining", **self._table.figures(),
             "calls": {**self.counts, "open": len(self._mine)}, "consumers": len(self._conns),
             "providers": len(self._there), "window_ms": max(self._windows.values(), default=0.0),
-            "told": part.teller.seq,  # words of sights so far; of each other member, those heard here:
-            "heard": {peer.name: peer.seq for peer in part.peers.all()},
+            "told": ground.teller.seq,  # words of sights so far; of each other member, those heard here:
+            "heard": {peer.name: peer.seq for peer in ground.peers.all()},
         }
 
     # Calls
