--- a/tests/fleet/test_bindings_processes.py
+++ b/tests/fleet/test_bindings_processes.py
@@ -225,8 +225,10 @@
         """Until all whom it reaches have heard what it has seen so far."""
         state = await self.figures(node)
         told = state["told"] + (2 if state["to_tell"] else 0)  # the word under way, and the one after it
-        alive = [member["name"] for member in (await self.processes.nodes[node].state() or {})["members"]
-                 if member["state"] == "alive" and member["name"] != node and self.processes.nodes[member["name"]].alive]
+        nodes = self.processes.nodes
+        members = (await nodes[node].state() or {})["members"]
+        alive = [member["name"] for member in members
+                 if member["state"] == "alive" and member["name"] != node and nodes[member["name"]].alive]
 
         async def holds() -> bool:
             own = await self.figures(node)
