--- a/limenotch/layers/wallet.py
+++ b/limenotch/layers/wallet.py
@@ -56,11 +56,12 @@
 
     def taken(self, call: Call) -> Final | None:
         purse = self.purse
-        if purse is None or self.off:
+        if purse is None or self.fault or (self._off() and self.off):
             return self._without(call)
         try:
             said = purse.reserve(self._now(), call.tenant, call.kind, call.paid)
-            self._see(purse)
+            if not self._looking and purse.wants():
+                self._see()
         except Exception as error:
             self._faulty(error)
             return self._without(call)
@@ -82,11 +83,15 @@
         purse = self.purse
         if reservation is None or purse is None:
             return
-        served = call.final is not None and call.final.verdict is Verdict.SERVED
         try:
-            (purse.charge if served else purse.give_back)(self._now(), reservation)
-            self.counts["charged" if served else "given_back"] += reservation.cost
-            self._see(purse)
+            if call.final is not None and call.final.verdict is Verdict.SERVED:
+                purse.charge(self._now(), reservation)
+                self.counts["charged"] += reservation.cost
+            else:
+                purse.give_back(self._now(), reservation)
+                self.counts["given_back"] += reservation.cost
+            if not self._looking and purse.wants():
+                self._see()
         except Exception as error:
             self._faulty(error)
 
@@ -98,10 +103,9 @@
         self.counts["turned_without"] += 1
         return Final(Verdict.REJECTED, retry_after_ms=tuning.retry_after_ms, paused=True)
 
-    def _see(self, purse: Purse) -> None:
-        if not self._looking and purse.wants():
-            self._looking = True
-            asyncio.get_running_loop().call_soon(self._tell)
+    def _see(self) -> None:
+        self._looking = True
+        asyncio.get_running_loop().call_soon(self._tell)
 
     def _tell(self) -> None:
         self._looking = False
