--- a/limenotch/fleet/wallet/purse.py
+++ b/limenotch/fleet/wallet/purse.py
@@ -81,7 +81,8 @@
     """A tenant's, here."""
 
     __slots__ = ("tenant", "slices", "first", "units", "turned", "last", "turned_at", "need", "dry", "paused", "noted",
-                 "ramp", "rate", "served", "rolled", "rolled_at", "lent", "lending", "telling", "told_serial", "span_ms", "span_until")
+                 "ramp", "rate", "served", "rolled", "rolled_at", "lent", "lending", "telling", "told_serial",
+                 "span_ms", "span_until")
 
     def __init__(self, tenant: str, now: float) -> None:
         self.tenant = tenant
