--- a/limenotch/fleet/wallet/granting.py
+++ b/limenotch/fleet/wallet/granting.py
@@ -204,10 +204,10 @@
         open_to = [(owner, want) for owner, want in wants.items() if (tenant, owner) not in self._granting
                    and len(held.get(owner, ())) < MOST_SLICES and now < self.leases.records.get(owner, -NEVER)]
         short = self._judge(now, tenant, wallet, open_to, free)
-        unmet = False
+        unmet, half = False, free // (2 * max(1, len(open_to)))
         for owner, want in open_to:
             if short is None:
-                share = max(want.least, free // (2 * len(open_to)))
+                share = max(want.least, half)
             else:
                 share = max(want.least, int(want.pace * short.keep_ms / self._tuning.slice_ms), 1)
             # Of what is short half stays, for those who use little and would else run dry until the next recall.
