--- a/limenotch/fleet/wallet/core.py
+++ b/limenotch/fleet/wallet/core.py
@@ -190,8 +190,9 @@
             owner = (entry.name, entry.life)
             if isinstance(entry, entries.Grant):
                 self.memory.granted(entry.tenant, owner, entry.serial)
-                if mine:
-                    self.holding.granted(self._now, entry, applied.amount)
+                one = self.book.slice(entry.tenant, *owner, entry.serial)
+                if mine and one is not None:
+                    self.holding.granted(self._now, entry.tenant, entry.serial, one)
             elif isinstance(entry, entries.Advance):
                 if mine:
                     self.holding.advanced(entry.tenant, entry.amount)
--- a/limenotch/fleet/wallet/holding.py
+++ b/limenotch/fleet/wallet/holding.py
@@ -47,15 +47,14 @@
 
     # What the log says
 
-    def granted(self, now: float, entry: entries.Grant, amount: int) -> None:
-        self._purse.got(now, entry.tenant, Held(entry.serial, amount, 0, entry.witnesses, now))
-        account = self._purse.accounts[entry.tenant]
+    def granted(self, now: float, tenant: str, serial: int, agreed: Slice) -> None:
+        account = self._purse.got(now, tenant, Held(serial, agreed.top, agreed.spent, agreed.witnesses, now))
         account.ramp *= 2
         account.dry = False
-        self._wants.pop(entry.tenant, None)
-        self.out.append(Note(f"holds {entry.tenant} {amount}", {"serial": entry.serial}))
+        self._wants.pop(tenant, None)
+        self.out.append(Note(f"holds {tenant} {agreed.held}", {"serial": serial}))
         if self.leaving:
-            account.slices[entry.serial].narrow(0)
+            account.slices[serial].narrow(0)
 
     def paid(self, tenant: str) -> None:
         """Whoever was turned away wants at once."""
@@ -63,6 +62,7 @@
         if account is not None:
             account.dry, account.span_until = False, -NEVER
             self._purse.touched.add(tenant)
+            self._news = True  # a leader that knew no such wallet has not kept what was wanted
 
     def leased(self, now: float) -> None:
         """From now on, or anew."""
@@ -86,11 +86,13 @@
                     self._purse.ended(account.tenant, serial)
             if account.telling and self._book.told(account.tenant, self._owner) >= account.told_serial:
                 self.advanced(account.tenant, account.telling)
-        for tenant, serial in self._book.owners.get(self._owner, ()):
+            if account.paused:
+                self.paid(account.tenant)  # perhaps
+        for tenant, serial in sorted(self._book.owners.get(self._owner, ())):
             one = self._book.slice(tenant, *self._owner, serial)
             known = self._purse.accounts.get(tenant)
             if one is not None and (known is None or serial not in known.slices):
-                self._purse.got(now, tenant, Held(serial, one.top, one.spent, one.witnesses, now))
+                self.granted(now, tenant, serial, one)
 
     def told(self) -> None:
         """The entry that was on its way has ended, so or so."""
@@ -143,7 +145,7 @@
         if now >= self._scan_at:
             self._scan(now)
         touched, purse.touched = purse.touched, set()
-        for tenant in touched:
+        for tenant in sorted(touched):
             if (account := purse.accounts.get(tenant)) is not None:
                 self._see(now, account)
         if touched:
