--- a/tests/fleet/test_wallet_granting.py
+++ b/tests/fleet/test_wallet_granting.py
@@ -294,7 +294,8 @@
     group.fate = lambda frm, told: "promised"
     group.lead("c")
     group.agree(*told)
-    assert not group.wallets["a"].book.wallets["acme"].slices, "forwarded to the new leader: of another epoch"
+    assert group.wallets["a"].counts["Grant bad"] == 1, "forwarded to the new leader: of another epoch"
+    assert len(group.wallets["a"].book.wallets["acme"].slices) == 1, "c's own"
     group.run(QUICK.lease_ms)
     assert spend(group, "b", 50, 5) > 8
     assert group.wallets["a"].book.wallets["acme"].held <= 1000
--- a/tests/fleet/test_wallet_leases.py
+++ b/tests/fleet/test_wallet_leases.py
@@ -206,3 +206,23 @@
     group.agree(*told)  # forwarded to the new leader, late
     assert group.wallets["a"].counts["Expire bad"] == 1
     assert any(serial in group.wallets["b"].purse.accounts["acme"].slices for serial in held)
+
+
+def test_a_lease_counts_only_where_an_expiry_before_it_is_applied() -> None:
+    group = ready()
+    assert spends(group, "b")
+    group.asleep.add("b")
+    group.run(QUICK.held_ms + QUICK.lease_ms)
+    assert any(text.startswith("back acme") for text in group.texts("a"))
+    group.behind.add("b")  # it has its leases, the log comes later
+    group.wake("b")
+    group.run(QUICK.lease_ms / 2)
+    held = group.wallets["b"]
+    assert ("b", held.life) in group.wallets["a"].granting.leases.records
+    assert held.purse.accounts["acme"].slices, "of which it does not know that it has ended"
+    assert held.purse.until <= group.now
+    assert isinstance(group.call("b"), api.Turned)
+    group.catch_up("b")
+    assert held.purse.until > group.now
+    assert not held.purse.accounts["acme"].slices or all(
+        group.wallets["a"].book.slice("acme", "b", held.life, serial) for serial in held.purse.accounts["acme"].slices)
--- a/tests/fleet/wallets.py
+++ b/tests/fleet/wallets.py
@@ -31,56 +31,65 @@
         self.fate: Callable[[str, tuple[entries.Entry, ...]], str] = lambda frm, told: "promised"
         self.late: list[tuple[str, log.Propose, int]] = []  # of fate `unknown`: who, what, the epoch it was asked in
         self.asleep: set[str] = set()
+        self.behind: set[str] = set()  # what is agreed comes to them later
         self.wallets: dict[str, Wallet] = {}
         self._lives = 0
         self._timers: list[tuple[float, str, int, int]] = []  # when, whose, its life, token
         self._waiting: deque[tuple[str, Any]] = deque()
         self._kept: list[tuple[str, Any]] = []  # for those asleep
+        self._later: list[tuple[str, Any]] = []  # for those behind
         for name in names:
             self.start(name)
 
     def start(self, name: str) -> Wallet:
         """A new process; it finds all that was agreed."""
         self._lives += 1
+        self.behind.discard(name)
+        self._later = [one for one in self._later if one[0] != name]
         self.wallets[name] = Wallet(name, self._lives, self.tuning, self.voters)
-        self.tell(name, Started())
-        for agreed in self.log:
-            self.tell(name, agreed)
-        self.tell(name, log.LeaderChanged(self.leader, self.epoch))
+        self._tell([(name, Started()), *((name, agreed) for agreed in self.log),
+                    (name, log.LeaderChanged(self.leader, self.epoch))])
         return self.wallets[name]
 
     def kill(self, name: str) -> None:
         del self.wallets[name]
         self._kept = [(other, event) for other, event in self._kept if other != name]
+        self._later = [(other, event) for other, event in self._later if other != name]
         self.asleep.discard(name)
+        self.behind.discard(name)
 
     def wake(self, name: str) -> None:
         self.asleep.discard(name)
         kept, self._kept = self._kept, []
-        for other, event in kept:
-            self.tell(other, event)
+        self._tell(kept)
+
+    def catch_up(self, name: str) -> None:
+        """One that is awake."""
+        self.behind.discard(name)
+        now = [one for one in self._later if one[0] == name]
+        self._later = [one for one in self._later if one[0] != name]
+        self._tell(now)
 
     def lead(self, name: str | None) -> None:
         self.epoch += 1
         self.leader = name
-        for other in list(self.wallets):
-            self.tell(other, log.LeaderChanged(name, self.epoch))
+        self._tell([(other, log.LeaderChanged(name, self.epoch)) for other in self.wallets])
 
     def agree(self, *told: entries.Entry, epoch: int | None = None) -> int:
         """The index."""
         agreed = log.Agreed(len(self.log) + 1, self.epoch if epoch is None else epoch, entries.encode(told), "")
         self.log.append(agreed)
-        for name in list(self.wallets):
-            self.tell(name, agreed)
+        self._tell([(name, agreed) for name in self.wallets])
         return agreed.index
 
     def tell(self, name: str, event: Any) -> None:
-        self._waiting.append((name, event))
-        if len(self._waiting) > 1:
-            return  # whoever began goes on with it
-        while self._waiting:
-            to, what = self._waiting[0]
-            self._told(to, what)
+        self._tell([(name, event)])
+
+    def _tell(self, events: list[tuple[str, Any]]) -> None:
+        begun = bool(self._waiting)
+        self._waiting.extend(events)
+        while self._waiting and not begun:  # else whoever began goes on with it
+            self._told(*self._waiting[0])
             self._waiting.popleft()
 
     def _told(self, name: str, event: Any) -> None:
@@ -89,6 +98,9 @@
         if name in self.asleep:
             self._kept.append((name, event))
             return
+        if name in self.behind and isinstance(event, log.Agreed):
+            self._later.append((name, event))
+            return
         wallet = self.wallets[name]
         for action in wallet.handle(self.now, event):
             self._act(name, wallet.life, action)
