--- a/limenotch/fleet/bindings/held.py
+++ b/limenotch/fleet/bindings/held.py
@@ -66,8 +66,9 @@
         """When it may be forgotten at the soonest: surely over for whoever saw it, by a clock as slow as may be."""
         rows, what = self.rows, self.rows.what[row]
         idle, longest = self.spans.idle[what & (KIND | STATE)], self.spans.longest[what & KIND]
-        slow = 1 + self.tuning.drift
-        # What came as a copy is held to be older than it is, by a way there and back at most: see sights.take.
+        # Once for clocks that run apart while it ages, once for the age of a copy, which is taken to be older than it
+        # may be: by that and a way there and back, see sights.take.
+        slow = 1 + 2 * self.tuning.drift
         return min(rows.seen[row] + idle * slow, rows.made[row] + longest * slow) + self.tuning.cover_ms
 
     def bury(self, now: float, row: int, why: str) -> None:
@@ -158,14 +159,14 @@
         rows = self.rows
         return rows.told[row] + self.idle(row) if rows.seen[row] > rows.told[row] else INFINITE
 
-    def _young(self, row: int, seen: float, stamp: int) -> None:
+    def _young(self, row: int, seen: float) -> None:
+        """Seen by another, and not only here."""
         rows = self.rows
         if seen > rows.seen[row]:
             rows.seen[row] = seen
             if rows.slot[row] == OVER:
                 self.wheel.put(row, self.ends(row))
         rows.told[row] = max(rows.told[row], seen)
-        self.restamp(row, stamp)
 
     def _replace(self, row: int, what: int, place: Place, gen: int, move: int, count: int, by: str, seen: float,
                  made: float, stamp: int, same_gen: bool) -> None:
--- a/limenotch/fleet/bindings/sights.py
+++ b/limenotch/fleet/bindings/sights.py
@@ -54,7 +54,8 @@
     providers, names, copies = packed
     # A seer's own word is never older here than it is in truth. A copy is never younger: it may be of a sight of one's
     # own, and would else get younger each time it came round.
-    at = peer.clock.latest(now, sent) if seer else peer.clock.earliest(now, sent)
+    latest, earliest = peer.clock.latest(now, sent), peer.clock.earliest(now, sent)
+    at, doubt, slow = (latest, 0.0, 1.0) if seer else (earliest, latest - earliest, 1 + table.tuning.drift)
     keys = []
     for copy in copies:
         if not sound(copy, providers, names):
@@ -63,7 +64,8 @@
         key = int.from_bytes(copy.key, "big")
         try:
             table.hear(now, key, copy.what, providers[copy.who], copy.gen, copy.move, copy.count, names[copy.by],
-                       at - copy.age / TENTHS, at - copy.old / TENTHS, max(stamp, copy.stamp), seer)
+                       at - slow * copy.age / TENTHS, at - slow * copy.old / TENTHS, max(stamp, copy.stamp), seer,
+                       doubt)
         except ValueError:
             table.count("too many names")
         keys.append(key)
--- a/limenotch/fleet/bindings/spans.py
+++ b/limenotch/fleet/bindings/spans.py
@@ -52,4 +52,4 @@
     told = tuning.tick_ms + tuning.batch_ms * scale
     covered = tuning.cover_ms * scale + tuning.tick_ms + tuning.batch_ms * scale
     again = 2 * tuning.cover_ms * scale + 2 * path_ms
-    return (idle_ms + tuning.cover_ms + told + covered + again + 2 * path_ms) * (1 + tuning.drift) + death
+    return (idle_ms + tuning.cover_ms + told + covered + again + 2 * path_ms) * (1 + 2 * tuning.drift) + death
--- a/limenotch/fleet/bindings/table.py
+++ b/limenotch/fleet/bindings/table.py
@@ -203,8 +203,12 @@
     # What is heard
 
     def hear(self, now: float, key: int, what: int, place: Place, gen: int, move: int, count: int, by: str,
-             seen: float, made: float, stamp: int, seer: bool) -> bool:
-        """A sight told by its seer, or a copy. Ages as on one's own clock. Whether it is held afterwards."""
+             seen: float, made: float, stamp: int, seer: bool, doubt: float = 0.0) -> bool:
+        """A sight told by its seer, or a copy. Ages as on one's own clock. Whether it is held afterwards.
+
+        `doubt`: ms by which who gave the copy may have held it to be younger than it was. What would be over by then
+        is not taken where nothing is held, and what is no younger than that may be one's own sight come back.
+        """
         rows, spans = self.rows, self.spans
         self.counter = max(self.counter, count, stamp)
         what &= BITS
@@ -212,7 +216,7 @@
         over = now >= min(seen + spans.idle[what & (KIND | STATE)], made + spans.longest[what & KIND])
         row = rows.find(key)
         if row == NIL or rows.what[row] & GRAVE:
-            if over:
+            if over or now + doubt >= seen + spans.idle[what & (KIND | STATE)]:
                 return False
             if row != NIL and gen <= rows.gen[row] and not (
                     (seer and gen == rows.gen[row]) or self._used_since(row, seen, made)):
@@ -246,7 +250,9 @@
                     rows.made[row] = made
             if new != held:
                 self._change(row, new)
-            self._young(row, seen, stamp)
+            if seer or seen > rows.seen[row] + doubt:
+                self._young(row, seen)
+            self.restamp(row, stamp)
         return True
 
     def _used_since(self, row: int, seen: float, made: float) -> bool:
