Bindings: a longest time ends by itself, made is known once, slack from the paths' own doubt

A making's age came round and grew older by the bound of drift at each hop, so a connection ended 0.8 s early; a whole cover of slack made short idle times late. Slack is what the clocks' bounds say of the paths.

--- a/limenotch/fleet/bindings/core.py
+++ b/limenotch/fleet/bindings/core.py
@@ -198,6 +198,7 @@
             return
         peer.clock.heard(now, pong.sent)
         peer.clock.answered(now, pong.echo, pong.sent)
+        peer.doubt = peer.clock.latest(now, pong.sent) - peer.clock.earliest(now, pong.sent)
         waiting, peer.waiting = peer.waiting, []
         for message in waiting:
             self._messages[type(message)](peer, message)
--- a/limenotch/fleet/bindings/ground.py
+++ b/limenotch/fleet/bindings/ground.py
@@ -46,4 +46,8 @@
         self.out.append(Note(text, fields))
 
     def least(self) -> None:
-        self.table.least = self.peers.covered(self.now, self.tuning.grave_ms)
+        """What others have covered, and how far ages from them may be out."""
+        table, tuning = self.table, self.tuning
+        table.least = self.peers.covered(self.now, tuning.grave_ms)
+        apart = 2 * tuning.drift * tuning.digest_ms * self.scale  # since the latest answer
+        table.slack = min(tuning.cover_ms, max((peer.doubt + apart for peer in self.peers.live()), default=0.0))
--- a/limenotch/fleet/bindings/held.py
+++ b/limenotch/fleet/bindings/held.py
@@ -30,6 +30,7 @@
         self.me = self.members.number(name)
         self.counter = 0  # Lamport's
         self.least = INFINITE
+        self.slack = 0.0  # ms by which a copy may be older here than it is, kept by the part too
         self.whole = False
         self.counts: dict[str, int] = {}
         self.changes = 0  # of what is held, its ages apart
@@ -64,12 +65,21 @@
 
     def forgets(self, row: int) -> float:
         """When it may be forgotten at the soonest: surely over for whoever saw it, by a clock as slow as may be."""
-        rows, what = self.rows, self.rows.what[row]
-        idle, longest = self.spans.idle[what & (KIND | STATE)], self.spans.longest[what & KIND]
-        # Once for clocks that run apart while it ages, once for the age of a copy, which is taken to be older than it
-        # may be: by that and a way there and back, see sights.take.
-        slow = 1 + 2 * self.tuning.drift
-        return min(rows.seen[row] + idle * slow, rows.made[row] + longest * slow) + self.tuning.cover_ms
+        return min(self.unseen(row), self.rows.made[row] + self._longest(row))
+
+    def unseen(self, row: int) -> float:
+        """Of its idle time: the others have to have covered this. Once for clocks that run apart while it ages, once
+        for the age of a copy, which is taken to be older than it may be: by that, and by `slack`; see sights.take.
+        """
+        return self.rows.seen[row] + self.idle(row) * (1 + 2 * self.tuning.drift) + self.slack
+
+    def may_forget(self, row: int, now: float) -> bool:
+        """A longest time is over at all by itself: no sight changes it."""
+        unseen = self.unseen(row)
+        return now >= unseen <= self.least or now >= self.rows.made[row] + self._longest(row)
+
+    def _longest(self, row: int) -> float:
+        return self.spans.longest[self.rows.what[row] & KIND] * (1 + self.tuning.drift)
 
     def bury(self, now: float, row: int, why: str) -> None:
         """Forgotten here. What is left says which `gen` that was, for as long as a copy may be under way."""
--- a/limenotch/fleet/bindings/peers.py
+++ b/limenotch/fleet/bindings/peers.py
@@ -25,6 +25,7 @@
     def __init__(self, name: str, life: int, state: str, now: float, drift: float, floor: int = -1) -> None:
         self.name, self.life, self.state, self.since = name, life, state, now
         self.clock = Clock(drift)
+        self.doubt = INFINITE  # ms between the bounds of its clock, as of its latest answer
         self.spoke = -INFINITE  # last word in this life
         self.whole = False
         self.seq = -1  # of the last Sights heard; -1: nothing was heard yet
--- a/limenotch/fleet/bindings/sights.py
+++ b/limenotch/fleet/bindings/sights.py
@@ -64,7 +64,7 @@
         key = int.from_bytes(copy.key, "big")
         try:
             table.hear(now, key, copy.what, providers[copy.who], copy.gen, copy.move, copy.count, names[copy.by],
-                       at - slow * copy.age / TENTHS, at - slow * copy.old / TENTHS, max(stamp, copy.stamp), seer,
+                       at - slow * copy.age / TENTHS, at - copy.old / TENTHS, max(stamp, copy.stamp), seer,
                        doubt)
         except ValueError:
             table.count("too many names")
--- a/limenotch/fleet/bindings/table.py
+++ b/limenotch/fleet/bindings/table.py
@@ -156,8 +156,7 @@
 
     def _forgotten(self, row: int, now: float) -> bool:
         """Whether it may be, and then it is: what was found to be over once is not found again later."""
-        forgets = self.forgets(row)
-        if now < forgets or self.least < forgets:
+        if not self.may_forget(row, now):
             return False
         self.bury(now, row, "over")
         return True
@@ -192,7 +191,7 @@
             forgets = self.forgets(row)
             if now < forgets:
                 wheel.put(row, forgets)
-            elif self.least >= forgets:
+            elif self.may_forget(row, now):
                 self.bury(now, row, why)
             else:
                 return wheel.behind(now)
@@ -246,8 +245,6 @@
             if order == 0:
                 after = AFTER_BITS[(held & STATE) >> STATE_AT][(what & STATE) >> STATE_AT]
                 new = new & ~STATE | after << STATE_AT
-                if made < rows.made[row]:
-                    rows.made[row] = made
             if new != held:
                 self._change(row, new)
             if seer or seen > rows.seen[row] + doubt:
@@ -259,7 +256,7 @@
         """Whether a copy tells more than its grave knows: it was used on where it was not forgotten, or made anew by
         one that knew of no earlier one. A copy is never younger than in truth, so what is no later is the old one.
         """
-        return made > self.rows.made[row] or seen > self.rows.seen[row] + self.tuning.cover_ms
+        return made > self.rows.made[row] or seen > self.rows.seen[row] + self.slack
 
     def undone(self, now: float, key: int, gen: int, move: int, count: int, by: str) -> None:
         rows = self.rows
--- a/limenotch/fleet/bindings/values.py
+++ b/limenotch/fleet/bindings/values.py
@@ -43,7 +43,9 @@
 
 
 class Value(NamedTuple):
-    """`seen` and `made` in ms of one's own clock."""
+    """`seen` and `made` in ms of one's own clock. A value is made once: of `made` the first that is heard is kept, as
+    what comes round again is only less exact.
+    """
 
     gen: int
     move: int
@@ -85,4 +87,4 @@
     if order:
         return one._replace(state=besides(one.state, other.state), seen=seen, charged=charged)
     return one._replace(provider=min(one.provider, other.provider), state=AFTER[one.state, other.state],
-                        charged=charged, seen=seen, made=min(one.made, other.made))
+                        charged=charged, seen=seen)
