--- a/limenotch/fleet/bindings/table.py
+++ b/limenotch/fleet/bindings/table.py
@@ -156,8 +156,7 @@
 
     def _forgotten(self, row: int, now: float) -> bool:
         """Whether it may be, and then it is: what was found to be over once is not found again later."""
-        forgets = self.forgets(row)
-        if now < forgets or self.least < forgets:
+        if not self.may_forget(row, now):
             return False
         self.bury(now, row, "over")
         return True
@@ -192,7 +191,7 @@
             forgets = self.forgets(row)
             if now < forgets:
                 wheel.put(row, forgets)
-            elif self.least >= forgets:
+            elif self.may_forget(row, now):
                 self.bury(now, row, why)
             else:
                 return wheel.behind(now)
@@ -203,8 +202,12 @@
     # What is heard
 
     def hear(self, now: float, key: int, what: int, place: Place, gen: int, move: int, count: int, by: str,
-             seen: float, made: float, stamp: int, seer: bool) -> bool:
-        """A sight told by its seer, or a copy. Ages as on one's own clock. Whether it is held afterwards."""
+             seen: float, made: float, stamp: int, seer: bool, doubt: float = 0.0) -> bool:
+        """A sight told by its seer, or a copy. Ages as on one's own clock. Whether it is held afterwards.
+
+        `doubt`: ms by which who gave the copy may have held it to be younger than it was. What would be over by then
+        is not taken where nothing is held, and what is no younger than that may be one's own sight come back.
+        """
         rows, spans = self.rows, self.spans
         self.counter = max(self.counter, count, stamp)
         what &= BITS
@@ -212,7 +215,7 @@
         over = now >= min(seen + spans.idle[what & (KIND | STATE)], made + spans.longest[what & KIND])
         row = rows.find(key)
         if row == NIL or rows.what[row] & GRAVE:
-            if over:
+            if over or now + doubt >= seen + spans.idle[what & (KIND | STATE)]:
                 return False
             if row != NIL and gen <= rows.gen[row] and not (
                     (seer and gen == rows.gen[row]) or self._used_since(row, seen, made)):
@@ -242,18 +245,18 @@
             if order == 0:
                 after = AFTER_BITS[(held & STATE) >> STATE_AT][(what & STATE) >> STATE_AT]
                 new = new & ~STATE | after << STATE_AT
-                if made < rows.made[row]:
-                    rows.made[row] = made
             if new != held:
                 self._change(row, new)
-            self._young(row, seen, stamp)
+            if seer or seen > rows.seen[row] + doubt:
+                self._young(row, seen)
+            self.restamp(row, stamp)
         return True
 
     def _used_since(self, row: int, seen: float, made: float) -> bool:
         """Whether a copy tells more than its grave knows: it was used on where it was not forgotten, or made anew by
         one that knew of no earlier one. A copy is never younger than in truth, so what is no later is the old one.
         """
-        return made > self.rows.made[row] or seen > self.rows.seen[row] + self.tuning.cover_ms
+        return made > self.rows.made[row] or seen > self.rows.seen[row] + self.slack
 
     def undone(self, now: float, key: int, gen: int, move: int, count: int, by: str) -> None:
         rows = self.rows
