Let a report of use fade, and tell silence by what the calls out there owe

Now a report counts for half a window after the last answer that carried it, and fades to what latencies tell; each call out owes its answer by the usual latency of its own class.

--- a/switchthread/books.py
+++ b/switchthread/books.py
@@ -121,7 +121,7 @@
         return saved < 1 and rate > 0
 
     def send(self, now: float, call: Call, server: Server, acts: list[Action], copy: int = 0) -> None:
-        call.tries.append(Attempt(server, now))
+        call.tries.append(Attempt(server, now, rate=1 / call.usual.mean if call.usual.mean else 0.0))
         if not call.once:
             self._count(call.tries[-1], now)
         self.copied, self.budget = self.copied + copy, self.budget - copy
@@ -134,6 +134,7 @@
             attempt.server.heard = now
         attempt.sent, attempt.counted = now, True
         attempt.server.out, self.out = attempt.server.out + 1, self.out + 1
+        attempt.server.owed += attempt.rate
 
     def uploaded(self, now: float, event: face.Uploaded) -> None:
         """How long its client took to send it is neither load nor lateness."""
@@ -150,6 +151,7 @@
         attempt = call.tries[event.attempt]
         attempt.open, attempt.ran = False, event.outcome not in face.NEVER_RAN
         attempt.server.out, self.out = attempt.server.out - attempt.counted, self.out - attempt.counted
+        attempt.server.owed -= attempt.rate * attempt.counted
         if event.outcome in HEARD:
             attempt.server.heard, attempt.server.quiet = now, False
             self.silent.discard(attempt.server)
@@ -162,7 +164,8 @@
         server.fade(now, self.memory)
         if event.utilisation is None:
             return
-        server.util = util = event.utilisation
+        server.util, server.util_at = event.utilisation, now
+        util = event.utilisation
         per_s = event.per_s
         if per_s is not None and (util, per_s) != server.told:
             server.add_report(now, self.reports, util, per_s)
--- a/switchthread/placement.py
+++ b/switchthread/placement.py
@@ -17,6 +17,7 @@
 DRAWS = 4  # tries at one that may be sent to: more would bend the shares of those left
 SHORT = 2.0  # service times: a wait by which the better of two drawn upstreams is told
 STEADY = 0.15  # a call bound by its first attempt goes to the one of two serving so much more
+AGED = 0.5  # windows in which a report fades: who is sent nothing tells nothing more, and its queue is served
 LAX = 0.5  # a call that keeps this part of its worth when late is lax: it goes where its one draw says
 CHOICES = 9  # drawn for a call where nothing is reported: our own calls out tell of a queue first
 CROSSINGS = 1.5  # prices of a crossing that a better chance to be in time must outweigh
@@ -86,9 +87,10 @@
 
 
 def load_at(books: Books, server: Server) -> float:
-    """Utilisation, from reports or else from latency; our own unanswered attempts make it current."""
-    mean = max(server.slow, server.like.low)
-    load = server.util if server.util is not None else 1 - server.like.low / mean
+    """Utilisation, from a fresh report or else from latency; our own unanswered attempts make it current."""
+    load = 1 - server.like.low / max(server.slow, server.like.low)
+    if server.util is not None:
+        load += (server.util - load) * exp((server.util_at - books.now) / books.window / AGED)
     usual_out = books.held * server.share / max(books.table[1][-1], 1e-9)
     return 1 - (1 - min(load, 0.99)) * (usual_out + 1) / (max(server.out, usual_out) + 1)
 
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -75,6 +75,7 @@
     weight: float = 1.0
     share: float = 0.0
     out: int = 0  # our attempts that are out
+    owed: float = 0.0  # answers a ms that these are to give, each by the usual latency of its class
     ratios: float = 0.0  # sum of latencies as multiples of the usual, over `count` answers
     count: float = 0.0
     good: float = 0.0
@@ -85,6 +86,7 @@
     heard: float = 0.0  # when it last answered, or was first sent to since nothing was out
     quiet: bool = False  # it owes more answers than chance explains, and has given none since
     util: float | None = None
+    util_at: float = 0.0  # when that was last told
     told: tuple[float | None, float | None] = (None, None)  # its last report, which many answers repeat
     done: float = 0.0  # sums over its reports, fading: requests a second, and the use of its cores
     busy: float = 0.0
@@ -131,6 +133,7 @@
     open: bool = True
     ran: bool = True  # may have run, for all that is known
     counted: bool = False  # as out: its server has it whole
+    rate: float = 0.0  # answers a ms that it is to give: one in the usual latency of its class
 
 
 @dataclass(slots=True, eq=False)
--- a/switchthread/verdicts.py
+++ b/switchthread/verdicts.py
@@ -7,7 +7,7 @@
 from .shares import reshare
 
 OVERDUE = 2.0  # of its expected time out, a lone attempt asks the gate again
-QUIET = 8.0  # answers overdue by its mean, with none at all, after which an upstream counts as silent
+QUIET = 8.0  # answers overdue by the usual of their classes, with none given, after which it counts as silent
 CROWD = 1.7  # times what the others hold each that one upstream may hold ...
 FREE = 2.0  # ... counting this many more: on a calm day the own zone does not spill over
 ROW = 4  # misses in a row after which a provider rests, so that one choked on its queue can be idle
@@ -23,8 +23,8 @@
 
 def quiet(books: Books, now: float, server: Server) -> bool:
     """Whether it has gone silent: its machine may be gone though its connections stay open."""
-    mean, wait = books.typical * server.slow / server.capacity(now, books.set.cold), now - server.heard
-    if not server.quiet and mean and wait > OVERDUE * mean and wait * server.out > QUIET * mean:
+    slow, wait = server.slow / server.capacity(now, books.set.cold), now - server.heard
+    if not server.quiet and wait * server.owed > max(OVERDUE * server.out, QUIET) * slow:
         server.quiet = True
         books.silent.add(server)
         reshare(books, now)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -361,6 +361,7 @@
     name, _ = referee.arrive(0)
     one, two = balancer.table[0][:2]
     one.util = two.util = 0.2
+    one.util_at = two.util_at = referee.now
     one.out = two.out = 0
     balancer.out, balancer.copyable = 100, balancer.came
     assert gate(balancer, referee.now, balancer.calls[name], one, two, 1.0) is bool(layer)
@@ -378,6 +379,7 @@
     balancer.usual[balancer.set.classes[0].name].mean, balancer.copyable = 100.0, balancer.came
     for load, copies in ((0.2, True), (0.6, False)):
         one.util = two.util = load
+        one.util_at = two.util_at = referee.now
         one.out = two.out = 0
         assert gate(balancer, referee.now, call, one, two, 1.0) is copies
 
