Hold a tenant's first call for the slice on its way instead of turning it away

Need: a sidecar holds nothing for a tenant that it has not served in a while, so its first call was answered 429 though there was credit.

Change: who has a say in a call may say Later; Calls asks again after that, if the call has the time, and the decisions hear of it then. The wallet says so for at most two record_ms while a slice is on its way. Tests: held and served, no time, consumer gone.

--- a/limenotch/layers/wallet.py
+++ b/limenotch/layers/wallet.py
@@ -19,12 +19,14 @@
 from ..fleet.wallet import Wallet, messages
 from ..fleet.wallet.api import Answer, Look, Purse, Reservation, Turned, Witnesses
 from ..fleet.wallet.tuning import Tuning
-from ..net.calls import Call, Final, InvokerCall, Verdict
+from ..net.calls import Call, Final, InvokerCall, Later, Verdict
 from ..net.paid import PREFIX, Paid
 from .base import SPARE_S, Among, Layer, messages_of
 
 log = logs.get(__name__)
 
+HOLDS = 2.0  # times `record_ms` that a call is held for a slice on its way: a grant and its mark come in well under one
+ASKS = 4.0  # parts of `record_ms` after which its purse is asked again
 MOST_SHOWN = 100  # tenants in the figures; operators' calls show the rest
 
 
@@ -54,7 +56,7 @@
     def pays(self, tenant: str) -> bool:
         return "*" in self._tenants or tenant in self._tenants
 
-    def taken(self, call: Call) -> Final | None:
+    def taken(self, call: Call) -> Final | Later | None:
         purse = self.purse
         if purse is None or self.fault or (self._off() and self.off):
             return self._without(call)
@@ -66,8 +68,11 @@
             self._faulty(error)
             return self._without(call)
         if isinstance(said, Turned):
+            final = Final(Verdict.REJECTED, retry_after_ms=said.retry_after_ms, paused=True)
+            if said.coming and call.waited_ms < HOLDS * self._tuning.record_ms:
+                return Later(self._tuning.record_ms / ASKS, final)  # its first call here in a while: not turned away
             self.counts["turned"] += 1
-            return Final(Verdict.REJECTED, retry_after_ms=said.retry_after_ms, paused=True)
+            return final
         if said.cost:
             self._open[call.number] = said
         return None
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from time import monotonic
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from tornado.ioloop import IOLoop
 
@@ -89,19 +89,27 @@
     about: About = NOTHING
     hint: Hint | None = None  # where it should go
     paid: bool = False  # a repeat of one that was paid for
+    waited_ms: float = 0.0  # for who said Later
     told: list[Beside] = field(default_factory=list)  # who took it, and is told of its end
     made: list[InvokerCall] = field(default_factory=list)
     final: Final | None = None
     gone: bool = False
 
 
+class Later(NamedTuple):
+    """What it takes to say is on its way: to be asked again after so long, or `final` if there is no such time."""
+
+    ms: float
+    final: Final
+
+
 class Beside(Protocol):
     """Who has a say in calls beside the decisions: told of each call from its taking to its end. Never waits."""
 
-    def taken(self, call: Call) -> Final | None:
+    def taken(self, call: Call) -> Final | Later | None:
         """Before the decisions hear of it. A final answer turns it away, with no more advice on when to return than the
         configuration allows; else it may set the call's `hint`, and is told of all that follows, its end by `closed`,
-        once.
+        once. Asked again after Later, unless the call has ended meanwhile.
         """
         ...
 
@@ -175,22 +183,37 @@
         if not room or len(self.open) >= self.max_open or self.facade.shut:
             self._close(call, Final(Verdict.REJECTED, retry_after_ms=1000.0))
             return call
-        for one in self.beside:
-            final = one.taken(call)
-            if final is not None:
-                advice = min(final.retry_after_ms, self.facade.most_advice_ms)
-                self._close(call, replace(final, retry_after_ms=advice))
-                return call
-            call.told.append(one)
         self.open[call.number] = call
         self._names.add(name)
         if self._trace:
             log.debug("taken", call=call.number, kind=class_name, account=tenant, left_ms=round(left),
                       resent=about.resent)
-        self.carry_out(
-            self.facade.pick(call.number, class_name, tenant, left, about.resent, rest is not None, call.hint))
+        self._admit(call)
         return call
 
+    def _admit(self, call: Call) -> None:
+        """Ask who has a say and has not said yet, then the decisions."""
+        for one in self.beside[len(call.told):]:
+            said = one.taken(call)
+            if isinstance(said, Later):
+                if monotonic() + said.ms / 1000.0 < call.end:
+                    call.waited_ms += said.ms
+                    self._loop.call_later(said.ms / 1000.0, self._admit_later, call)
+                    return
+                said = said.final
+            if said is not None:
+                advice = min(said.retry_after_ms, self.facade.most_advice_ms)
+                self._close(call, replace(said, retry_after_ms=advice))
+                return
+            call.told.append(one)
+        left = call.left_s if call.rest is not None else max(call.end - monotonic(), 0.0)
+        self.carry_out(self.facade.pick(
+            call.number, call.kind, call.tenant, left * 1000.0, call.about.resent, call.rest is not None, call.hint))
+
+    def _admit_later(self, call: Call) -> None:
+        if call.number in self.open:
+            self._admit(call)
+
     def depart(self, call: Call) -> None:
         """The consumer is gone: nothing is owed, its invoker calls end."""
         if call.number in self.passing:
--- a/tests/fleet/test_wallet_program.py
+++ b/tests/fleet/test_wallet_program.py
@@ -269,7 +269,7 @@
         assert till.figures()["reserved"] == 0
         purse.left = 0
         said = till.taken(a_call(5))
-        assert said is not None and said.paused and said.retry_after_ms == 321.0
+        assert isinstance(said, Final) and said.paused and said.retry_after_ms == 321.0
         till.closed(a_call(5))
         assert len(purse.told) == 9
 
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -9,7 +9,7 @@
 import pytest
 
 from limenotch.facade import Abandon, Ending, GiveUp, Hint, Invoke, Order, Reject
-from limenotch.net.calls import Call, Final, InvokerCall, Verdict
+from limenotch.net.calls import Call, Calls, Final, InvokerCall, Later, Verdict
 
 from .helpers.scripted import Hand, Script, calls_of, take
 
@@ -25,7 +25,7 @@
         self._answer, self._hint = answer, hint
         self.told: list[Told] = []
 
-    def taken(self, call: Call) -> Final | None:
+    def taken(self, call: Call) -> Final | Later | None:
         self.told.append(("taken", call.number))
         call.hint = self._hint or call.hint
         return self._answer
@@ -183,3 +183,52 @@
         assert ear.told == [("taken", 1), ("taken", 2), ("closed", None), ("closed", None)]
 
     asyncio.run(case())
+
+
+class Slow(Ear):
+    """Says Later so many times first."""
+
+    def __init__(self, times: int, answer: Final | None = None, ms: float = 1.0) -> None:
+        super().__init__(answer)
+        self._times, self._ms = times, ms
+
+    def taken(self, call: Call) -> Final | Later | None:
+        said = super().taken(call)
+        self._times -= 1
+        return Later(self._ms, TURNS_AWAY) if self._times >= 0 else said
+
+
+def held(first: Ear, use: Callable[[Call, Hand, Calls], None], budget_ms: float = 9000.0) -> tuple[Ear, list[Final]]:
+    """A call that the first of two holds; `use` when that one has let it go, or at once if it never does."""
+    second, finals = Ear(), list[Final]()
+
+    async def case() -> None:
+        calls, hand = calls_of(Script(ONE), first, second)
+        call = calls.take(b"n", None, "look", "acme", budget_ms, finals.append)
+        async with asyncio.timeout(5):
+            while not hand.out and not finals and len(first.told) < 3:
+                await asyncio.sleep(0)
+        use(call, hand, calls)
+        assert not calls.open and not calls.has(b"n")
+
+    asyncio.run(case())
+    return second, finals
+
+
+def test_a_call_is_held_until_what_is_on_its_way_has_come_and_told_of_once() -> None:
+    first = Slow(2)
+    second, finals = held(first, lambda call, hand, calls: hand.end(0))
+    assert [told[0] for told in first.told] == ["taken", "taken", "taken", "sent", "ended", "closed"]
+    assert [told[0] for told in second.told] == ["taken", "sent", "ended", "closed"]
+    assert [final.verdict for final in finals] == [Verdict.SERVED]
+
+
+def test_a_held_call_is_turned_away_when_there_is_no_time_to_ask_again() -> None:
+    second, finals = held(Slow(9, ms=200.0), lambda call, hand, calls: None, budget_ms=100.0)
+    assert [final.paused for final in finals] == [True] and not second.told
+
+
+def test_a_held_call_whose_consumer_goes_is_not_asked_of_again() -> None:
+    first = Slow(9)
+    second, finals = held(first, lambda call, hand, calls: calls.depart(call))
+    assert not finals and not second.told and {told[0] for told in first.told} == {"taken"}
