Run the wallet in simulated time under everything at once

Members of membership, log and wallet in one hub, calls at uneven rates, operators on both sides of cuts with repeated ids, and all faults; then a calm in which credit, spending and slices must come out exactly.

--- /dev/null
+++ b/limenotch/lab/fleet/wallet_drawings.py
@@ -0,0 +1,81 @@
+"""Members, operators and consumers for drawings of the wallet. The first three nodes vote on the log.
+
+| `ask a ...` | what | notes |
+| --- | --- | --- |
+| `credit t1 100 x` | an operator's, with the id `x` | `done`, `counted`, `refused`, `unknown` |
+| `show t1` | an operator's | `t1: credit 100; spent 40; left 60` |
+| `calls t1 50` | so many a second from now on, evenly; 0: none | `serves t1`, `turns away t1` when it changes |
+| `at_once t1 30 400` | thirty calls, each over after 400 ms | `takes 20 of 30` |
+
+A call that came through is charged after 20 ms if not said otherwise. Of the head, `advance` makes sidecars without a
+lease spend that much ahead; `least` is the least slice, `span` a slice in ms. Each run is held against the checker.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from limenotch.fleet import agreement
+from limenotch.fleet.membership import Tuning as Members
+from limenotch.fleet.wallet.tuning import Tuning
+from limenotch.lab.fleet.comparing import exact
+from limenotch.lab.fleet.drawing import Scenario
+from limenotch.lab.fleet.faults import Ask, Fault
+from limenotch.lab.fleet.scenario import Outcome
+from limenotch.lab.fleet.wallet_run import Call, Calls, Run
+
+TUNING = Tuning(lease_ms=900, drift=0.02, slice_ms=500, least_slice=10, record_ms=100, idle_ms=1000, ask_ms=3000,
+                retry_after_ms=1000)
+LOG = agreement.Tuning(heartbeat_ms=50, election_least_ms=200, election_most_ms=400, learner_ms=200,
+                       learner_batch_ms=10, retry_ms=100, ask_ms=1000)
+MEMBERS = Members(period_ms=300, timeout_ms=60, gossip_ms=20)
+
+
+def run_of(scenario: Scenario) -> Run:
+    changes: dict[str, Any] = {}
+    if "advance" in scenario.head:
+        changes.update(without_lease="advance", advance=int(scenario.figure("advance", 0)))
+    changes["least_slice"] = int(scenario.figure("least", TUNING.least_slice))
+    changes["slice_ms"] = scenario.figure("span", TUNING.slice_ms)
+    tuning = msgspec.structs.replace(TUNING, **changes)
+    return Run(scenario.nodes, tuple(scenario.nodes[:3]), tuning, log_tuning=LOG, members=MEMBERS)
+
+
+def _ask(run: Run, node: str, words: str) -> None:
+    word, tenant, *rest = words.split()
+    if word == "credit":
+        run.ask(node, "add", tenant, int(rest[0]), rest[1])
+    elif word == "show":
+        run.ask(node, "show", tenant)
+    elif word == "calls":
+        run.stream(node, tenant, float(rest[0]))
+    elif word == "at_once":
+        many, span = int(rest[0]), float(rest[1])
+        run.calls += many
+        run.world.poke(node, Calls(tuple(Call(run.calls - number, tenant, span_ms=span) for number in range(many))))
+    else:
+        raise ValueError(f"nothing to ask: {words!r}")
+
+
+def _happen(run: Run, fault: Fault) -> None:
+    if isinstance(fault, Ask):
+        _ask(run, fault.node, fault.words)
+    else:
+        run.fault(str(fault))
+
+
+def outcome(scenario: Scenario, judge: bool = True) -> Outcome:
+    """AssertionError where it did not come out, if `judge`, or where the checker found something in any case."""
+    run = run_of(scenario)
+    run.begin(scenario.seed, later=scenario.later, drift_ppm=scenario.figure("drift", 0.0),
+              delay_ms=scenario.figure("delay", 1.0), fsync_ms=scenario.figure("fsync", 2.0))
+    for at, fault in scenario.faults:
+        run.world.kernel.at(float(at), _happen, run, fault)
+    run.world.run(scenario.ends + 0.4999)
+    seen = [(note.at_ms, note.node, note.text) for note in run.world.seen]
+    found = Outcome(scenario, run.world, scenario.looked_at(seen), exact(scenario, seen))
+    if judge and found.difference is not None:
+        raise AssertionError(f"{found.difference}\n\nSeen, drawn anew:\n\n{found.drawn_anew()}")
+    return found
--- /dev/null
+++ b/tests/fleet/test_wallet_storms.py
@@ -0,0 +1,70 @@
+"""The wallet in simulated time: storms, pause and resume in their stated time, many members, planted faults."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from limenotch.fleet import agreement
+from limenotch.fleet.membership import Tuning as Members
+from limenotch.fleet.wallet.tuning import Tuning
+from limenotch.lab.fleet.wallet_run import Run
+from limenotch.lab.fleet.wallet_storm import pauses, storm
+from tests.fleet.wallet_bugs import BUGS
+
+
+@pytest.mark.parametrize("seed", range(14))
+def test_nothing_is_overspent_lost_or_counted_twice(seed: int) -> None:
+    run = storm(seed)
+    assert run.checker.index > 20
+    assert all(sums.charged > 0 for sums in run.checker.sums.values())
+
+
+def test_one_seed_is_one_history() -> None:
+    assert storm(3).world.digest() == storm(3).world.digest()
+
+
+@pytest.mark.parametrize(("names", "seed"), [("abc", 0), ("abc", 2), ("abcde", 3), ("abcdefghi", 4)])
+def test_pause_and_resume_come_in_the_stated_time(names: str, seed: int) -> None:
+    run = Run(names, tuple(names[:3]))
+    run.begin(seed)
+    run.begun()
+    run.world.run(run.now() + 1000)
+    paused, resumed = pauses(run)
+    assert paused < run.tuning.pause_ms and 0 < resumed
+
+
+def test_fifty_members_and_few_units() -> None:
+    names = [f"n{number}" for number in range(50)]
+    run = Run(names, tuple(names[:5]), Tuning(), log_tuning=agreement.Tuning(), members=Members(),
+              watched=(*names[:2], names[-1]))
+    run.begin(1)
+    run.begun()
+    run.world.run(run.now() + 1000)
+    pauses(run, amount=200, per_s=500.0)
+    run.quiet()
+    run.settled()
+    run.checker.finished()
+
+
+def test_a_balance_of_one_call_and_many_sidecars() -> None:
+    names = [f"n{number}" for number in range(12)]
+    run = Run(names, tuple(names[:3]))
+    run.begin(1)
+    run.begun()
+    run.add("t", 1, "one")
+    for name in names:
+        run.stream(name, "t", 20.0)
+    run.world.run(run.now() + 3000)
+    run.quiet()
+    run.settled()
+    run.checker.finished()
+    assert run.checker.sums["t"].charged == 1 == run.checker.latest["t"].spent
+
+
+@pytest.mark.parametrize(("bug", "seed"), BUGS.items(), ids=lambda bug: getattr(bug, "__name__", str(bug)))
+def test_planted_faults_are_found(bug: Any, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    bug(monkeypatch)
+    with pytest.raises(AssertionError, match="is closed with|are taken|all ids|overspent"):
+        storm(seed)
--- /dev/null
+++ b/tests/fleet/wallet_bugs.py
@@ -0,0 +1,144 @@
+"""Faults planted into the wallet by hand, one at a time: each must be found, in the storm of its seed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from limenotch.fleet import leasing
+from limenotch.fleet.wallet import book, entries, granting, lease, purse, witness
+
+Plant = Callable[[pytest.MonkeyPatch], None]
+
+
+def lease_kept_over_a_pause(patch: pytest.MonkeyPatch) -> None:
+    """Counted from when the answer is handled, not from when it was asked for."""
+    real = leasing.Held.take
+
+    def take(self: leasing.Held, now: float, serial: int, lease_ms: float) -> bool:
+        if serial in self._asked:
+            self._asked[serial] = now
+        return real(self, now, serial, lease_ms)
+
+    patch.setattr(leasing.Held, "take", take)
+
+
+def lease_not_looked_at(patch: pytest.MonkeyPatch) -> None:
+    """Once it was had; for each call, that is: the part still asks in time."""
+    real = purse.Purse.reserve
+
+    def reserve(self: purse.Purse, now: float, tenant: str, kind: str, paid: bool = False) -> Any:
+        return real(self, min(now, self.until - 1), tenant, kind, paid)
+
+    patch.setattr(purse.Purse, "reserve", reserve)
+
+
+def lease_before_the_log_is_applied(patch: pytest.MonkeyPatch) -> None:
+    real = lease.Holder.look
+    patch.setattr(lease.Holder, "look", lambda self, now, index: real(self, now, 1 << 60))
+
+
+def credit_counted_twice_after_a_lost_answer(patch: pytest.MonkeyPatch) -> None:
+    """The ids are forgotten, all but the last."""
+    real = book.Book._credit
+
+    def credit(self: book.Book, entry: entries.Credit) -> book.Applied:
+        if (wallet := self.wallets.get(entry.tenant)) is not None and entry.id in wallet.ids \
+                and next(reversed(wallet.ids)) != entry.id:
+            del wallet.ids[entry.id]
+        return real(self, entry)
+
+    patch.setattr(book.Book, "_credit", credit)
+
+
+def expired_without_the_witnesses(patch: pytest.MonkeyPatch) -> None:
+    """What its holder had settled counts."""
+
+    def ends(self: witness.Gone, epoch: int, lost: Any) -> list[entries.Expire]:
+        return [entries.Expire(tenant, *self.owner, serial, one.spent, epoch)
+                for (tenant, serial), one in self.slices.items()]
+
+    patch.setattr(witness.Gone, "ends", ends)
+
+
+def lowest_mark_told(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(witness, "max", min, raising=False)
+
+
+def mark_opened_by_one_witness(patch: pytest.MonkeyPatch) -> None:
+    real = purse.Held.acked
+
+    def acked(self: purse.Held, name: Any, mark: int) -> bool:
+        self.quorum = 1
+        return real(self, name, mark)
+
+    patch.setattr(purse.Held, "acked", acked)
+
+
+def marks_forgotten_in_an_election(patch: pytest.MonkeyPatch) -> None:
+    """By a witness that begins to lead."""
+    real = granting.Granting.begin
+
+    def begin(self: granting.Granting, now: float, epoch: int) -> None:
+        real(self, now, epoch)
+        FORGETS[id(self._book)]()
+
+    made = witness.Memory.__init__
+
+    def init(self: witness.Memory, of: book.Book, most_early: int) -> None:
+        made(self, of, most_early)
+        FORGETS[id(of)] = self._marks.clear
+
+    patch.setattr(witness.Memory, "__init__", init)
+    patch.setattr(granting.Granting, "begin", begin)
+
+
+FORGETS: dict[int, Callable[[], None]] = {}
+
+
+def recall_that_forgets_what_is_reserved(patch: pytest.MonkeyPatch) -> None:
+    def narrow(self: purse.Held, keep: int) -> int:
+        kept = min(keep, self.free)
+        self.top = self.spent + kept
+        self.narrowed = True
+        self.closing = self.closing or not kept
+        self.fit()
+        return kept
+
+    patch.setattr(purse.Held, "narrow", narrow)
+
+
+def new_leader_expires_at_once(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(leasing.Reign, "settled", lambda self, now: now >= self.since)
+
+
+def expired_during_a_lease(patch: pytest.MonkeyPatch) -> None:
+    """Its answer is on its way, and the record is of when it was asked for."""
+    real = lease.Granter.grant
+
+    def grant(self: lease.Granter, now: float, owner: tuple[str, int]) -> bool:
+        found = real(self, now, owner)
+        if found:
+            self.records[owner] = now + self.held_ms / 4
+        return found
+
+    patch.setattr(lease.Granter, "grant", grant)
+
+
+def expire_of_an_old_leader(patch: pytest.MonkeyPatch) -> None:
+    real = book.Book._expire
+    patch.setattr(book.Book, "_expire", lambda self, wallet, entry, epoch: real(self, wallet, entry, entry.epoch))
+
+
+def closing_slice_takes_calls(patch: pytest.MonkeyPatch) -> None:
+    """What is given back of it is reserved again."""
+
+    def fit(self: purse.Held) -> None:
+        self.room = max(0, min(self.open, self.size) - self.spent - self.reserved)
+
+    patch.setattr(purse.Held, "fit", fit)
+
+
+BUGS: dict[Any, int] = {}
