--- a/limenotch/lab/fleet/wallet_run.py
+++ b/limenotch/lab/fleet/wallet_run.py
@@ -168,9 +168,9 @@
 
     def _answered(self, answer: api.Answer) -> None:
         self.run.answered(answer)
-        text = answer.word
-        if isinstance(answer.body, dict) and "left" in answer.body:
-            text = "shown: " + " ".join(f"{key} {answer.body[key]}" for key in ("credit", "spent", "left"))
+        text, shown = answer.word, (answer.body or {}).get(self.run.asks[answer.ticket].tenant)
+        if shown is not None:
+            text = "shown: " + " ".join(f"{key} {shown[key]}" for key in ("spent", "left", "held"))
         self._notes.append(Note(text, {"text": answer.text}))
 
 
