--- /dev/null
+++ b/benchmarks/wallet.py
@@ -0,0 +1,154 @@
+"""Figures of the wallet: share spent before the first pause, overspend, times to pause and to resume, what it costs.
+
+    python -m benchmarks.wallet [--seeds 20] [--storms 500] [--members 9,50,200] [--only spent,storms,bytes,cost]
+
+In simulated time but for `cost`, with the settings as they come (`[fleet]`, log, membership and wallet).
+
+- spent: 9 members, 3 of them voters; one takes nine tenths of 400 calls a second, credit for 20 s of that. The share of
+  the credit that was taken when first somebody was turned away as nothing was left; how many calls were told to come
+  again before that, as credit was on its way; pause and resume against the stated times. One run a seed.
+- storms: runs of lab/fleet/wallet_storm, each held against the checker; units overspent in all of them.
+- bytes: of the wallet's messages, of the log's, and of entries of the log, a member and second, with 10 calls a second
+  and member of one tenant, over 6 s.
+- cost: us of reserve and charge in this process, beside a loop that calls two functions that do nothing.
+"""
+
+from __future__ import annotations
+
+import argparse
+from collections.abc import Sequence
+from random import Random
+from statistics import median
+from time import process_time
+
+from limenotch.fleet import agreement
+from limenotch.fleet.membership import Tuning as Members
+from limenotch.fleet.wallet import api
+from limenotch.fleet.wallet.book import Book
+from limenotch.fleet.wallet.purse import Held, Purse
+from limenotch.fleet.wallet.tuning import Tuning
+from limenotch.lab.fleet.wallet_run import Run
+from limenotch.lab.fleet.wallet_storm import storm
+
+PER_S, CREDIT_S, SPAN_MS = 400.0, 20.0, 6000.0
+
+
+def begun(count: int, voters: int, seed: int) -> Run:
+    names = [f"n{number}" for number in range(count)]
+    run = Run(names, tuple(names[:voters]), Tuning(), log_tuning=agreement.Tuning(), members=Members(),
+              watched=(*names[:voters], names[-1]))
+    run.begin(seed)
+    run.begun(60_000)
+    run.world.run(run.now() + 3000)
+    return run
+
+
+def spent(seed: int) -> tuple[float, float, float, float]:
+    """Share before the first pause; calls told to come again, of all before it; ms to pause and to resume."""
+    run, random = begun(9, 3, seed), Random(f"{seed} spent")
+    credit = int(PER_S * CREDIT_S)
+    begin = run.add("t", credit, "first")
+    for number, name in enumerate(run.names):
+        run.stream(name, "t", PER_S * (0.9 if not number else 0.1 / 8), random)
+    sums = run.checker.sums["t"]
+    run.world.run(run.now() + 1.5 * CREDIT_S * 1000)
+    first = min((turned for turned in sums.turned if turned[0] > begin + 1000), default=(0.0, "", 0))
+    before = sum(at < first[0] for at, _ in sums.served)
+    paused = run.checker.paused_ms("t", begin)
+    since = run.add("t", credit, "second")
+    run.world.run(run.now() + 5000)
+    return first[2] / credit, sums.coming / (before + sums.coming), paused, \
+        run.checker.resumed_ms("t", since, run.names)
+
+
+def traffic(count: int) -> tuple[float, float, float, float]:
+    """A member and second: bytes of the wallet's messages, of the log's, entries of the log; bytes of membership."""
+    run = begun(count, min(5, count), 1)
+    run.add("t", 10_000_000, "first")
+    random = Random("traffic")
+    for name in run.names:
+        run.stream(name, "t", 10.0, random)
+    run.world.run(run.now() + 2500)
+
+    def said(prefix: str) -> int:
+        return sum(size for node in run.world.nodes.values() for tag, (_, size) in node.traffic.by_tag.items()
+                   if tag.startswith(prefix))
+
+    before = [said("wa."), said("ag."), run.checker.index, said("mb.")]
+    run.world.run(run.now() + SPAN_MS)
+    after = [said("wa."), said("ag."), run.checker.index, said("mb.")]
+    scale = count * SPAN_MS / 1000
+    wallet, log, entries, members = ((now - then) / scale for now, then in zip(after, before, strict=True))
+    return wallet, log, entries, members
+
+
+def cost(calls: int = 200_000) -> tuple[float, float]:
+    """us a call: reserve and charge, the part told when the purse wants it left out; two calls of nothing."""
+    purse = Purse(Tuning(), Book())
+    one = Held(1, calls * 2, 0, (("a", 1),), 0.0)
+    one.asked = calls * 2
+    one.acked(("a", 1), calls * 2)
+    purse.got(0.0, "t", one)
+    purse.until = 1e12
+    purse.point(purse.accounts["t"])
+    reserve, charge = purse.reserve, purse.charge
+    began = process_time()
+    for number in range(calls):
+        got = reserve(float(number), "t", "read")
+        assert not isinstance(got, api.Turned)
+        charge(float(number), got)
+    spent_s = process_time() - began
+
+    def nothing(now: float, what: object, kind: str = "") -> None:
+        return None
+
+    began = process_time()
+    for number in range(calls):
+        nothing(float(number), "t", "read")
+        nothing(float(number), None)
+    return spent_s / calls * 1e6, (process_time() - began) / calls * 1e6
+
+
+def of(values: Sequence[float], share: float) -> float:
+    return sorted(values)[min(len(values) - 1, int(len(values) * share))]
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--storms", type=int, default=500)
+    parser.add_argument("--members", default="9,50,200")
+    parser.add_argument("--only", default="spent,storms,bytes,cost")
+    arguments = parser.parse_args()
+    wanted, tuning = arguments.only.split(","), Tuning()
+    if "spent" in wanted:
+        runs = [spent(seed) for seed in range(arguments.seeds)]
+        shares, coming, paused, resumed = zip(*runs, strict=True)
+        print(f"spent before the first pause, {len(runs)} seeds: {min(shares):.2%} at least, "
+              f"median {median(shares):.2%}; told to come again {of(coming, 0.5):.2%} of calls, "
+              f"{max(coming):.2%} at most")
+        for what, values, stated in (("pause", paused, tuning.pause_ms), ("resume", resumed, tuning.resume_ms)):
+            print(f"ms to {what}: median {median(values):.0f}, longest {max(values):.0f}, stated {stated:.0f}")
+    if "storms" in wanted:
+        over = failed = calls = 0
+        for seed in range(arguments.storms):
+            try:
+                calls += storm(seed).calls
+            except AssertionError as error:
+                failed += 1
+                over += "overspent" in str(error)
+                print(f"storm {seed}: {error}")
+        print(f"storms: {arguments.storms}, {calls} calls; with overspend {over}, with anything wrong {failed}")
+    if "bytes" in wanted:
+        print("members  wallet B/s  log B/s  entries/s  membership B/s   (a member)")
+        for count in map(int, arguments.members.split(",")):
+            wallet, log, entries, members = traffic(count)
+            print(f"{count:7}  {wallet:10.0f}  {log:7.0f}  {entries:9.2f}  {members:14.0f}")
+    if "cost" in wanted:
+        runs_us = [cost() for _ in range(5)]
+        print(f"reserve + charge: {min(us for us, _ in runs_us):.2f} us of CPU a call; "
+              f"two calls of nothing {min(us for _, us in runs_us):.2f}")
+
+
+if __name__ == "__main__":
+    main()
