--- a/limenotch/fleet/bindings/ground.py
+++ b/limenotch/fleet/bindings/ground.py
@@ -49,5 +49,8 @@
         """What others have covered, and how far ages from them may be out."""
         table, tuning = self.table, self.tuning
         table.least = self.peers.covered(self.now, tuning.grave_ms)
-        apart = 2 * tuning.drift * tuning.digest_ms * self.scale  # since the latest answer
-        table.slack = min(tuning.cover_ms, max((peer.doubt + apart for peer in self.peers.live()), default=0.0))
+        live = self.peers.live()
+        doubt = max((peer.doubt for peer in live), default=0.0)
+        # Since the latest answer the bounds have gone further apart.
+        apart = 2 * tuning.drift * tuning.digest_ms * self.scale if live else 0.0
+        table.slack = apart + (doubt if doubt < INFINITE else tuning.cover_ms)
--- a/limenotch/fleet/bindings/peers.py
+++ b/limenotch/fleet/bindings/peers.py
@@ -3,7 +3,7 @@
 | a member is | it is waited for before anything is forgotten |
 | --- | --- |
 | held alive or suspect | yes; from its first word in this life on, or for `grave_ms` from when it was first held |
-| held dead or left, or not held at all | no; and nothing is taken from a life held dead |
+| held dead or left, or not held at all | no; and nothing is taken from a life held dead. Who left tells all before |
 | heard in a higher life than is held | as before; nothing is known of this life's sights yet |
 
 A word of a life lower than known is dropped. A gap stops the cover of a member until what is missing has been asked for
@@ -84,7 +84,7 @@
             state = peer.state if peer is not None and peer.live else ""
             floor = peer.upto if peer is not None else -1
             peer = self._peers[name] = Peer(name, life, state, now, self._drift, floor)
-        if peer.state and not peer.live:
+        if peer.state == "dead":
             return None
         peer.spoke = now
         return peer
--- a/limenotch/fleet/bindings/sights.py
+++ b/limenotch/fleet/bindings/sights.py
@@ -20,6 +20,8 @@
 
 MOST_MESSAGES = 2  # of a round, in one turn
 MOST_COUNT = 1 << 62
+MOST_NAME = 64  # letters of a member's name
+MOST_PLACE = 256  # of a provider's, a cell's, a zone's
 TENTHS = 10
 Packed = tuple[tuple[Place, ...], tuple[str, ...], tuple[Copy, ...]]
 
@@ -46,30 +48,35 @@
             and 0 <= copy.count < MOST_COUNT and 0 <= copy.stamp < MOST_COUNT and copy.age >= 0 and copy.old >= 0)
 
 
-def take(table: Shared, now: float, peer: Peer, sent: float, packed: Packed, seer: bool, stamp: int = 0) -> list[int]:
-    """What a message bears, into the table. Rows that it now holds them in are not told; keys of the sound ones are."""
-    if not isfinite(sent) or not 0 <= stamp < MOST_COUNT:
-        table.count("unsound message")
-        return []
+def _known(table: Shared, providers: Sequence[Place], names: Sequence[str]) -> bool:
+    """Whether its names are such as there may be, and all who made values have their numbers."""
+    if any(len(name) > MOST_NAME for name in names) or any(len(part) > MOST_PLACE for at in providers for part in at):
+        return False
+    try:
+        for name in names:
+            table.members.number(name)
+    except ValueError:
+        return False
+    return True
+
+
+def take(table: Shared, now: float, peer: Peer, sent: float, packed: Packed, seer: bool, stamp: int = 0) -> None:
+    """What a message bears, into the table."""
     providers, names, copies = packed
+    if not isfinite(sent) or not 0 <= stamp < MOST_COUNT or not _known(table, providers, names):
+        table.count("unsound message")
+        return
     # A seer's own word is never older here than it is in truth. A copy is never younger: it may be of a sight of one's
     # own, and would else get younger each time it came round.
     latest, earliest = peer.clock.latest(now, sent), peer.clock.earliest(now, sent)
     at, doubt, slow = (latest, 0.0, 1.0) if seer else (earliest, latest - earliest, 1 + table.tuning.drift)
-    keys = []
     for copy in copies:
         if not sound(copy, providers, names):
             table.count("unsound copy")
             continue
         key = int.from_bytes(copy.key, "big")
-        try:
-            table.hear(now, key, copy.what, providers[copy.who], copy.gen, copy.move, copy.count, names[copy.by],
-                       at - slow * copy.age / TENTHS, at - copy.old / TENTHS, max(stamp, copy.stamp), seer,
-                       doubt)
-        except ValueError:
-            table.count("too many names")
-        keys.append(key)
-    return keys
+        table.hear(now, key, copy.what, providers[copy.who], copy.gen, copy.move, copy.count, names[copy.by],
+                   at - slow * copy.age / TENTHS, at - copy.old / TENTHS, max(stamp, copy.stamp), seer, doubt)
 
 
 class Teller:
--- a/limenotch/fleet/bindings/spans.py
+++ b/limenotch/fleet/bindings/spans.py
@@ -44,12 +44,13 @@
     """After a binding's last sight anywhere all have dropped it within this.
 
     What was seen last is told when the told age runs out, at the latest: a tick and a batch later. Then each member
-    has to cover that time (a cover, a tick here), or to be held dead (`death`). All wait one cover more, for ages that
-    came as copies and may be too old by a way. `path_ms`: the longest way of a message, there and back; one that
-    carries a sight and is lost with its stream costs two covers and a page more.
+    has to cover that time (a cover, a tick here), or to be held dead (`death`). All wait a little more (`doubt`), for
+    ages that came as copies and may be too old. `path_ms`: the longest way of a message; one that carries a sight and
+    is lost with its stream costs two covers and a page more.
     """
     scale = pace(members)
     told = tuning.tick_ms + tuning.batch_ms * scale
     covered = tuning.cover_ms * scale + tuning.tick_ms + tuning.batch_ms * scale
     again = 2 * tuning.cover_ms * scale + 2 * path_ms
-    return (idle_ms + tuning.cover_ms + told + covered + again + 2 * path_ms) * (1 + 2 * tuning.drift) + death
+    doubt = 2 * path_ms + 2 * tuning.drift * tuning.digest_ms * scale
+    return (idle_ms + doubt + told + covered + again + 2 * path_ms) * (1 + 2 * tuning.drift) + death
--- a/tests/fleet/bindings_worlds.py
+++ b/tests/fleet/bindings_worlds.py
@@ -50,7 +50,7 @@
     def handle(self, now: float, event: Any) -> list[Any]:
         out = self.bindings.handle(now, event)
         if isinstance(event, Started):
-            for other in self.fleet.names:
+            for other in sorted(self.fleet.there | {self.name}):
                 life = self.life if other == self.name else self.fleet.lives.get(other, 1)
                 out += self.bindings.handle(now, MemberChanged(other, "alive", address(other), 0, life))
             out += self.bindings.handle(now, Providers(THERE))
@@ -74,8 +74,10 @@
 
 class Fleet:
     def __init__(self, names: Iterable[str], seed: int = 1, tuning: Tuning = QUICK, real: bool = False,
-                 **weather: Any) -> None:
+                 mute: str = "", **weather: Any) -> None:
+        """`mute`: of `later`, held alive all the same."""
         self.names, self.tuning = list(names), tuning
+        self.there = set(self.names) - set(weather.get("later", "")) | set(mute)
         self.lives: dict[str, int] = {}
         self._real = real
         self.world = World(self.names, self._make, seed, **weather)
@@ -104,6 +106,7 @@
                 self.world.poke(name, Asked("bi.", event) if self._real else event)
 
     def changed(self, who: str, state: str, life: int, *names: str) -> None:
+        self.there.add(who)
         self.say(MemberChanged(who, state, address(who), 0, life), *names)
 
     def fence(self, who: str) -> None:
