Checker of a history of bindings, in the world's true time, and what it must find

Need: bindings are to be proven by something that knows nothing of their code. It is told sights, finds, drops, fences, members and impaired ways, and judges eight rules; each is broken once in a history written by hand.

--- /dev/null
+++ b/limenotch/lab/fleet/checks_bindings.py
@@ -0,0 +1,394 @@
+"""What must hold of every run of the bindings, seen from outside, in the world's true time.
+
+- none early: one that found a key finds it no more (or drops it as over), while a member that it does not hold dead saw
+  that key within its idle time.
+- none late: a key is found later than the stated time after its last sight anywhere. While a way to somebody not held
+  dead is impaired that time does not begin; afterwards it begins anew, with what mending takes.
+- no revival: a key that was over in truth and was not found is found again, without a sight between.
+- honest ages: a binding is told to be younger than the last sight of it by anybody.
+- one provider: in calm two members find different providers of one key for longer than is stated, or one that all
+  found moves though its provider stayed.
+- none missing: in calm a member that is whole does not find what a running one saw within its idle time.
+- gone: a binding of a provider that left a member's list is found there 250 ms later (a `key` keeps cell and zone).
+- full: a `key` inside its window gives way; two replicas let the same keys go in different order.
+
+Nothing of the decisions is called. A *sight* counts for the process that had it: (node, how many processes and fences
+there were of it). A sight continues the binding if it comes within the idle time of the one before, anywhere; where it
+comes just after, before all can have forgotten, either view is right and nothing is judged.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+
+Key = tuple[int, bytes]  # kind, key
+KEY, OPENING, OPEN = 0, 0, 1  # numbers of api.Kind and api.State, as written down in the design
+DEAD = ("dead", "left")
+LOSSY_MS = 6200.0  # of a stream's segment that was lost five times (weather.TRY_AGAIN_MS, doubled each time)
+EDGE_MS = 2.0  # of floats, and of what clocks gain on each other between two messages
+
+
+@dataclass(frozen=True)
+class Stated:
+    """What is promised, ms of true time. `idle(kind, state)`, `longest(kind)`."""
+
+    idle: Callable[[int, int], float]
+    longest: Callable[[int], float]
+    tell: float
+    drift: float
+    batch_ms: float
+    cover_ms: float
+    steady_ms: float  # what messages take at the longest while no way is impaired
+    mend_ms: float  # from the end of an impairment, or a change of who is held alive, until tables are one again
+    agree_ms: float  # how long two may find different providers while all is calm
+    young_ms: float  # by how much an age may be too young: the shortest way of a message, drift
+    gone_ms: float = 250.0
+
+
+class Sight(NamedTuple):
+    at: float
+    node: str
+    process: int
+    life: int  # membership's
+    provider: str
+    state: int
+
+
+@dataclass
+class Truth:
+    """Of one key: the sights of the binding that is there now, or was last."""
+
+    made: float
+    last: float
+    state: int
+    state_at: float  # since when the binding is in that state
+    states: set[int]
+    sights: dict[tuple[str, int], Sight]  # the last of each process
+    sure: bool = True  # False: begun when the one before may or may not have been forgotten
+
+
+@dataclass
+class Process:
+    number: int
+    life: int
+    since: float
+    found: dict[Key, tuple[float, str]] = field(default_factory=dict)  # when last, and the provider
+    over: dict[Key, float] = field(default_factory=dict)  # not found although or because it was over in truth: when
+    ended: dict[Key, str] = field(default_factory=dict)  # why a row ended, if it was not by age
+    gone: dict[str, float] = field(default_factory=dict)  # providers that left the list, when
+    there: frozenset[str] = frozenset()
+    holds: dict[str, tuple[str, int]] = field(default_factory=dict)  # of others: state, life
+    changed: float = 0.0  # when that was other last
+    given: list[Key] = field(default_factory=list)  # way for others, in order
+
+
+class Checker:
+    """Told all in order of time. `broken` says what did not hold, each once; `check` raises AssertionError then."""
+
+    def __init__(self, stated: Stated, nodes: Iterable[str]) -> None:
+        self.stated = stated
+        self.truths: dict[Key, Truth] = {}
+        self.processes: dict[str, Process | None] = dict.fromkeys(nodes)
+        self._numbers: dict[str, int] = {}
+        self._impaired: dict[tuple[str, str], float | None] = {}  # way: until when; None: still
+        self._rough_until: float | None = 0.0  # None: something is the matter now
+        self.lossy = False  # streams are late without a bound that could be stated
+        self._answers: dict[Key, dict[str, Any]] = {}
+        self._differ: dict[Key, float] = {}
+        self._agreed: dict[Key, str] = {}
+        self.broken: dict[str, None] = {}
+        self.longest_disagreement = 0.0  # ms, in calm
+        self.latest_found = 0.0  # ms after the last sight + idle, in calm
+        self.counts = dict.fromkeys(("found", "forgotten", "dropped", "gave way", "moved", "judged late"), 0)
+
+    def check(self) -> None:
+        if self.broken:
+            raise AssertionError("; ".join(list(self.broken)[:3]) + (f" (and {len(self.broken) - 3} more)"
+                                                                     if len(self.broken) > 3 else ""))
+
+    def _wrong(self, at: float, rule: str, node: str, key: Key, text: str) -> None:
+        if len(self.broken) < 50:
+            self.broken[f"{rule}: {at:.1f} {node} {key[1].decode('latin-1')}: {text}"] = None
+
+    # Processes, members, ways
+
+    def began(self, at: float, node: str, life: int) -> None:
+        """A process begins, or begins anew after a fence: what it held before is not its own word any more."""
+        number = self._numbers[node] = self._numbers.get(node, 0) + 1
+        self.processes[node] = Process(number, life, at, changed=at)
+
+    def fenced(self, at: float, node: str) -> None:
+        held = self.processes[node]
+        assert held is not None
+        self.began(at, node, held.life + 1)
+        now = self.processes[node]
+        assert now is not None
+        now.there, now.gone, now.holds, now.over = held.there, held.gone, held.holds, held.over
+
+    def ended(self, at: float, node: str) -> None:
+        self.processes[node] = None
+
+    def holds(self, at: float, node: str, other: str, state: str, life: int) -> None:
+        process = self.processes[node]
+        if process is None:
+            return
+        if other == node:
+            process.life = life
+        elif process.holds.get(other) != (state, life):
+            process.holds[other] = (state, life)
+            if state != "suspect":
+                process.changed = at
+
+    def impaired(self, at: float, ways: Iterable[tuple[str, str]]) -> None:
+        """All ways (from, to) on which nothing passes from now on, or late without bound."""
+        ways = set(ways)
+        for way in ways:
+            self._impaired[way] = None
+        for way, until in self._impaired.items():
+            if until is None and way not in ways:
+                self._impaired[way] = at
+        self._rough_until = None if ways else at if self._rough_until is None else self._rough_until
+
+    def rough(self, at: float) -> None:
+        """Something else ended only now after which all need mending: loss, delays."""
+        if self._rough_until is not None:
+            self._rough_until = at
+
+    def providers(self, at: float, node: str, names: Iterable[str]) -> None:
+        process = self.processes[node]
+        if process is None:
+            return
+        names = frozenset(names)
+        for name in process.there - names:
+            process.gone[name] = at
+        for name in names:
+            process.gone.pop(name, None)
+        process.there = names
+
+    # What the host asks of the table
+
+    def sees(self, at: float, node: str, key: Key, provider: str, state: int, taken: bool) -> None:
+        """A sight, before or after which it was bound to `provider` (what `find` says after it)."""
+        process = self.processes[node]
+        if process is None or not taken:
+            return
+        stated = self.stated
+        sight = Sight(at, node, process.number, process.life, provider, state)
+        truth = self.truths.get(key)
+        if truth is None or at >= self._over(key, truth):
+            sure = truth is None or at > self._over(key, truth) + self._forget_ms(key, truth)
+            self.truths[key] = Truth(at, at, state, at, {state}, {(node, process.number): sight}, sure)
+        else:
+            truth.last = at
+            truth.states.add(state)
+            if state > truth.state:
+                truth.state, truth.state_at = state, at
+            truth.sights[node, process.number] = sight
+            if at > truth.made + stated.longest(key[0]) * (1 - stated.drift):
+                truth.sure = False  # by one's longest time it is another binding already, by another's not yet
+        process.ended.pop(key, None)
+        process.over.pop(key, None)
+
+    def undone(self, at: float, node: str, key: Key) -> None:
+        for process in self.processes.values():
+            if process is not None:
+                process.ended[key] = "undo"
+        truth = self.truths.get(key)
+        if truth is not None:
+            truth.sure = False
+
+    def found(self, at: float, node: str, key: Key, bound: Any, whole: bool) -> None:
+        """`bound`: None, or with `provider` and `seen_ms`."""
+        process = self.processes[node]
+        if process is None:
+            return
+        truth = self.truths.get(key)
+        self.counts["found"] += 1
+        if bound is None:
+            if key in process.found:
+                self.counts["forgotten"] += 1
+                self._not_early(at, node, process, key, "finds it no more")
+                del process.found[key]
+            if truth is not None and at >= self._over(key, truth) + EDGE_MS:
+                process.over.setdefault(key, at)
+        else:
+            process.found[key] = (at, bound.provider)
+            process.ended.pop(key, None)
+            if truth is None:
+                self._wrong(at, "no revival", node, key, "found, and was never seen")
+                return
+            self._not_late(at, node, process, key, truth)
+            self._honest(at, node, key, truth, bound)
+            before = process.over.pop(key, None)
+            if before is not None and truth.last <= before:
+                self._wrong(at, "no revival", node, key,
+                            f"last seen at {truth.last:.1f}, over and not found at {before:.1f}, found again")
+            since = process.gone.get(bound.provider)
+            if since is not None and at - since > self.stated.gone_ms + EDGE_MS and key[0] != KEY:
+                self._wrong(at, "gone", node, key, f"{bound.provider} left the list at {since:.1f}")
+        if whole:
+            self._answers.setdefault(key, {})[node] = bound
+
+    def dropped(self, at: float, node: str, key: Key, why: str) -> None:
+        """A row ended: `over` by age, `full` for another; others by name."""
+        process = self.processes[node]
+        if process is None:
+            return
+        self.counts["dropped"] += 1
+        if why == "over":
+            self._not_early(at, node, process, key, "dropped as over")
+        else:
+            process.ended[key] = why
+        process.found.pop(key, None)
+        if why == "full":
+            self._gives_way(at, node, process, key)
+
+    # Rules
+
+    def _over(self, key: Key, truth: Truth) -> float:
+        """When it is over in truth, by the state that is known best."""
+        stated = self.stated
+        return min(truth.last + stated.idle(key[0], truth.state), truth.made + stated.longest(key[0]))
+
+    def _forget_ms(self, key: Key, truth: Truth) -> float:
+        stated = self.stated
+        longest = max(stated.idle(key[0], state) for state in truth.states)
+        return longest * ((1 + stated.tell) * (1 + stated.drift) - 1) + stated.batch_ms + stated.cover_ms
+
+    def _not_early(self, at: float, node: str, process: Process, key: Key, what: str) -> None:
+        truth = self.truths.get(key)
+        if truth is None or not truth.sure or process.ended.get(key) is not None:
+            return
+        found = process.found.get(key)
+        if found is not None and found[1] in process.gone:
+            return
+        stated = self.stated
+        idle = min(stated.idle(key[0], state) for state in range(truth.state, max(truth.states) + 1))
+        if at >= truth.made + stated.longest(key[0]) * (1 - stated.drift) - EDGE_MS:
+            return
+        for sight in truth.sights.values():
+            if at - sight.at >= idle * (1 - stated.drift) - EDGE_MS:
+                continue
+            seer = self.processes[sight.node]
+            if sight.node == node:
+                if sight.process == process.number:
+                    self._wrong(at, "none early", node, key, f"{what}, saw it itself at {sight.at:.1f}")
+                continue
+            if seer is None or seer.number == sight.process:
+                # One that fell is waited for too, until it is held dead. One that was fenced is somebody else now.
+                state, life = process.holds.get(sight.node, ("dead", 0))
+                if state not in DEAD and life == sight.life:
+                    self._wrong(at, "none early", node, key,
+                                f"{what}, {sight.node} (held {state}) saw it at {sight.at:.1f}, idle time {idle:g}")
+
+    def _not_late(self, at: float, node: str, process: Process, key: Key, truth: Truth) -> None:
+        stated = self.stated
+        excused = process.changed if process.changed > truth.last else 0.0
+        for (frm, to), until in self._impaired.items():
+            if to != node and frm != node:
+                continue
+            other = frm if to == node else to
+            if until is None:
+                if process.holds.get(other, ("dead", 0))[0] not in DEAD:
+                    return  # it is silent, and not waited for once it is held dead
+            elif until > truth.last:
+                excused = max(excused, until)
+        idle = stated.idle(key[0], truth.state)
+        if excused > truth.state_at or (self._rough_until or at) > truth.state_at:
+            idle = max(stated.idle(key[0], state) for state in truth.states)  # its state may not have come through
+        spare = (1 + stated.tell) * (1 + stated.drift)
+        due = min(truth.last + idle * spare, truth.made + stated.longest(key[0]) * (1 + stated.drift))
+        allowed = max(due, excused + stated.mend_ms if excused else 0.0)
+        allowed += stated.batch_ms + stated.cover_ms + stated.steady_ms
+        if self.lossy:
+            allowed += LOSSY_MS
+        self.counts["judged late"] += 1
+        if at > allowed + EDGE_MS:
+            self._wrong(at, "none late", node, key, f"last seen at {truth.last:.1f}, stated was {allowed:.1f}")
+        if not excused:
+            self.latest_found = max(self.latest_found, at - truth.last - idle)
+
+    def _honest(self, at: float, node: str, key: Key, truth: Truth, bound: Any) -> None:
+        stated = self.stated
+        age = at - truth.last
+        if bound.seen_ms < age * (1 - stated.drift) - stated.young_ms - EDGE_MS:
+            self._wrong(at, "honest ages", node, key, f"seen {bound.seen_ms:.1f} ago, in truth {age:.1f}")
+
+    def _gives_way(self, at: float, node: str, process: Process, key: Key) -> None:
+        process.given.append(key)
+        self.counts["gave way"] += 1
+        truth = self.truths.get(key)
+        if truth is not None and key[0] == KEY and at < self._over(key, truth) - EDGE_MS:
+            self._wrong(at, "full", node, key, "inside its window, and gave way")
+
+    def calm(self, at: float) -> bool:
+        """For so long that all should be one again."""
+        mend = self.stated.mend_ms
+        if self.lossy or self._rough_until is None or at <= self._rough_until + mend:
+            return False
+        return all(process is not None and at > process.changed + mend for process in self.processes.values())
+
+    def sweep(self, at: float) -> None:
+        """All members were asked for all keys at this instant: `found` since the last sweep."""
+        answers, self._answers = self._answers, {}
+        calm, stated = self.calm(at), self.stated
+        for key, by in answers.items():
+            bound = {node: answer.provider for node, answer in by.items() if answer is not None}
+            if len(set(bound.values())) > 1:
+                span = at - self._differ.setdefault(key, at)
+                if calm:
+                    self.longest_disagreement = max(self.longest_disagreement, span)
+                    if span > stated.agree_ms:
+                        self._wrong(at, "one provider", min(bound), key, f"for {span:.0f} ms they find {bound}")
+            else:
+                self._differ.pop(key, None)
+            self._stays(at, key, by, bound)
+            if calm:
+                self._none_missing(at, key, by, bound)
+
+    def _stays(self, at: float, key: Key, by: Mapping[str, Any], bound: Mapping[str, str]) -> None:
+        running = sum(process is not None for process in self.processes.values())
+        one = set(bound.values())
+        before = self._agreed.get(key)
+        if len(one) == 1 and len(bound) == running:
+            now = next(iter(one))
+            if before is not None and before != now:
+                self.counts["moved"] += 1
+                if all(process is None or before in process.there for process in self.processes.values()) and (
+                        self.calm(at)):
+                    self._wrong(at, "one provider", min(bound), key, f"all found {before}, which stayed; now {now}")
+            self._agreed[key] = now
+        elif not bound:
+            self._agreed.pop(key, None)
+
+    def _none_missing(self, at: float, key: Key, by: Mapping[str, Any], bound: Mapping[str, str]) -> None:
+        truth, stated = self.truths.get(key), self.stated
+        if truth is None or not truth.sure or len(bound) == len(by):
+            return
+        told = stated.batch_ms + stated.steady_ms + stated.agree_ms
+        idle = min(stated.idle(key[0], state) for state in range(truth.state, max(truth.states) + 1))
+        seen = [sight.at for sight in truth.sights.values()
+                if (process := self.processes[sight.node]) is not None and process.number == sight.process]
+        if not seen or at - truth.made < told or at > truth.made + stated.longest(key[0]) * (1 - stated.drift):
+            return
+        if at - max(seen) >= idle * (1 - stated.drift) - EDGE_MS:
+            return
+        for node in by.keys() - bound.keys():
+            process = self.processes[node]
+            assert process is not None
+            if key not in process.ended and not process.gone:
+                self._wrong(at, "none missing", node, key, f"last seen at {max(seen):.1f} by one that runs on")
+
+    def same_order(self, at: float) -> None:
+        """Where two replicas let the same keys go for others, they did so in one order."""
+        lists = [(node, process.given) for node, process in self.processes.items() if process is not None]
+        for number, (node, given) in enumerate(lists):
+            for other, theirs in lists[number + 1:]:
+                both = set(given) & set(theirs)
+                one, two = ([key for key in keys if key in both] for keys in (given, theirs))
+                for mine, their in zip(one, two, strict=False):
+                    if mine != their:
+                        self._wrong(at, "full", node, mine, f"gave way before {their!r}, at {other} after it")
+                        break
--- /dev/null
+++ b/tests/fleet/test_bindings_checker.py
@@ -0,0 +1,205 @@
+"""The checker of bindings finds each thing that it is for, in a history written by hand, and nothing in a sound one."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import pytest
+
+from limenotch.lab.fleet.checks_bindings import Checker, Key, Stated
+
+STATED = Stated(idle=lambda kind, state: (400.0, 1000.0, 300.0, 200.0)[state], longest=lambda kind: 10_000.0,
+                tell=0.125, drift=0.01, batch_ms=20, cover_ms=50, steady_ms=30, mend_ms=1000, agree_ms=100, young_ms=5)
+FLOW: Key = (3, b"f1")
+CALL: Key = (0, b"k1")
+
+
+class Is(NamedTuple):
+    provider: str = "p1"
+    seen_ms: float = 1e9
+
+
+def three() -> Checker:
+    """Members that know each other, and whose beginning is long over."""
+    checker = Checker(STATED, "abc")
+    for node in "abc":
+        checker.began(0.0, node, 1)
+        checker.providers(0.0, node, ("p1", "p2"))
+    for node in "abc":
+        for other in "abc":
+            checker.holds(1.0, node, other, "alive", 1)
+    return checker
+
+
+def ask(checker: Checker, at: float, answers: dict[str, Is | None], key: Key = FLOW) -> None:
+    for node, answer in answers.items():
+        checker.found(at, node, key, answer, True)
+    checker.sweep(at)
+
+
+def wrong(checker: Checker, rule: str) -> None:
+    with pytest.raises(AssertionError, match=rf"^{rule}: "):
+        checker.check()
+
+
+def test_a_sound_life() -> None:
+    checker = three()
+    checker.sees(5000, "a", FLOW, "p1", 1, True)
+    ask(checker, 5001, {"a": Is(), "b": None, "c": None})
+    ask(checker, 5060, {"a": Is(), "b": Is(), "c": Is()})
+    ask(checker, 6150, {"a": Is(), "b": None, "c": Is()})
+    ask(checker, 6230, {"a": None, "b": None, "c": None})
+    checker.sees(7000, "b", FLOW, "p2", 1, True)
+    ask(checker, 7100, {"a": Is("p2"), "b": Is("p2"), "c": Is("p2")})
+    checker.check()
+
+
+def test_dropped_while_another_saw_it() -> None:
+    checker = three()
+    checker.sees(5000, "a", FLOW, "p1", 1, True)
+    ask(checker, 5060, {"a": Is(), "b": Is()})
+    checker.sees(5900, "b", FLOW, "p1", 1, True)
+    ask(checker, 6100, {"a": None, "b": Is()})
+    wrong(checker, "none early")
+
+
+def test_a_silent_one_is_waited_for_until_it_is_held_dead() -> None:
+    for state in ("suspect", "dead"):
+        checker = three()
+        checker.sees(5000, "a", FLOW, "p1", 1, True)
+        ask(checker, 5060, {"a": Is(), "b": Is()})
+        checker.sees(5900, "b", FLOW, "p1", 1, True)
+        checker.ended(5901, "b")
+        checker.holds(6000, "a", "b", state, 1)
+        checker.dropped(6100, "a", FLOW, "over")
+        if state == "dead":
+            checker.check()
+        else:
+            wrong(checker, "none early")
+
+
+def test_one_that_was_fenced_is_somebody_else() -> None:
+    checker = three()
+    checker.sees(5000, "a", FLOW, "p1", 1, True)
+    ask(checker, 5060, {"a": Is(), "b": Is()})
+    checker.sees(5900, "b", FLOW, "p1", 1, True)
+    checker.fenced(6000, "b")
+    ask(checker, 6100, {"a": None})
+    checker.check()
+
+
+def test_found_too_late() -> None:
+    for at in (6220, 6290):
+        checker = three()
+        checker.sees(5000, "a", FLOW, "p1", 1, True)
+        ask(checker, at, {"a": Is()})
+        if at == 6220:
+            checker.check()
+        else:
+            wrong(checker, "none late")
+
+
+def test_a_cut_excuses_only_while_it_lasts_and_mends() -> None:
+    for heal, at in ((8000, 9090), (5500, 6650)):
+        checker = three()
+        checker.sees(5000, "a", FLOW, "p1", 1, True)
+        checker.impaired(5100, [("a", "b"), ("b", "a")])
+        checker.impaired(heal, [])
+        ask(checker, at, {"a": Is()})
+        if heal == 8000:
+            checker.check()
+        else:
+            wrong(checker, "none late")
+
+
+def test_one_held_dead_excuses_nothing() -> None:
+    checker = three()
+    checker.sees(8000, "a", FLOW, "p1", 1, True)
+    checker.impaired(5100, [("a", "b"), ("b", "a")])
+    checker.holds(5500, "a", "b", "dead", 1)
+    ask(checker, 9300, {"a": Is()})
+    wrong(checker, "none late")
+
+
+def test_revived() -> None:
+    checker = three()
+    checker.sees(5000, "a", FLOW, "p1", 1, True)
+    ask(checker, 5060, {"a": Is(), "b": Is()})
+    ask(checker, 6100, {"a": None})
+    ask(checker, 6110, {"a": Is()})
+    wrong(checker, "no revival")
+
+
+def test_an_age_that_counts_from_hearing() -> None:
+    checker = three()
+    checker.sees(5000, "a", FLOW, "p1", 1, True)
+    ask(checker, 5060, {"b": Is(seen_ms=58)})
+    checker.check()
+    ask(checker, 5600, {"b": Is(seen_ms=200)})
+    wrong(checker, "honest ages")
+
+
+def test_two_providers_for_too_long() -> None:
+    checker = three()
+    checker.sees(5000, "a", FLOW, "p1", 1, True)
+    checker.sees(5000, "b", FLOW, "p2", 1, True)
+    for at in (5010, 5050, 5110):
+        ask(checker, at, {"a": Is("p1"), "b": Is("p2")})
+    checker.check()
+    ask(checker, 5111, {"a": Is("p1"), "b": Is("p2")})
+    wrong(checker, "one provider")
+
+
+def test_moved_without_need() -> None:
+    for gone in (True, False):
+        checker = three()
+        checker.sees(5000, "a", FLOW, "p1", 1, True)
+        ask(checker, 5060, {name: Is("p1") for name in "abc"})
+        if gone:
+            checker.providers(5065, "b", ("p2",))
+        ask(checker, 5080, {name: Is("p2") for name in "abc"})
+        if gone:
+            checker.check()
+        else:
+            wrong(checker, "one provider")
+
+
+def test_missing_in_calm() -> None:
+    checker = three()
+    checker.sees(5000, "a", FLOW, "p1", 1, True)
+    ask(checker, 5100, {"a": Is(), "b": None})
+    checker.check()
+    ask(checker, 5151, {"a": Is(), "b": None})
+    wrong(checker, "none missing")
+
+
+def test_found_at_a_provider_that_went() -> None:
+    checker = three()
+    checker.sees(5000, "a", FLOW, "p1", 1, True)
+    checker.sees(5000, "a", CALL, "p1", 1, True)
+    checker.providers(5100, "a", ("p2",))
+    ask(checker, 5345, {"a": Is()})
+    ask(checker, 5400, {"a": Is()}, CALL)
+    checker.check()
+    ask(checker, 5360, {"a": Is()})
+    wrong(checker, "gone")
+
+
+def test_a_call_gives_way_inside_its_window() -> None:
+    checker = three()
+    checker.sees(5000, "a", CALL, "p1", 1, True)
+    checker.dropped(5900, "a", CALL, "full")
+    wrong(checker, "full")
+
+
+def test_two_orders() -> None:
+    checker = three()
+    other: Key = (3, b"f2")
+    for key in (FLOW, other):
+        checker.sees(5000, "a", key, "p1", 1, True)
+    for node, order in (("a", (FLOW, other)), ("b", (other, FLOW))):
+        for key in order:
+            checker.dropped(5500, node, key, "full")
+    checker.check()
+    checker.same_order(5600)
+    wrong(checker, "full")
