--- /dev/null
+++ b/benchmarks/bindings.py
@@ -0,0 +1,280 @@
+"""What bindings cost: bytes and time of an entry, sights a second, a takeover, and what members say to each other.
+
+    python -m benchmarks.bindings [entries sights takeover together traffic] [--most 1000000] [--members 9,50,200]
+
+- `entries`: a process each; n flows are bound in one table. bytes: what the process grew by, over n. `bind`, `find`,
+  `again` (a sight of what is bound): us each.
+  `over`: all expire in one ms; us an entry, and the longest turn of the part's timer while they go.
+- `sights`: two members, messages encoded and decoded as between processes: us of CPU a told sight at who tells and at
+  who hears, and how many a second a core of each kind can do.
+- `takeover`: a newcomer to a table of n: simulated ms until it is whole, bytes, CPU seconds of both.
+- `together`: members in calm under consumers that come back elsewhere: the longest that two found different providers,
+  the longest that anybody found a binding beyond its idle time, and what is stated.
+- `traffic`: bytes a member and second of the bindings' own messages; each member has so many new bindings a second.
+"""
+
+from __future__ import annotations
+
+import argparse
+import multiprocessing
+import resource
+from collections.abc import Callable
+from heapq import heappop, heappush
+from random import Random
+from time import perf_counter, process_time
+from typing import Any
+
+from msgspec.msgpack import Decoder, Encoder
+
+from limenotch.fleet.bindings import messages as say
+from limenotch.fleet.bindings.api import Kind, Providers, State
+from limenotch.fleet.bindings.core import Bindings
+from limenotch.fleet.bindings.tuning import Ages, Tuning
+from limenotch.fleet.contract import Heard, MemberChanged, SetTimer, Started, Tell, TimerFired
+from limenotch.lab.fleet.bindings_run import PREFIX, Run
+from limenotch.lab.fleet.bindings_storms import Consumer
+
+SLICE = 2000  # bindings made between two batches
+AGES = Ages(open=600_000.0)
+SECRET = b"a benchmark's"
+THERE = {f"p{number}": (f"cell{number % 4}", f"z{number % 2}") for number in range(20)}
+NAMES = sorted(THERE)
+
+
+class Pair:
+    """Members that talk through encoded messages, 1 ms each; CPU of each is kept apart."""
+
+    def __init__(self, names: str, tuning: Tuning) -> None:
+        self.parts = {name: Bindings(name, 1, SECRET, tuning, 1) for name in names}
+        self.cpu = dict.fromkeys(names, 0.0)
+        self.longest = dict.fromkeys(names, 0.0)  # of one turn, s
+        self.bytes = dict.fromkeys(names, 0)
+        self.messages = dict.fromkeys(names, 0)
+        self.now = 0.0
+        self._due: list[tuple[float, int, str, Any]] = []
+        self._count = 0
+        self._encoder = Encoder()
+        self._decoder: Decoder[Any] = Decoder(say.Said)
+
+    def begin(self, name: str) -> None:
+        self.give(name, Started())
+        self.give(name, Providers(THERE))
+
+    def meet(self, one: str, two: str) -> None:
+        for name in (one, two):
+            self.give(name, MemberChanged(name, "alive", (name, 1), 1, 1))
+        for name, other in ((one, two), (two, one)):
+            self.give(name, MemberChanged(other, "alive", (other, 1), 1, 1))
+
+    def give(self, name: str, event: Any) -> None:
+        began = process_time()
+        if isinstance(event, bytes):
+            frm, event = event[:1].decode(), self._decoder.decode(event[1:])
+            event = Heard((frm, 1), frm, event)
+        actions = self.parts[name].handle(self.now, event)
+        out = [(action.to, name.encode() + self._encoder.encode(action.message)) for action in actions
+               if isinstance(action, Tell)]
+        spent = process_time() - began
+        self.cpu[name] += spent
+        self.longest[name] = max(self.longest[name], spent)
+        for action in actions:
+            if isinstance(action, SetTimer):
+                self._put(action.at_ms, name, TimerFired(action.token))
+        for to, packed in out:
+            self.bytes[name] += len(packed) - 1
+            self.messages[name] += 1
+            self._put(self.now + 1, to, packed)
+
+    def _put(self, at: float, name: str, event: Any) -> None:
+        self._count += 1
+        heappush(self._due, (at, self._count, name, event))
+
+    def run(self, until: float) -> None:
+        while self._due and self._due[0][0] <= until:
+            at, _, name, event = heappop(self._due)
+            self.now = max(self.now, at)
+            self.give(name, event)
+        self.now = until
+
+    def until_whole(self, name: str, most_ms: float) -> float:
+        began = self.now
+        while not self.parts[name].table.whole:
+            self.run(self.now + 1)
+            if self.now - began > most_ms:
+                raise AssertionError(f"{name} is not whole within {most_ms:g} ms")
+        return self.now - began
+
+
+def grown() -> int:
+    with open("/proc/self/statm", encoding="ascii") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
+
+
+def bind(part: Bindings, now: float, first: int, last: int) -> None:
+    see = part.table.see
+    for number in range(first, last):
+        see(now, Kind.FLOW, b"%d" % number, NAMES[number % 20], State.OPEN)
+
+
+def bind_all(pair: Pair, count: int) -> float:
+    """All at one member, SLICE each 100 ms. Gives the seconds that the calls took."""
+    spent = 0.0
+    for first in range(0, count, SLICE):
+        began = perf_counter()
+        bind(pair.parts["a"], pair.now, first, min(first + SLICE, count))
+        spent += perf_counter() - began
+        pair.run(pair.now + 100)
+    pair.run(pair.now + 2000)
+    return spent
+
+
+def entries_of(count: int) -> tuple[float, ...]:
+    pair = Pair("a", Tuning(most=max(count, 16), flow=AGES))
+    pair.begin("a")
+    pair.run(500)
+    table = pair.parts["a"].table
+    before = grown()
+    bound = bind_all(pair, count)
+    size = (grown() - before) / count
+    began = perf_counter()
+    for number in range(count):
+        table.find(pair.now, Kind.FLOW, b"%d" % number)
+    found = perf_counter() - began
+    began = perf_counter()
+    for number in range(count):
+        table.see(pair.now, Kind.FLOW, b"%d" % number, NAMES[number % 20], State.OPEN)
+    again = perf_counter() - began
+    pair.run(pair.now + 500_000)
+    pair.longest["a"] = pair.cpu["a"] = 0.0
+    pair.run(pair.now + 200_000)
+    assert not table.figures()["held"], table.figures()
+    return (size, *(1e6 * spent / count for spent in (bound, found, again, pair.cpu["a"])), 1e3 * pair.longest["a"])
+
+
+def entries(most: int) -> None:
+    print("entries    bytes each   bind us  find us  again us   over us   longest turn ms")
+    for count in (10_000, 100_000, 1_000_000):
+        if count <= most:
+            with multiprocessing.get_context("spawn").Pool(1) as pool:
+                size, bound, found, again, over, turn = pool.apply(entries_of, (count,))
+            print(f"{count:9} {size:11.0f} {bound:9.2f} {found:8.2f} {again:9.2f} {over:9.2f} {turn:13.1f}", flush=True)
+
+
+def sights(count: int = 100_000) -> None:
+    pair = Pair("ab", Tuning(most=2 * count))
+    for name in "ab":
+        pair.begin(name)
+    pair.meet("a", "b")
+    pair.run(2000)
+    for what in ("new", "again"):
+        cpu, size = dict(pair.cpu), pair.bytes["a"]
+        began = process_time()
+        bind(pair.parts["a"], pair.now, 0, count)
+        seen = process_time() - began
+        pair.run(pair.now + 60_000)
+        told, heard = (1e6 * (pair.cpu[name] - cpu[name]) / count for name in "ab")
+        seen *= 1e6 / count
+        print(f"sights, {what:5}: seen {seen:.2f} us, told {told:.2f} us, heard {heard:.2f} us, "
+              f"{(pair.bytes['a'] - size) / count:.0f} bytes each; a core's second: {1e6 / (seen + told):,.0f} "
+              f"own, or {1e6 / heard:,.0f} of others", flush=True)
+    assert pair.parts["b"].table.figures()["held"] == count
+
+
+def takeover(most: int) -> None:
+    print("takeover   whole after ms   MB   CPU s of who gives  of who joins   longest turn ms")
+    for count in (10_000, 100_000, 1_000_000):
+        if count > most:
+            continue
+        pair = Pair("ab", Tuning(most=max(count, 16), flow=AGES))
+        pair.begin("a")
+        pair.run(500)
+        bind_all(pair, count)
+        cpu, size = dict(pair.cpu), pair.bytes["a"]
+        pair.longest = dict.fromkeys("ab", 0.0)
+        pair.begin("b")
+        pair.meet("a", "b")
+        took = pair.until_whole("b", 120_000)
+        assert pair.parts["b"].table.figures()["held"] == count
+        print(f"{count:8} {took:16.0f} {(pair.bytes['a'] - size) / 1e6:6.1f} {pair.cpu['a'] - cpu['a']:15.2f} "
+              f"{pair.cpu['b'] - cpu['b']:15.2f} {1e3 * max(pair.longest.values()):15.1f}", flush=True)
+
+
+def together(count: int, seed: int, span_ms: float = 8000.0) -> Run:
+    """Consumers in calm; all asked for all keys each 5 ms."""
+    run = Run([f"m{number}" for number in range(count)], seed, drift_ppm=200.0)
+    run.joined(20_000)
+    random = Random(seed)
+    consumers = [Consumer(random, number) for number in range(8)]
+    until, number = run.world.now + span_ms, 0
+    while run.world.now < until:
+        number += 1
+        if number % 20 == 0:  # one key at two members, which neither can know of
+            one, two = random.sample(run.names, 2)
+            run.see(one, (Kind.SESSION, b"x%d" % number), "p1")
+            run.see(two, (Kind.SESSION, b"x%d" % number), "p2")
+        for consumer in sorted((one for one in consumers if one.due < run.world.now + 5), key=lambda one: one.due):
+            run.world.run(max(run.world.now, consumer.due))
+            consumer.come(run)
+        run.run(run.world.now + 5, sweep_ms=5)
+    run.checker.check()
+    return run
+
+
+def all_together(members: list[int], seeds: int) -> None:
+    print("members   disagreed ms (stated)   found beyond idle ms (stated)")
+    for count in members:
+        if count > 50:
+            continue
+        runs = [together(count, seed) for seed in range(seeds if count < 20 else 1)]
+        stated = runs[0].checker.stated
+        spare = stated.batch_ms + stated.cover_ms + stated.steady_ms
+        print(f"{count:7} {max(run.checker.longest_disagreement for run in runs):13.0f} ({stated.agree_ms:.0f})"
+              f"{max(run.checker.latest_found for run in runs):18.0f} ({stated.tell:.3f} x idle + {spare:.0f})",
+              flush=True)
+
+
+def traffic(members: list[int], each: float = 5.0, span_ms: float = 5000.0) -> None:
+    print(f"members   bytes/s of bindings, idle   with {each:g} new bindings a second and member   messages/s")
+    for count in members:
+        run = Run([f"m{number}" for number in range(count)], 1, tuning=Tuning())
+        run.joined(20_000)
+        found = []
+        for rate in (0.0, each):
+            run.world.run(run.world.now + 2000)
+            before = said(run)
+            random, begin = Random(1), run.world.now
+            while run.world.now < begin + span_ms:
+                if rate:
+                    run.world.run(run.world.now + 1000 / rate / count)
+                    run.see(random.choice(run.names), (3, b"%d" % len(run.keys)), random.choice(NAMES))
+                else:
+                    run.world.run(begin + span_ms)
+            scale = count * (run.world.now - begin) / 1000
+            found += [(now - then) / scale for now, then in zip(said(run), before, strict=True)]
+        print(f"{count:7} {found[1]:20.0f} {found[3]:40.0f} {found[2]:20.1f}", flush=True)
+
+
+def said(run: Run) -> tuple[int, int]:
+    """How many messages and bytes of bindings, of all."""
+    both = [each for node in run.world.nodes.values() for tag, each in node.traffic.by_tag.items()
+            if tag.startswith(PREFIX)]
+    return sum(one for one, _ in both), sum(two for _, two in both)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("what", nargs="*", default=["entries", "sights", "takeover", "together", "traffic"])
+    parser.add_argument("--most", type=int, default=1_000_000)
+    parser.add_argument("--members", default="9,50,200")
+    parser.add_argument("--seeds", type=int, default=5)
+    given = parser.parse_args()
+    members = [int(one) for one in given.members.split(",")]
+    benches: dict[str, Callable[[], None]] = {
+        "entries": lambda: entries(given.most), "sights": sights, "takeover": lambda: takeover(given.most),
+        "together": lambda: all_together(members, given.seeds), "traffic": lambda: traffic(members)}
+    for what in given.what:
+        benches[what]()
+
+
+if __name__ == "__main__":
+    main()
