--- a/limenotch/lab/fleet/bindings_history.py
+++ b/limenotch/lab/fleet/bindings_history.py
@@ -10,6 +10,7 @@
 KEY, OPENING, OPEN = 0, 0, 1  # numbers of api.Kind and api.State, as written down in the design
 DEAD = ("dead", "left")
 LOSSY_MS = 12_700.0  # of a stream's segment that was lost six times (weather.TRY_AGAIN_MS, doubled each time)
+LOST_MS = 1500.0  # in which all datagrams of one way may be lost
 EDGE_MS = 2.0  # of floats, and of what clocks gain on each other between two messages
 
 
--- a/limenotch/lab/fleet/bindings_storms.py
+++ b/limenotch/lab/fleet/bindings_storms.py
@@ -16,7 +16,6 @@
 from limenotch.lab.fleet.bindings_history import Key
 from limenotch.lab.fleet.bindings_run import QUICK, SWEEP_MS, THERE, Run
 
-
 LONG = Ages(opening=60_000, open=60_000, closing=60_000, lingering=60_000)
 
 
@@ -140,7 +139,7 @@
 
 
 def crowd(seed: int, most: int = 24, rounds: int = 120) -> Run:
-    """Tables of `most` rows, and more seen. Between two sights all hear of all, and nothing gets old: equal replicas."""
+    """Tables of `most` rows, and more seen; between two sights all hear of all, nothing gets old: equal replicas."""
     random = Random(f"{seed} crowd")
     run = Run("abc", seed, tuning=replace(QUICK, flow=LONG, sessions=LONG, conn=LONG, most=most),
               window_ms=60_000.0)
