--- /dev/null
+++ b/tests/fleet/bindings_bugs.py
@@ -0,0 +1,120 @@
+"""Faults planted into the bindings by hand, one at a time: each must be found, in the run of its seed.
+
+`BUGS` has for each the run and the seed in which it is found: as many as there are before it did not show it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from limenotch.fleet.bindings import clocks, full, held, names, peers, sights, table, values
+from limenotch.lab.fleet.bindings_drawings import outcome
+from limenotch.lab.fleet.bindings_storms import crowd, storm
+from limenotch.lab.fleet.scenario import load
+
+Plant = Callable[[pytest.MonkeyPatch], None]
+DRAWINGS = Path(__file__).parent / "drawings" / "bindings"
+
+
+def drawn(name: str) -> Callable[[int], Any]:
+    return lambda seed: outcome(load(DRAWINGS / f"{name}.txt"))
+
+
+def revived_by_an_old_copy(patch: pytest.MonkeyPatch) -> None:
+    """What is over by its age is taken all the same, whatever the grave says."""
+    real = table.Shared.hear
+
+    def hear(self: table.Shared, now: float, key: int, *rest: Any, seer: bool, **more: Any) -> bool:
+        seen = rest[6] if len(rest) > 6 else more["seen"]
+        if not seer:
+            row = self.rows.find(key)
+            if row != table.NIL and self.rows.what[row] & table.GRAVE:
+                self.rows.gen[row] = 0
+            rest = (*rest[:6], max(seen, now - 10.0), *rest[7:])
+        return real(self, now, key, *rest, seer=seer, **more)
+
+    patch.setattr(table.Shared, "hear", hear)
+
+
+def aged_from_hearing(patch: pytest.MonkeyPatch) -> None:
+    """An age counts from when its message was heard, not from when it was sent."""
+    patch.setattr(clocks.Clock, "latest", lambda self, now, theirs: now)
+
+
+def covered_before_told(patch: pytest.MonkeyPatch) -> None:
+    """The cover says up to now, though sights of before are still to be told."""
+    real = sights.Teller.batches
+
+    def batches(self: sights.Teller, now: float, *rest: Any) -> Any:
+        out = real(self, now, *rest)
+        self.covered = now + 200.0
+        return out
+
+    patch.setattr(sights.Teller, "batches", batches)
+
+
+def silent_one_not_waited_for(patch: pytest.MonkeyPatch) -> None:
+    def covered(self: peers.Peers, now: float, patience: float) -> float:
+        return min((peer.covered for peer in self.live() if now - peer.spoke < 100), default=clocks.INFINITE)
+
+    patch.setattr(peers.Peers, "covered", covered)
+
+
+def dead_one_waited_for(patch: pytest.MonkeyPatch) -> None:
+    def covered(self: peers.Peers, now: float, patience: float) -> float:
+        return min((peer.covered for peer in self.all()), default=clocks.INFINITE)
+
+    patch.setattr(peers.Peers, "covered", covered)
+
+
+def last_writer_wins(patch: pytest.MonkeyPatch) -> None:
+    real = values.beats
+
+    def beats(gen: int, move: int, count: int, by: str, than: tuple[int, int, int, str]) -> int:
+        won = real(gen, move, count, by, than)
+        return -won if (gen, move) == than[:2] else won
+
+    patch.setattr(table, "beats", beats)
+
+
+def given_way_by_own_clock(patch: pytest.MonkeyPatch) -> None:
+    """Who was seen here longest ago goes first, and what was seen elsewhere counts as not seen."""
+    patch.setattr(held.Held, "restamp", lambda self, row, stamp: None)
+
+
+def half_open_push_out_open(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(full, "BY_WHAT", tuple(full.OPENED if each == full.OPENING else each for each in full.BY_WHAT))
+
+
+def providers_that_went_are_found(patch: pytest.MonkeyPatch) -> None:
+    real = names.Providers.now
+
+    def now(self: names.Providers, there: Any) -> list[int]:
+        for number in real(self, there):
+            self.gone[number] = False
+        return []
+
+    patch.setattr(names.Providers, "now", now)
+
+
+def sights_held_back_for_good(patch: pytest.MonkeyPatch) -> None:
+    """What changes ages by less than the part that is told is not told when the others' age runs out either."""
+    patch.setattr(held.Held, "_told_out", lambda self, row: self.ends(row))
+
+
+BUGS: dict[Plant, tuple[Callable[[int], Any], int]] = {
+    revived_by_an_old_copy: (storm, 0),
+    aged_from_hearing: (storm, 0),
+    covered_before_told: (storm, 0),
+    silent_one_not_waited_for: (storm, 0),
+    dead_one_waited_for: (storm, 0),
+    last_writer_wins: (drawn("two-bind-at-once"), 0),
+    given_way_by_own_clock: (crowd, 0),
+    half_open_push_out_open: (drawn("flood-of-opening"), 0),
+    providers_that_went_are_found: (storm, 0),
+    sights_held_back_for_good: (storm, 0),
+}
