--- a/limenotch/layers/bindings.py
+++ b/limenotch/layers/bindings.py
@@ -60,6 +60,7 @@
     session: bytes = b""
     origin: str = ""
     hinted: bool = False
+    changes: int = -1  # of the table, when its key was not found there
     served: str = ""  # by which provider
     out: int = 0
     closed: bool = False
@@ -217,6 +218,8 @@
             # The window counts from the first of them, wherever its latest repeat was seen.
             call.hint = Hint(ran=True, zone=bound.zone, group=_group(bound.cell), ago_ms=bound.made_ms)
             mine.hinted = True
+        else:
+            mine.changes = self._table.changes
         use = self._uses.get(mine.key)
         if use is None:
             use = self._uses[mine.key] = Use()
@@ -238,10 +241,11 @@
         use = self._uses[mine.key]
         use.out += 1
         if not (use.ours or use.stands):
-            bound = self._table.find(self._among.now(), Kind.KEY, mine.key)
-            use.ours, use.stands = bound is None, bound is not None
-            if bound is not None and not mine.hinted:
-                self.counts["crossed"] += 1  # told of while this one waited to be sent
+            known = mine.hinted
+            if not known and mine.changes != self._table.changes:
+                known = self._table.find(self._among.now(), Kind.KEY, mine.key) is not None
+                self.counts["crossed"] += known  # told of while this one waited to be sent
+            use.ours, use.stands = not known, known
         if not self._see(Kind.KEY, mine.key, invoker_call.provider, State.OPENING):
             self.counts["unbound"] += 1
             use.ours = False
--- a/tests/fleet/test_others.py
+++ b/tests/fleet/test_others.py
@@ -6,13 +6,15 @@
 import logging
 import socket
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 import pytest
 
 from limenotch.fleet.contract import (
     Carrier,
+    Fenced,
     Heard,
+    Leave,
     Message,
     Note,
     Send,
@@ -166,6 +168,29 @@
     assert sum("fleet off: fault" in record.getMessage() for record in caplog.records) == 2
 
 
+def test_what_is_told_while_an_event_is_handled_is_handled_after_it_and_time_does_not_run_back() -> None:
+    class Said(NamedTuple):
+        text: str
+
+    async def case() -> None:
+        a = One("a")
+        times: list[tuple[float, Any]] = []
+
+        def answer(now: float, event: Any) -> list[Any]:
+            times.append((now, event))
+            return []
+
+        # As rules that come into force make another part be told of it, while that is to hear what came with them.
+        a.hub.hears(Said, lambda said: a.others.tell(Stored(3)))
+        async with several(a):
+            a.log.answer = answer
+            a.act(Said("in force"), Fenced())
+            assert [event for _, event in times] == [Fenced(), Leave(), Stored(1)]
+            assert [now for now, _ in times] == sorted(now for now, _ in times)
+
+    run(case)
+
+
 def test_too_many_timers_put_the_fleet_off_and_close_leaves_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(module, "MOST_TIMERS", 3)
 
