--- a/limenotch/fleet/bindings/ground.py
+++ b/limenotch/fleet/bindings/ground.py
@@ -46,4 +46,11 @@
         self.out.append(Note(text, fields))
 
     def least(self) -> None:
-        self.table.least = self.peers.covered(self.now, self.tuning.grave_ms)
+        """What others have covered, and how far ages from them may be out."""
+        table, tuning = self.table, self.tuning
+        table.least = self.peers.covered(self.now, tuning.grave_ms)
+        live = self.peers.live()
+        doubt = max((peer.doubt for peer in live), default=0.0)
+        # Since the latest answer the bounds have gone further apart.
+        apart = 2 * tuning.drift * tuning.digest_ms * self.scale if live else 0.0
+        table.slack = apart + (doubt if doubt < INFINITE else tuning.cover_ms)
