--- a/limenotch/fleet/rules/arrivals.py
+++ b/limenotch/fleet/rules/arrivals.py
@@ -63,6 +63,10 @@
         self._proposed.clear()
         self.again_at = now
 
+    def voted(self, now: float, voters: tuple[str, ...]) -> None:
+        """It may vote only now: what it has is told anew."""
+        self.voters, self.again_at = voters, now
+
     def ended(self, ticket: int) -> None:
         self._proposed.pop(ticket, None)
 
--- a/limenotch/fleet/rules/lists.py
+++ b/limenotch/fleet/rules/lists.py
@@ -75,7 +75,7 @@
         self._events: dict[type, Callable[[Any], None]] = {
             Listed: self._listed, DirectorySilent: self._silent, contract.Heard: self._heard,
             contract.MemberChanged: self._member, contract.TimerFired: self._fired,
-            Voters: lambda event: setattr(self.arrivals, "voters", event.names),
+            Voters: lambda event: self.arrivals.voted(self._now, event.names),
             log.Agreed: lambda event: self.arrivals.apply(event),
             log.Install: lambda event: self.arrivals.install(event.state),
             log.LeaderChanged: lambda event: self.arrivals.led(self._now, event.name),
--- a/tests/fleet/test_rules_lists.py
+++ b/tests/fleet/test_rules_lists.py
@@ -12,6 +12,7 @@
 from limenotch.fleet.contract import Heard, MemberChanged, Started, Tell
 from limenotch.fleet.hub import Asked
 from limenotch.fleet.rules import arrivals, drains, listing
+from limenotch.fleet.rules.api import Voters
 from limenotch.fleet.rules.listing import Agree, Arrived, DirectorySilent, Know, PeerDrain, Pull, Word
 from limenotch.fleet.rules.lists import AGAIN, AGAIN_MS, Lists
 from limenotch.lab.fleet import faults
@@ -193,6 +194,13 @@
     assert heard(lists, Know("d1", (named("u"),)), "c") == [], "it is on its way"
 
 
+def test_who_becomes_a_voter_tells_what_it_has() -> None:
+    lists = held(voters=())
+    assert not [one for one in lists.handle(1.0, log.LeaderChanged("b", 1)) if isinstance(one, Tell)]
+    told = lists.handle(2.0, Voters(("a", "b", "c")))
+    assert Tell("b", Know("d1", (named("u"), named("v")))) in told
+
+
 def test_votes_are_of_late_and_what_is_agreed_is_not_asked_for_again() -> None:
     lists = leader()
     lists.handle(0.0, event_of("whole 5 v"))
