--- a/benchmarks/constants.py
+++ b/benchmarks/constants.py
@@ -1,6 +1,6 @@
 """Half and double of each constant of the decisions: what the score loses or gains on three shapes of deployment.
 
-    python -m benchmarks.constants [--seeds K] [--processes N] [NAME...]
+    python -m benchmarks.constants [--seeds K] [--processes N] [--scenarios S... --] [NAME...]
 
 Each constant is set to half and to double of its value in every file of the decisions that reads it, and the same
 seeded days are played in simulated time with it and without. One row a constant: the mean difference of the score on
@@ -70,16 +70,17 @@
     parser.add_argument("names", nargs="*")
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--processes", type=int)
+    parser.add_argument("--scenarios", nargs="+", default=list(SCENARIOS))
     asked = parser.parse_args()
     known = constants()
     some = {n: v for n, v in known.items() if not asked.names or n in asked.names or n.split(".")[1] in asked.names}
     first = next(iter(known))
-    jobs = [(first, known[first], scenario, seed) for scenario in SCENARIOS for seed in range(1, asked.seeds + 1)]
+    jobs = [(first, known[first], scenario, seed) for scenario in asked.scenarios for seed in range(1, asked.seeds + 1)]
     for name, value in some.items():
         whole = name.split(".")[1] in KEPT_WHOLE
         for other in (value / 2, value * 2):
             jobs += [(name, round(other) if whole else other, scenario, seed)
-                     for scenario in SCENARIOS for seed in range(1, asked.seeds + 1)]
+                     for scenario in asked.scenarios for seed in range(1, asked.seeds + 1)]
     with ProcessPoolExecutor(asked.processes, mp_context=get_context("spawn")) as pool:
         scores = dict(zip(jobs, pool.map(score, *zip(*jobs, strict=True), chunksize=4), strict=True))
 
@@ -87,13 +88,13 @@
         return [scores[name, value, scenario, seed] - scores[first, known[first], scenario, seed]
                 for seed in range(1, asked.seeds + 1)]
 
-    heads = [Path(s).stem for s in SCENARIOS]
+    heads = [Path(s).stem for s in asked.scenarios]
     print("| constant | value | " + " | ".join(heads) + " |\n| --- | --- |" + " --- |" * len(heads))
-    spread: dict[str, list[float]] = {scenario: [] for scenario in SCENARIOS}
+    spread: dict[str, list[float]] = {scenario: [] for scenario in asked.scenarios}
     for name, value in some.items():
         whole = name.split(".")[1] in KEPT_WHOLE
         cells = []
-        for scenario in SCENARIOS:
+        for scenario in asked.scenarios:
             pairs = [differences(name, round(v) if whole else v, scenario) for v in (value / 2, value * 2)]
             spread[scenario] += [stdev(p) / asked.seeds**0.5 for p in pairs if asked.seeds > 1]
             cells.append(" / ".join(f"{1000 * mean(p):+.0f}" for p in pairs))
