--- a/limenotch/layers/wallet.py
+++ b/limenotch/layers/wallet.py
@@ -11,7 +11,8 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from time import monotonic
+from typing import Any, Protocol
 
 from .. import logs
 from ..facade import Ending
@@ -28,38 +29,45 @@
 MOST_SHOWN = 100  # tenants in the figures; operators' calls show the rest
 
 
+class Parts(Protocol):
+    """The hub."""
+
+    off: tuple[str, ...]  # prefixes of the parts stopped
+
+
 class Till:
     """Has a say in calls: each is reserved for when it is taken, and charged or given back once, at its end.
 
+    The clock is the loop's, on which parts are told the time, read without a way through all that leads to it: twice a
+    call that is much of what a wallet costs.
+
     What its purse wants is told in a turn of the loop of its own: never in a call's time, and never while the fleet's
     decisions are in the midst of an event that ended a call.
     """
 
-    def __init__(self, tuning: Tuning, now: Callable[[], float], look: Callable[[], None],
-                 off: Callable[[], tuple[str, ...]]) -> None:
-        """`off`: prefixes of the parts stopped."""
+    def __init__(self, tuning: Tuning, look: Callable[[], None], parts: Parts) -> None:
         self.purse: Purse | None = None
         self.fault = False  # the purse raised
         self.counts = {"charged": 0, "given_back": 0, "turned": 0, "turned_without": 0}
-        self._tuning, self._now, self._look, self._off = tuning, now, look, off
+        self._tuning, self._look, self._parts = tuning, look, parts
         self._tenants = frozenset(tuning.tenants)
         self._open: dict[int, Reservation] = {}  # by the call's number
         self._looking = False
 
     @property
     def off(self) -> bool:
-        off = self._off()
-        return self.fault or bool(off) and (PREFIX in off or LOG in off)
+        off = self._parts.off
+        return self.fault or PREFIX in off or LOG in off
 
     def pays(self, tenant: str) -> bool:
         return "*" in self._tenants or tenant in self._tenants
 
     def taken(self, call: Call) -> Final | None:
         purse = self.purse
-        if purse is None or self.fault or (self._off() and self.off):
+        if purse is None or self.fault or (self._parts.off and self.off):
             return self._without(call)
         try:
-            said = purse.reserve(self._now(), call.tenant, call.kind, call.paid)
+            said = purse.reserve(monotonic() * 1000.0, call.tenant, call.kind, call.paid)
             if not self._looking and purse.wants():
                 self._see()
         except Exception as error:
@@ -85,10 +93,10 @@
             return
         try:
             if call.final is not None and call.final.verdict is Verdict.SERVED:
-                purse.charge(self._now(), reservation)
+                purse.charge(monotonic() * 1000.0, reservation)
                 self.counts["charged"] += reservation.cost
             else:
-                purse.give_back(self._now(), reservation)
+                purse.give_back(monotonic() * 1000.0, reservation)
                 self.counts["given_back"] += reservation.cost
             if not self._looking and purse.wants():
                 self._see()
@@ -125,12 +133,11 @@
     name, prefix = "wallet", PREFIX
     messages = messages_of(messages)
 
-    def __init__(self, among: Among, tuning: Tuning, off: Callable[[], tuple[str, ...]]) -> None:
-        """`off`: prefixes of the parts stopped."""
+    def __init__(self, among: Among, tuning: Tuning, parts: Parts) -> None:
         super().__init__()
         self._among, self._tuning = among, tuning
         self._wallet: Wallet | None = None
-        self._till = Till(tuning, among.now, self._look, off)
+        self._till = Till(tuning, self._look, parts)
         paid = Paid(among.tell, tuning.ask_ms / 1000.0 + SPARE_S, self._till.pays)
         self.hears = {Answer: paid.heed}
         self.paths = paid.paths
--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -100,7 +100,7 @@
         if table.wallet is not None:
             from .layers.wallet import WalletLayer
 
-            layers.append(WalletLayer(self._among, table.wallet, lambda: self._hub.off))
+            layers.append(WalletLayer(self._among, table.wallet, self._hub))
         return layers
 
     def _tell(self, event: Any) -> None:
