--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -106,7 +106,7 @@
         if table.wallet is not None:
             from .layers.wallet import WalletLayer
 
-            layers.append(WalletLayer(self._among, table.wallet, lambda: self._hub.off))
+            layers.append(WalletLayer(self._among, table.wallet, self._hub))
         if self._lists is not None:
             layers.append(self._lists)
         return layers
