--- a/tests/fleet/test_fleet_settings.py
+++ b/tests/fleet/test_fleet_settings.py
@@ -38,7 +38,6 @@
     settings = parse(example(key), "fleet.toml")
     keys = set(re.findall(r"^(\w+) =", EXAMPLE.read_text(), re.MULTILINE)) | set(
         re.findall(r"^\[fleet\.(?:\w+\.)?(\w+)\]", EXAMPLE.read_text(), re.MULTILINE))
-    keys |= {"bindings"}  # its section is still to come
     assert keys >= {*Fleet.__struct_fields__, *Membership.__struct_fields__, *Agreement.__struct_fields__,
                     *Rules.__struct_fields__, *Wallet.__struct_fields__}
     assert settings.fleet.membership == Membership() and settings.fleet.agreement == Agreement()
