--- a/limenotch/lab/fleet/explore.py
+++ b/limenotch/lab/fleet/explore.py
@@ -99,12 +99,14 @@
     """`digest(part)` is all that tells two states of a part apart, hashable; what it leaves out is not explored.
 
     `check(view)` says what is wrong, or None. `asks` are events from outside, each told once to its node, in order,
-    at any point. Messages must be hashable by what they encode to; parts must bear `deepcopy`.
+    at any point. `disks`: what they hold at the start, nothing if not said. Messages must be hashable by what they
+    encode to; parts must bear `deepcopy`.
     """
 
     def __init__(
         self, nodes: Sequence[str], make: Make, digest: Callable[[Any], Hashable], check: Callable[[View], str | None],
         bounds: Bounds = USUAL, *, seed: int = 0, asks: Sequence[tuple[str, Any]] = (), clocks: str = "free",
+        disks: Mapping[str, Held] | None = None,
     ) -> None:
         if clocks not in ("free", "one"):
             raise ValueError(f"clocks: {clocks!r} is neither 'free' nor 'one'")
@@ -116,9 +118,11 @@
         self.seed = seed
         self.asks = tuple(asks)
         self.one_clock = clocks == "one"
+        self.disks = dict(disks or {})
 
     def run(self) -> Explored:
-        first = _State(dict.fromkeys(self.names, _Node()), (), 0, (self.bounds.lose, self.bounds.double,
+        nodes = {name: _Node(held=self.disks.get(name, Held(entries=[]))) for name in self.names}
+        first = _State(nodes, (), 0, (self.bounds.lose, self.bounds.double,
                        self.bounds.crash, self.bounds.fire), frozenset(), 0, "start", (), None)
         for name in self.names:
             first = replace(self._start(first, name, "start"), steps=0, before=None, noted=())
