--- a/limenotch/fleet/membership/core.py
+++ b/limenotch/fleet/membership/core.py
@@ -60,6 +60,7 @@
         self._now = float("-inf")
         self._since = 0.0
         self._knocks: dict[int, str] = {}
+        self._gossiped = float("-inf")
         self._unsure_until = float("-inf")  # after a pause; nobody is accused before
 
     # What others may look at
@@ -132,7 +133,8 @@
         if ground.phase is not Phase.GONE:
             self._do_due(now)
             if len(ground.queue) and ground.phase is Phase.INSIDE and ("gossip", "") not in ground.agenda:
-                ground.agenda.at(now + ground.tuning.gossip_ms, ("gossip", ""))
+                # The first word of a calm time goes at once: waiting at each member on its way is what made news late.
+                ground.agenda.at(max(now, self._gossiped + ground.tuning.gossip_ms), ("gossip", ""))
             when = ground.agenda.arm()
             if when is not None:
                 ground.acts.append(SetTimer(when, TOKEN))
@@ -180,6 +182,7 @@
         ground = self.ground
         if ground.phase is not Phase.INSIDE:
             return
+        self._gossiped = now
         for name in ground.table.some(ground.random, ground.tuning.fanout):
             news = ground.news(ground.against(name, None, now))
             if not news:
