--- a/limenotch/acting.py
+++ b/limenotch/acting.py
@@ -41,6 +41,11 @@
         self._document: Document | None = None  # as put in force last
         self._out: dict[str, float] = {}  # banned by the rules, and when they were
         self.version = 0
+        self._aims = _aims(held)
+
+    def aim_ms(self, class_name: str) -> float:
+        """Of the rules in force; what they don't name has none."""
+        return self._aims.get(class_name, math.inf)
 
     def first(self) -> dict[str, Any]:
         """The rules before any were agreed on: this file's. A group's files must agree in these."""
@@ -92,6 +97,7 @@
             log.error("rules: not to be read by this program", version=version, error=str(error))
             return False
         before, self._document, self.version = self._document, document, version
+        self._aims = _aims(new)
         self._bans(document.get("bans") or {})  # first: what is out gets nothing under the new settings
         if before is None or _without_bans(before) != _without_bans(document):
             self._parts.adopt(new)
@@ -109,3 +115,7 @@
 
 def _without_bans(document: Document) -> dict[str, Any]:
     return {key: value for key, value in document.items() if key != "bans"}
+
+
+def _aims(config: Config) -> dict[str, float]:
+    return {cls.name: cls.aim_ms for cls in config.settings.classes}
--- a/limenotch/layers/rules.py
+++ b/limenotch/layers/rules.py
@@ -2,22 +2,48 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
+from time import monotonic
 from typing import Any
 
 from tornado.ioloop import PeriodicCallback
 
 from ..acting import Acting
+from ..facade import Ending
 from ..fleet.hub import Asked
 from ..fleet.rules import Rules, messages
 from ..fleet.rules.api import Answer, Counted, InForce, Narrow, Voters
 from ..fleet.rules.tuning import Tuning
+from ..net.calls import Call, Final, InvokerCall, Verdict
 from ..net.ruled import PREFIX, RULES, Ruled
 from .base import SPARE_S, Among, Layer, messages_of
 
 COUNT_S = 1.0  # between two words of what calls came to
 
 
+class Late:
+    """Counts answers that came beyond their class's aim, from the last byte of the call's message on."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.aim_ms: Callable[[str], float] = lambda name: math.inf
+
+    def taken(self, call: Call) -> Final | None:
+        return None
+
+    def sent(self, invoker_call: InvokerCall) -> None:
+        """Nothing to see yet."""
+
+    def ended(self, invoker_call: InvokerCall, ending: Ending) -> None:
+        """One attempt says nothing of its call."""
+
+    def closed(self, call: Call) -> None:
+        if call.final is not None and call.final.verdict is Verdict.SERVED:
+            spent_s = monotonic() - (call.end - call.left_s)
+            self.count += spent_s * 1000.0 > self.aim_ms(call.kind)
+
+
 class RulesLayer(Layer):
     name, prefix = "rules", PREFIX
     messages = messages_of(messages)
@@ -30,18 +56,22 @@
         self._rules: Rules | None = None
         self._counted: Callable[[], tuple[int, int]] = lambda: (0, 0)
         self._before = (0, 0)
+        self._late = Late()
+        self.beside = self._late
         self._counting = PeriodicCallback(self._count, COUNT_S * 1000.0)
         ruled = Ruled(among.tell, tuning.ask_ms / 1000.0 + SPARE_S, self.figures)
         self.hears = {Answer: ruled.heed, InForce: self._in_force, Narrow: self._narrow}
         self.paths = {RULES: ruled.answer}
 
     def follow(self, acting: Acting, counted: Callable[[], tuple[int, int]]) -> None:
-        """Put what is agreed on in force there. `counted`: calls taken so far, and those of them rejected or failed:
-        what a canary is judged by.
+        """Put what is agreed on in force there. `counted`: calls taken so far, and those of them rejected or failed: by
+        these, and by late answers, a canary is judged.
         """
         self._acting = acting
+        self._late.aim_ms = acting.aim_ms
         acting.alone(self._tuning.without_lease == "refuse")
-        self._counted, self._before = counted, counted()
+        self._counted = counted
+        self._before = self._count_all()
 
     def part(self, state: bytes | None, index: int) -> Rules | None:
         among, acting = self._among, self._acting
@@ -56,8 +86,12 @@
     def close(self) -> None:
         self._counting.stop()
 
+    def _count_all(self) -> tuple[int, int]:
+        taken, bad = self._counted()
+        return taken, bad + self._late.count
+
     def _count(self) -> None:
-        (taken, bad), (taken_before, bad_before) = self._counted(), self._before
+        (taken, bad), (taken_before, bad_before) = self._count_all(), self._before
         self._before = taken, bad
         self._among.tell(Asked(PREFIX, Counted(taken - taken_before, bad - bad_before)))
 
