--- a/limenotch/fleet/bindings/core.py
+++ b/limenotch/fleet/bindings/core.py
@@ -242,7 +242,8 @@
         if not peer.gap:
             peer.upto = max(peer.upto, word.counter)
             peer.covered = max(peer.covered, peer.clock.earliest(ground.now, word.covered))
-            ground.least()
+            if ground.peers.holds_back(peer):
+                ground.least()
 
     def _asked(self, peer: Peer, ask: say.Ask) -> None:
         answer = page(self.ground, ask)
--- a/limenotch/fleet/bindings/full.py
+++ b/limenotch/fleet/bindings/full.py
@@ -71,7 +71,7 @@
         else:
             del self._heads[stamp]
             if len(self._stamps) > 2 * len(self._heads) + 64:
-                self._stamps = sorted(self._heads)
+                self._stamps, self._heads = sorted(self._heads), dict(self._heads)  # a dict shrinks by a copy only
         self.held -= 1
         if stamp == self._lowest:
             if self._sorted and self._sorted[-1] == row:
--- a/limenotch/fleet/bindings/join.py
+++ b/limenotch/fleet/bindings/join.py
@@ -86,8 +86,11 @@
                 continue
             of.gap = False
             of.upto = max(of.upto, known.counter)
-            at = fetch.peer.clock.earliest(ground.now, first.sent) - known.covered / TENTHS
-            of.covered = max(of.covered, at)
+            # What was told anew while pages went has left its place in them: it comes from who told it, if that is
+            # heard; else with the next fetch, from here on.
+            if fetch.pages == 1 or ground.now - of.spoke <= SILENT * ground.tuning.cover_ms * ground.scale:
+                at = fetch.peer.clock.earliest(ground.now, first.sent) - known.covered / TENTHS
+                of.covered = max(of.covered, at)
         ground.least()
 
     # Joining
--- a/limenotch/fleet/bindings/pages.py
+++ b/limenotch/fleet/bindings/pages.py
@@ -61,6 +61,7 @@
         self.asked = now
         self.done = self.whole = False
         self.first: Page | None = None
+        self.pages = 0
         self._stamp, self._key = MOST_COUNT, LAST_KEY
         self._next = now
         self._waits = False
@@ -80,7 +81,7 @@
         if answer.serial != self.serial or not self._waits or self.done:
             return
         self._waits = False
-        self.first = self.first or answer
+        self.first, self.pages = self.first or answer, self.pages + 1
         take(table, now, self.peer, answer.sent, (answer.providers, answer.names, answer.rows), seer=False)
         self.done, self.whole = answer.last or not answer.rows, answer.whole
         if answer.rows:
--- a/limenotch/fleet/bindings/peers.py
+++ b/limenotch/fleet/bindings/peers.py
@@ -45,33 +45,28 @@
     def __init__(self, name: str, drift: float) -> None:
         self._name, self._drift = name, drift
         self._peers: dict[str, Peer] = {}
-
-
-    def all(self) -> list[Peer]:
-        return list(self._peers.values())
+        self._live: list[Peer] | None = None  # made anew after a change
+        self._last: Peer | None = None  # the one that has covered least, as of the latest look
 
     def live(self) -> list[Peer]:
-        return [peer for peer in self._peers.values() if peer.live]
+        """Those held alive; not to be changed by who asks."""
+        if self._live is None:
+            self._live = [peer for peer in self._peers.values() if peer.live]
+        return self._live
 
     def get(self, name: str) -> Peer | None:
         return self._peers.get(name)
 
-    def changed(self, now: float, name: str, life: int, state: str) -> bool:
-        """Whether somebody is held alive who was not, or in another life."""
+    def changed(self, now: float, name: str, life: int, state: str) -> None:
+        """What membership holds of it."""
         peer = self._peers.get(name)
-        if peer is not None and peer.life > life:
-            if state in LIVE and not peer.live:
-                peer.state = state
-                return True
-            return False
+        self._live = self._last = None
         if peer is None or peer.life < life:
             if peer is None and len(self._peers) >= MOST:
                 self._forget()
             self._peers[name] = Peer(name, life, state, now, self._drift, peer.upto if peer is not None else -1)
-            return state in LIVE
-        came = state in LIVE and not peer.live
-        peer.state = state
-        return came
+        elif peer.life == life or (state in LIVE and not peer.live):
+            peer.state = state
 
     def speaks(self, now: float, name: str, life: int) -> Peer | None:
         """None if its word is not to be taken."""
@@ -84,6 +79,7 @@
             state = peer.state if peer is not None and peer.live else ""
             floor = peer.upto if peer is not None else -1
             peer = self._peers[name] = Peer(name, life, state, now, self._drift, floor)
+            self._live = self._last = None
         if peer.state == "dead":
             return None
         peer.spoke = now
@@ -91,13 +87,20 @@
 
     def covered(self, now: float, patience: float) -> float:
         """Own time up to which all sights of all that count are known; infinite if nobody else does."""
-        return min((peer.covered for peer in self._peers.values()
-                    if peer.live and (peer.spoke > -INFINITE or now < peer.since + patience)), default=INFINITE)
+        count = [peer for peer in self.live() if peer.spoke > -INFINITE or now < peer.since + patience]
+        self._last = min(count, key=lambda peer: peer.covered, default=None)
+        return self._last.covered if self._last is not None else INFINITE
+
+    def holds_back(self, peer: Peer) -> bool:
+        """Whether all wait for it: only its cover changes what is covered by all."""
+        return self._last is None or self._last is peer
+
 
     def fenced(self, now: float) -> None:
         """One's own new life: what they told while one was held dead went to others only."""
         for name, peer in list(self._peers.items()):
             self._peers[name] = Peer(name, peer.life, peer.state, now, self._drift, peer.upto)
+        self._live = self._last = None
 
     def _forget(self) -> None:
         gone = next((name for name, peer in self._peers.items() if not peer.live), None)
--- a/limenotch/fleet/bindings/tuning.py
+++ b/limenotch/fleet/bindings/tuning.py
@@ -11,7 +11,9 @@
 
 
 class Ages(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """Idle and longest time of one kind, by state. Kind `key` has its class's window instead of `open`."""
+    """Idle and longest time of one kind, by state. Kind `key` has its class's window instead of `open`, and at least
+    that in its other states: what was sent out may have run, answered or not.
+    """
 
     opening: Span = 2_000.0
     open: Span = 300_000.0
