--- a/tests/fleet/bindings_bugs.py
+++ b/tests/fleet/bindings_bugs.py
@@ -65,7 +65,7 @@
 
 def dead_one_waited_for(patch: pytest.MonkeyPatch) -> None:
     def covered(self: peers.Peers, now: float, patience: float) -> float:
-        return min((peer.covered for peer in self.all()), default=clocks.INFINITE)
+        return min((peer.covered for peer in self._peers.values()), default=clocks.INFINITE)
 
     patch.setattr(peers.Peers, "covered", covered)
 
