--- a/limenotch/lab/fleet/wallet_run.py
+++ b/limenotch/lab/fleet/wallet_run.py
@@ -168,7 +168,8 @@
 
     def _answered(self, answer: api.Answer) -> None:
         self.run.answered(answer)
-        text, shown = answer.word, (answer.body or {}).get(self.run.asks[answer.ticket].tenant)
+        told = answer.body if isinstance(answer.body, dict) else {}  # of one counted before: its amount
+        text, shown = answer.word, told.get(self.run.asks[answer.ticket].tenant)
         if shown is not None:
             text = "shown: " + " ".join(f"{key} {shown[key]}" for key in ("spent", "left", "held"))
         self._notes.append(Note(text, {"text": answer.text}))
--- a/tests/test_hints.py
+++ b/tests/test_hints.py
@@ -91,7 +91,7 @@
 def test_it_goes_elsewhere_from_one_that_has_gone_quiet() -> None:
     desk = Desk()
     for _ in range(200):
-        desk.place()  # what a call takes is known
+        desk.place(PAY)  # what a call of its class takes is known
     held = [desk.come(PAY, prefer=KEPT) for _ in range(3)]
     assert [desk.to(name) for name in held] == [[KEPT]] * 3
     desk.wait(1500.0)
