--- a/limenotch/layers/bindings.py
+++ b/limenotch/layers/bindings.py
@@ -173,7 +173,7 @@
             "calls": {**self.counts, "open": len(self._mine)}, "consumers": len(self._conns),
             "providers": len(self._there), "window_ms": max(self._windows.values(), default=0.0),
             "told": ground.teller.seq,  # words of sights so far; of each other member, those heard here:
-            "heard": {peer.name: peer.seq for peer in ground.peers.all()},
+            "heard": {peer.name: peer.seq for peer in ground.peers.live()},
         }
 
     # Calls
