--- a/tests/fleet/test_rules_processes.py
+++ b/tests/fleet/test_rules_processes.py
@@ -1,7 +1,9 @@
 """Rules on processes: they are agreed on, act, narrow and widen while consumers call and faults come between.
 
-Words of `ask`: `set N` (attempts, told 200), `set N late` (not told 200), `ban P`, `back P`, `all N` (all that are
-there hold version N actively under a lease), `out K` (K providers are left out, at every node), `narrow`, `leased`.
+Words of `ask`: `set N` (attempts, told 200), `set N late` (not told 200), `set N surely` (asked until told 200),
+`ban P`, `back P`, `all N` (all that are there hold version N actively under a lease), `out K` (K providers are left
+out, at every node), `narrow`, `leased`, `two N M` (attempts, proposed here and at the next node at once: one wins, the
+other hears which), `undo N` (back to the body of version N), `ban P alone` (it can't be agreed, and acts here).
 """
 
 from __future__ import annotations
@@ -15,6 +17,7 @@
 from limenotch.lab.fleet import drawing, weather
 from limenotch.lab.fleet.processes import NodeProcess, Processes
 from limenotch.lab.fleet.stage import Outcome, Stage, together
+from limenotch.lab.model.rules import COLD
 from tests.helpers.promised import call
 
 from .test_log_processes import AGREEMENT, MEMBERSHIP
@@ -46,19 +49,45 @@
         if word == "set":
             change = {"change": {"settings": {"permissions": {"max_attempts": int(rest[0])}}}}
             status, said = await self.rules(node, "propose", change, f"set {rest[0]}")
+            for _ in range(10 if "surely" in rest else 0):  # the same id counts once
+                if status != 200:
+                    status, said = await self.rules(node, "propose", change, f"set {rest[0]}")
+                    await asyncio.sleep(0.1)
             assert (status == 200) == ("late" not in rest), (words, status, said)
+        elif word == "two":
+            await self.two(node, int(rest[0]), int(rest[1]))
+        elif word == "undo":
+            status, said = await self.rules(node, "back", {"to": int(rest[0])}, words)
+            assert status == 200, said
+        elif word == "ban" and "alone" in rest:
+            status, said = await self.rules(node, "ban", {"upstream": await self.provider(int(rest[0]))}, words)
+            assert status != 200 and said["text"].startswith("told, not agreed"), said
+            assert await self.left_out(node) == 1
         elif word in ("ban", "back"):
             name = await self.provider(int(rest[0]))
             document: dict[str, Any] = {"upstream": name} if word == "ban" else {"upstream": name, "at_ms": 1.0}
             status, said = await self.rules(node, "ban" if word == "ban" else "return", document, words)
             assert status == 200, (words, status, said)
         elif word == "all":
-            await self.until(lambda state: (state["state"], state["active"]) == ("leased", int(rest[0])), words)
+            await self.until(lambda state: (state["state"], state.get("active")) == ("leased", int(rest[0])), words)
         elif word == "out":
             await self.out(int(rest[0]))
         else:
             await self.until(lambda state: state["state"] == word, words, [node.name])
 
+    async def two(self, node: NodeProcess, one: int, other: int) -> None:
+        state = await node.state()
+        assert state is not None
+        base = state["parts"]["rules"]["newest"]
+        second = self.processes.nodes[self.there[(self.there.index(node.name) + 1) % len(self.there)]]
+        made = [{"change": {"settings": {"permissions": {"max_attempts": number}}}, "base": base}
+                for number in (one, other)]
+        said = await asyncio.gather(self.rules(node, "propose", made[0], "one"),
+                                    self.rules(second, "propose", made[1], "other"))
+        assert sorted(status for status, _ in said) == [200, 409], said
+        lost = next(told for status, told in said if status == 409)
+        assert lost["text"].startswith(f"version {base + 1} won"), said
+
     async def until(self, holds: Any, what: str, nodes: list[str] | None = None) -> None:
         await self.processes.until_all(
             lambda name, state: bool(holds(state["parts"].get("rules", {}))), 15, what, nodes or self.there)
@@ -81,11 +110,11 @@
         return int(found[0].partition(":")[2].partition("|")[0]) if found else -1
 
 
-def play(text: str, folder: Path) -> tuple[Outcome, dict[str, dict[str, Any]]]:
+def play(text: str, folder: Path, more: str = "") -> tuple[Outcome, dict[str, dict[str, Any]]]:
     drawn = drawing.read(text)
     traffic = TRAFFIC.replace("length_s = 3", f"length_s = {drawn.ends / 1000.0}")
     traffic = traffic.replace("count = 3", f"count = {len(drawn.nodes)}")
-    plan = planning.plan(scenario.parse(traffic, "rules"), 3)
+    plan = planning.plan(scenario.parse(traffic + more, "rules"), 3)
     key = folder / "key"
     key.write_text("a key for tests, of 16 bytes or more")
     hands = Hands()
@@ -165,3 +194,62 @@
     texts = notes(outcome, "b")
     assert "narrow" in texts
     assert any(text.startswith("rules ") for text in texts[texts.index("narrow"):])
+
+
+def test_of_two_changes_at_once_one_wins_and_going_back_is_a_new_version(tmp_path: Path) -> None:
+    outcome, states = play("""
+nodes: a b c
+
+ms     faults
+200    ask b two 4 5
+201    ask a all 2
+400    ask c undo 1
+401    ask a all 3
+1500
+""", tmp_path)
+    assert {state["parts"]["rules"]["newest"] for state in states.values()} == {3}
+
+
+def test_a_change_outlives_its_leader_and_a_ban_in_a_cut_is_agreed_after_it(tmp_path: Path) -> None:
+    outcome, states = play("""
+nodes: a b c
+
+ms     faults
+200    ask b set 2
+250    kill a
+260    ask b set 4 surely
+1500   start a
+3000   ask c all 3
+3001   cut c | a b
+3002   ask c ban 1 alone
+3003   ask c narrow
+4000   heal
+4001   ask a out 1
+4002   ask a all 4
+6500
+""", tmp_path)
+    assert "narrow" in notes(outcome, "c")
+    assert len({state["parts"]["rules"]["active"] for state in states.values()}) == 1
+
+
+def test_three_divide_the_cold_budget_of_a_provider_that_restarts_twice(tmp_path: Path) -> None:
+    outcome, states = play("""
+nodes: a b c
+
+ms     faults
+100    ask a all 1
+7000
+""", tmp_path, """
+[[fault]]
+kind = "kill"
+at_s = 0.5
+length_s = 0.7
+victims = [0]
+[[fault]]
+kind = "kill"
+at_s = 3.5
+length_s = 0.7
+victims = [0]
+""")
+    assert outcome.counts[COLD] == 0
+    assert {state["parts"]["rules"]["parts"] for state in states.values()} == {3}
