--- a/tests/fleet/test_rules_processes.py
+++ b/tests/fleet/test_rules_processes.py
@@ -110,10 +110,11 @@
         return int(found[0].partition(":")[2].partition("|")[0]) if found else -1
 
 
-def play(text: str, folder: Path, more: str = "") -> tuple[Outcome, dict[str, dict[str, Any]]]:
+def play(text: str, folder: Path, more: str = "", kind: str = "") -> tuple[Outcome, dict[str, dict[str, Any]]]:
     drawn = drawing.read(text)
     traffic = TRAFFIC.replace("length_s = 3", f"length_s = {drawn.ends / 1000.0}")
     traffic = traffic.replace("count = 3", f"count = {len(drawn.nodes)}")
+    traffic = traffic.replace("queue = 4\n", f"queue = 4\n{kind}")
     plan = planning.plan(scenario.parse(traffic + more, "rules"), 3)
     key = folder / "key"
     key.write_text("a key for tests, of 16 bytes or more")
@@ -250,6 +251,6 @@
 at_s = 3.5
 length_s = 0.7
 victims = [0]
-""")
+""", "cold_from = 0.1\ncold_s = 4.0\n")
     assert outcome.counts[COLD] == 0
     assert {state["parts"]["rules"]["parts"] for state in states.values()} == {3}
