--- a/limenotch/lab/fleet/checks_bindings.py
+++ b/limenotch/lab/fleet/checks_bindings.py
@@ -157,7 +157,7 @@
                 truth.state, truth.state_at = state, at
             truth.sights[node, process.number] = sight
             if at > truth.made + stated.longest(key[0]) * (1 - stated.drift):
-                truth.sure = False  # by one's longest time it is another binding already, by another's not yet
+                truth.sure, truth.anew = False, at  # by one's longest time it is another binding, by another's not yet
         process.ended.pop(key, None)
         process.over.pop(key, None)
 
