--- a/limenotch/fleet/bindings/core.py
+++ b/limenotch/fleet/bindings/core.py
@@ -172,6 +172,8 @@
             ground.table.count("of a life that is over")
         elif peer.clock.known or isinstance(message, (say.Ping, say.Pong)):
             self._messages[type(message)](peer, message)
+            # A page's or a range's bytes may be paid for before the next batch.
+            self._arm(max(min(self.missing.due, self.repair.due), ground.now + SOON_MS))
         else:
             if len(peer.waiting) < MOST_WAITING:
                 peer.waiting.append(message)
@@ -274,6 +276,6 @@
         return bool(self._sweeps)
 
     def _arm(self, at: float) -> None:
-        if at < self._armed:
+        if at < self._armed and at < INFINITE:
             self._armed = at
             self.ground.out.append(SetTimer(at, TOKEN))
--- a/limenotch/fleet/bindings/held.py
+++ b/limenotch/fleet/bindings/held.py
@@ -179,18 +179,18 @@
         rows.told[row] = max(rows.told[row], seen)
 
     def _replace(self, row: int, what: int, place: Place, gen: int, move: int, count: int, by: str, seen: float,
-                 made: float, stamp: int, same_gen: bool) -> None:
+                 made: float, stamp: int, same_gen: bool, held_over: bool) -> None:
+        """By a value that wins; what is known of the key's use stays."""
         rows = self.rows
         held = rows.what[row]
         moved = place[0] != self.providers.places[rows.who[row]][0]
         told, stamp = rows.told[row], max(stamp, rows.stamp[row])
-        keep = held & TELL
+        keep = held & (TELL | OWN)
         if same_gen:
-            if not what & STATE and held & STATE:
-                what |= State.OPEN << STATE_AT  # values.besides
-            what, seen, told = what | held & (CHARGED | OWN), max(seen, rows.seen[row]), max(told, seen)
-        else:
-            keep, told = 0, seen
+            keep |= held & CHARGED
+        if not what & STATE and held & STATE and (same_gen or not held_over):
+            what |= State.OPEN << STATE_AT  # values.besides
+        seen, told = max(seen, rows.seen[row]), max(told, seen)
         self.providers.hold(number := self.providers.number(place))  # not forgotten where it is the same
         self._leave(row)
         self._set(row, what | keep, place, gen, move, count, by, seen, made, told, stamp)
--- a/limenotch/fleet/bindings/join.py
+++ b/limenotch/fleet/bindings/join.py
@@ -48,6 +48,12 @@
         else:
             self._go_on()
 
+    @property
+    def due(self) -> float:
+        """When the next page may be asked for."""
+        fetches = [*self._mends.values(), *([self._join] if self._join is not None else [])]
+        return min((fetch.due for fetch in fetches), default=INFINITE)
+
     def page(self, peer: Peer, answer: Page) -> None:
         ground, join = self.ground, self._join
         if join is not None and join.peer is peer and join.serial == answer.serial:
--- a/limenotch/fleet/bindings/pages.py
+++ b/limenotch/fleet/bindings/pages.py
@@ -12,6 +12,7 @@
 from heapq import merge
 from itertools import islice
 
+from .clocks import INFINITE
 from .ground import Ground
 from .messages import MOST_PAGE, Ask, Knows, Page
 from .peers import Peer
@@ -74,6 +75,11 @@
         of = ("", 0) if self.of is None else (self.of.name, self.of.life)
         return Ask(life, self.serial, self.floor, self._stamp, self._key.to_bytes(16, "big"), *of)
 
+    @property
+    def due(self) -> float:
+        """When the next question may go out; infinite while an answer is awaited."""
+        return INFINITE if self.done or self._waits else self._next
+
     def late(self, now: float) -> bool:
         return self._waits and now >= self.asked + WAIT_MS + 1000.0 * MOST_PAGE * ROW_BYTES / self.rate
 
--- a/limenotch/fleet/bindings/repair.py
+++ b/limenotch/fleet/bindings/repair.py
@@ -12,6 +12,7 @@
 from collections.abc import Sequence
 from typing import Any
 
+from .clocks import INFINITE
 from .ground import Ground
 from .messages import KEY_BYTES, MOST_KEYS, MOST_PAGE, AskKeys, Compare, Copies, Digests, Keys, Want
 from .pages import ROW_BYTES, WAIT_MS
@@ -89,6 +90,11 @@
         self.asked = now
         return [question]
 
+    @property
+    def due(self) -> float:
+        """When the next question may go out; infinite while an answer is awaited."""
+        return INFINITE if self.done or self._said is not None else self._next
+
     def late(self, now: float) -> bool:
         return self._said is not None and now >= self.asked + WAIT_MS + 1000.0 * MOST_KEYS * KEY_BYTES / self.rate
 
@@ -181,6 +187,10 @@
         for question in exchange.ask(self.ground.now, self.ground.life):
             self.ground.say(exchange.peer, question)
 
+    @property
+    def due(self) -> float:
+        return self._exchange.due if self._exchange is not None else INFINITE
+
     def _open(self, peer: Peer, answer: Any) -> Exchange | None:
         exchange = self._exchange
         if exchange is None or exchange.peer is not peer or not exchange.awaits(answer):
--- a/limenotch/fleet/bindings/rows.py
+++ b/limenotch/fleet/bindings/rows.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from hashlib import blake2b
 from struct import Struct
+from typing import Any
 
 NIL = 0xFFFFFFFF
 RANGES = 256
@@ -21,6 +22,7 @@
 
 _pack = Struct("<QQIHQB").pack
 FIRST = 16  # places of an empty range
+MORE = 256  # rows by which the columns grow
 
 
 class Rows:
@@ -38,8 +40,9 @@
         self.after, self.before, self.slot = array("I"), array("I"), array("H")  # the wheel's
         self.older, self.newer = array("I"), array("I")  # the order's
         self.digests = [0] * RANGES
-        self._columns = (self.high, self.low, self.who, self.what, self.gen, self.move, self.count, self.by, self.stamp,
-                         self.made, self.seen, self.told, self.after, self.before, self.slot, self.older, self.newer)
+        self._columns: tuple[array[Any], ...] = (
+            self.high, self.low, self.who, self.what, self.gen, self.move, self.count, self.by, self.stamp, self.made,
+            self.seen, self.told, self.after, self.before, self.slot, self.older, self.newer)
         self._free = array("I")
         self._index = [array("I", bytes(4 * FIRST)) for _ in range(RANGES)]  # row + 1; 0: none
         self._many = array("I", bytes(4 * RANGES))
@@ -59,14 +62,16 @@
         return row - 1 if row else NIL
 
     def add(self, key: int) -> int:
-        """A new row of zeros; its hash must not be there."""
+        """A row for a hash that is not there; its other columns are what they were."""
         high, low = key >> 64, key & LOW
-        if self._free:
-            row = self._free.pop()
-        else:
-            row = len(self.high)
+        if not self._free:
+            end = len(self.high)
             for column in self._columns:
-                column.append(0)
+                column.frombytes(bytes(MORE * column.itemsize))
+            for row in range(end, end + MORE):
+                self.what[row] = GRAVE  # whoever goes through all rows passes it over, as one that was freed
+            self._free.extend(range(end + MORE - 1, end - 1, -1))
+        row = self._free.pop()
         self.high[row], self.low[row] = high, low
         self.slot[row] = 0xFFFF
         number = high >> 56
--- a/limenotch/fleet/bindings/table.py
+++ b/limenotch/fleet/bindings/table.py
@@ -233,13 +233,13 @@
                                              self.members.names[rows.by[row]]))
         same_gen = gen == rows.gen[row]
         if order > 0:
-            if over and not same_gen:
+            held_over = now >= self.ends(row)
+            if over and (held_over or not same_gen):
                 return False
-            # Of one gen it is one use of the key, whoever won.
-            self._replace(row, what, place, gen, move, count, by, seen, made, stamp, same_gen)
-        elif same_gen:
+            self._replace(row, what, place, gen, move, count, by, seen, made, stamp, same_gen, held_over)
+        elif same_gen or not over:
             held = rows.what[row]
-            new = held | (what & CHARGED)
+            new = held | (what & CHARGED if same_gen else 0)
             if order < 0 and not held & STATE and what & STATE:
                 new |= State.OPEN << STATE_AT  # values.besides
             if order == 0:
--- a/limenotch/fleet/bindings/values.py
+++ b/limenotch/fleet/bindings/values.py
@@ -10,8 +10,8 @@
     closing       closing    closing    closing    lingering
     lingering     lingering  lingering  lingering  lingering
 
-holds within one value, told by another as seen by oneself: nothing goes back but by a new `gen`. Of two values of one
-`gen` the winner keeps its state, but an opening one is open if the other was: the key is in use.
+holds within one value, told by another as seen by oneself: nothing goes back but by a new `gen`. Of two values the
+winner keeps its state, but an opening one is open if the other was, and is not over by its age: the key is in use.
 
 `merge` is commutative, associative and idempotent, so it is of no account in which order and how often copies come.
 """
@@ -68,22 +68,19 @@
 
 
 def besides(won: State, lost: State) -> State:
-    """The winner's state, where the other value of the same `gen` had that one."""
+    """The winner's state, where the other value had that one."""
     return State.OPEN if won == State.OPENING and lost != State.OPENING else won
 
 
 def merge(one: Value, other: Value) -> Value:
-    """What is held once both are known.
+    """What is held once both are known, and neither is over by its age.
 
-    Use and charge are of the key, not of who won: the later sight, any charge within the higher `gen`, and that it was
-    open once, stay.
+    Use is of the key, not of who won: the later sight stays, and that it was open. So does a charge within one `gen`.
     """
     order = beats(*one[:4], than=other[:4])
     if order < 0:
         one, other = other, one
-    if one.gen != other.gen:
-        return one
-    seen, charged = max(one.seen, other.seen), one.charged or other.charged
+    seen, charged = max(one.seen, other.seen), one.charged or (other.charged and one.gen == other.gen)
     if order:
         return one._replace(state=besides(one.state, other.state), seen=seen, charged=charged)
     return one._replace(provider=min(one.provider, other.provider), state=AFTER[one.state, other.state],
--- a/tests/fleet/test_bindings_sights.py
+++ b/tests/fleet/test_bindings_sights.py
@@ -279,6 +279,18 @@
         assert one.table.rows.seen[0] == before
 
 
+def test_a_sweep_passes_over_rows_that_are_none() -> None:
+    part = alone()
+    part.table.see(1000.0, S, b"k", "p1", State.OPEN)  # the first provider's number is that of an empty row
+    part.table.see(1000.0, S, b"x", "p1", State.OPEN)
+    part.table.bury(1000.0, part.table.rows.find(part.table.hash(S, b"x")), "undo")
+    part.handle(1100.0, Providers({"p2": THERE["p2"]}))
+    part.handle(1200.0, TimerFired(1))
+    assert part.table.figures()["ended"] == 1
+    part.table.see(1300.0, S, b"k", "p2", State.OPEN)
+    assert part.table.figures()["ended"] == 0
+
+
 def test_a_row_that_changes_keeps_its_provider() -> None:
     """The only one of it: its number must not be another's meanwhile."""
     part = alone()
