Bindings: a held-back sight is told when others' age runs out; a new process's counter stands for itself

A row that had nothing untold was next looked at when it might be forgotten, later than its told age ran out. What a restarted, unheard member told under low counters was not asked for. An over value no longer replaces one in use.

--- a/limenotch/fleet/bindings/core.py
+++ b/limenotch/fleet/bindings/core.py
@@ -236,7 +236,7 @@
         peer.whole = word.whole
         if peer.seq < 0:
             if not word.kept:
-                peer.upto = max(peer.upto, word.born)
+                peer.upto = word.born  # a new process that may have heard of no counter yet
             peer.gap, peer.missed = word.kept or before > 0, before
         elif before > peer.seq:
             peer.gap, peer.missed = True, before
--- a/limenotch/fleet/bindings/table.py
+++ b/limenotch/fleet/bindings/table.py
@@ -175,8 +175,8 @@
             if forgets <= now:
                 wheel.link(row, OVER)
                 continue
-            out = self._told_out(row)
-            if now < out:
+            out = rows.told[row] + self.idle(row)
+            if now < out:  # looked at then in any case: a sight may come that is held back
                 wheel.put(row, min(out, forgets))
             elif now < (ends := self.ends(row)):
                 # The others' age of it runs out by now: they must not think that it is over.
@@ -190,7 +190,7 @@
                 break
             forgets = self.forgets(row)
             if now < forgets:
-                wheel.put(row, forgets)
+                wheel.put(row, min(forgets, rows.told[row] + self.idle(row)))
             elif self.may_forget(row, now):
                 self.bury(now, row, why)
             else:
@@ -233,9 +233,9 @@
                                              self.members.names[rows.by[row]]))
         same_gen = gen == rows.gen[row]
         if order > 0:
-            held_over = now >= self.ends(row)
-            if over and (held_over or not same_gen):
+            if over:
                 return False
+            held_over = now >= self.ends(row)
             self._replace(row, what, place, gen, move, count, by, seen, made, stamp, same_gen, held_over)
         elif same_gen or not over:
             held = rows.what[row]
