--- a/tests/fleet/test_bindings_join.py
+++ b/tests/fleet/test_bindings_join.py
@@ -10,7 +10,7 @@
 from limenotch.fleet.bindings.api import Kind, State
 from limenotch.fleet.bindings.sights import MOST_COUNT
 from limenotch.fleet.bindings.tuning import Ages
-from limenotch.fleet.contract import Heard, Tell
+from limenotch.fleet.contract import Heard, MemberChanged, Tell, TimerFired
 from limenotch.fleet.wire import MOST_FRAME
 from limenotch.lab.fleet import faults
 from limenotch.lab.fleet.world import address
@@ -189,6 +189,24 @@
     assert len(msgspec.msgpack.encode(most)) < MOST_FRAME
 
 
+def test_what_a_new_process_told_under_low_counters_is_asked_for() -> None:
+    """It was not heard, and heard nobody: its counters began anew, under what was known of the process before."""
+    part = alone()
+    part.handle(1000.0, MemberChanged("z", "alive", address("z"), 0, 1))
+    old = part.ground.peers.get("z")
+    assert old is not None
+    old.upto = 500
+    part.handle(1100.0, MemberChanged("z", "alive", address("z"), 0, 2))
+    part.handle(1100.0, Heard(address("z"), "z", say.Pong(2, 1100.0, 1100.0)))
+    part.handle(1200.0, Heard(address("z"), "z", say.Cover(2, 10, 12, 2, 1200.0, 1200.0, True)))
+    new = part.ground.peers.get("z")
+    assert new is not None
+    assert new.gap and new.upto == 2
+    out = part.handle(1300.0, TimerFired(1))
+    asks = [act.message for act in out if isinstance(act, Tell) and isinstance(act.message, say.Ask)]
+    assert [ask.floor for ask in asks] == [2]
+
+
 @pytest.mark.parametrize("message", [
     say.Ask(1, 1, -5, 0, b"x" * 16), say.Ask(1, 1, 0, 0, b"short"), say.AskKeys(1, 1, 999), say.Want(1, 1, b"odd"),
     say.Page(1, 77, 0.0, (), (), (), True, True), say.Digests(1, 77, b"", True), say.Keys(1, 77, 0, 0, 1, b""),
--- a/tests/fleet/test_bindings_sights.py
+++ b/tests/fleet/test_bindings_sights.py
@@ -140,6 +140,45 @@
     assert part.table.rows.told[row] == last
 
 
+def test_what_is_held_back_after_the_row_was_looked_at_is_told_in_time() -> None:
+    part = alone()
+    for now in (1000.0, 4900.0):
+        hear(part, sights(part, b"k", now, now, seq=int(now)), now, "z")
+    for at in range(4900, 5200, 50):
+        part.table.age(float(at), 10)
+    part.table.see(5200.0, S, b"k", "p1", State.OPEN)  # an eighth of 4 s is more than this changes
+    assert not rounds(part, 5200.0)
+    told = []
+    for at in range(5200, 9200, 50):
+        part.table.age(float(at), 10)
+        told += [(at, batch) for batch in rounds(part, float(at))]
+    assert [at for at, _ in told] == [pytest.approx(8950, abs=75)]
+    assert told[0][1].covered >= 8900
+
+
+def test_a_value_that_is_over_replaces_none_that_is_in_use() -> None:
+    """It was made first, and would win; but nobody has seen it for long."""
+    part = alone()
+    part.table.counter = 50
+    part.table.see(6000.0, S, b"k", "p2", State.OPEN)
+    hear(part, sights(part, b"k", 1000.0, 1000.0), 6100.0, "z")
+    found = part.table.find(6101.0, S, b"k")
+    assert found is not None and found.provider == "p2"
+    hear(part, sights(part, b"k", 6150.0, 6150.0, seq=2), 6151.0, "z")
+    found = part.table.find(6152.0, S, b"k")
+    assert found is not None and found.provider == "p1"
+
+
+def test_an_own_sight_is_not_lost_to_a_value_with_an_older_one() -> None:
+    part = alone()
+    key = part.table.hash(S, b"k")
+    part.table.see(4000.0, S, b"k", "p1", State.OPEN)
+    part.table.hear(4100.0, key, S | State.OPENING << 2, ("p2", "c1", "z1"), 1, 0, 9, "z", 3800.0, 3800.0, 9, True)
+    found = part.table.find(4100.0, S, b"k")
+    assert found is not None
+    assert (found.provider, found.state, found.seen_ms) == ("p2", State.OPEN, 100.0)
+
+
 def test_covered_waits_for_the_whole_round() -> None:
     part = alone(Tuning())
     for number in range(3000):
