--- a/tests/fleet/bindings_worlds.py
+++ b/tests/fleet/bindings_worlds.py
@@ -5,11 +5,14 @@
 from collections.abc import Iterable
 from typing import Any
 
+import msgspec
+
 from limenotch.fleet.bindings import Bindings, Tuning
+from limenotch.fleet.bindings import messages as say
 from limenotch.fleet.bindings.api import Bound, Kind, Providers, State
 from limenotch.fleet.bindings.table import Shared
 from limenotch.fleet.bindings.tuning import Ages
-from limenotch.fleet.contract import Fenced, MemberChanged, Started
+from limenotch.fleet.contract import Fenced, Heard, MemberChanged, Started, TimerFired
 from limenotch.fleet.hub import Asked, Hub
 from limenotch.fleet.membership import Membership
 from limenotch.lab.fleet.members import TUNING
@@ -28,18 +31,12 @@
     part.handle(0.0, Started())
     part.handle(0.0, MemberChanged(name, "alive", address(name), 0, 1))
     part.handle(0.0, Providers(THERE))
-    part.handle(1000.0, _fired())
-    part.handle(1000.0, _fired())
+    part.handle(1000.0, TimerFired(1))
+    part.handle(1000.0, TimerFired(1))
     assert part.table.whole
     return part
 
 
-def _fired() -> Any:
-    from limenotch.fleet.contract import TimerFired
-
-    return TimerFired(1)
-
-
 class Told:
     """A member whose membership is what `Fleet` says."""
 
@@ -130,3 +127,23 @@
     def same(self) -> bool:
         """Whether all hold the same values."""
         return len({tuple(self.table(name).rows.digests) for name in self.names if self.world.alive(name)}) == 1
+
+
+def rounds(part: Bindings, now: float) -> list[say.Sights]:
+    return part.ground.teller.batches(now)
+
+
+def hear(part: Bindings, message: Any, now: float, sender: str = "a") -> list[Any]:
+    """As of a member whose clock is the same."""
+    if part.ground.peers.get(sender) is None:
+        part.handle(now, MemberChanged(sender, "alive", address(sender), 0, 1))
+        part.handle(now, Heard(address(sender), sender, say.Pong(1, now, now)))
+    return part.handle(now, Heard(address(sender), sender, message))
+
+
+def sights(key: bytes, seen: float, now: float, seq: int = 1, **other: Any) -> say.Sights:
+    """As the member `z` would tell it."""
+    made = alone(name="z")
+    made.table.see(seen, Kind.SESSION, key, other.get("provider", "p1"), State.OPEN)
+    batch, = made.ground.teller.batches(now)
+    return msgspec.structs.replace(batch, seq=seq)
--- a/tests/fleet/test_bindings_sights.py
+++ b/tests/fleet/test_bindings_sights.py
@@ -1,4 +1,4 @@
-"""The table by itself: sights, ages, moves, ends; and what of it is told."""
+"""What of the table is told, and what becomes of what is heard."""
 
 from __future__ import annotations
 
@@ -9,116 +9,19 @@
 
 from limenotch.fleet.bindings import Tuning
 from limenotch.fleet.bindings import messages as say
-from limenotch.fleet.bindings.api import Kind, Providers, State, Window
+from limenotch.fleet.bindings.api import Kind, State
 from limenotch.fleet.bindings.core import Bindings
 from limenotch.fleet.bindings.rows import NIL
 from limenotch.fleet.bindings.sights import pack, take
-from limenotch.fleet.bindings.spans import Spans, forget_ms, pace
+from limenotch.fleet.bindings.spans import forget_ms, pace
 from limenotch.fleet.bindings.tuning import Ages
 from limenotch.fleet.contract import MOST_DATAGRAM, Fenced, Heard, MemberChanged, Started, Tell, TimerFired
 from limenotch.lab.fleet.world import address
-from tests.fleet.bindings_worlds import KEY, QUICK, THERE, alone
+from tests.fleet.bindings_worlds import KEY, QUICK, alone, hear, rounds, sights
 
 S = Kind.SESSION
 
 
-def rounds(part: Bindings, now: float) -> list[say.Sights]:
-    return part.ground.teller.batches(now)
-
-
-def gen(part: Bindings, key: bytes, kind: Kind = S) -> int:
-    return part.table.rows.gen[part.table.rows.find(part.table.hash(kind, key))]
-
-
-def test_a_sight_makes_it_young_and_another_provider_moves_it_only_when_its_own_went() -> None:
-    part = alone()
-    table = part.table
-    assert table.see(1000.0, S, b"k", "p1", State.OPEN)
-    assert table.see(3000.0, S, b"k", "p2", State.OPEN, charged=True)
-    found = table.find(3500.0, S, b"k")
-    assert found == ("p1", "c1", "z1", State.OPEN, 500.0, 2500.0, True)
-    part.handle(3500.0, Providers({"p2": THERE["p2"], "p3": THERE["p3"]}))
-    assert table.find(3500.0, S, b"k") is None
-    assert table.see(3600.0, S, b"k", "p2", State.OPEN)
-    found = table.find(3600.0, S, b"k")
-    assert found is not None and found.provider == "p2" and found.charged
-    assert gen(part, b"k") == 0
-
-
-def test_a_provider_that_is_back_has_none_of_its_old_ones() -> None:
-    part = alone()
-    part.table.see(1000.0, S, b"k", "p1", State.OPEN)
-    part.handle(1100.0, Providers({"p2": THERE["p2"]}))
-    part.handle(1200.0, Providers(THERE))
-    assert part.table.find(1300.0, S, b"k") is None
-    part.table.see(1300.0, S, b"new", "p1", State.OPEN)
-    assert part.table.find(1400.0, S, b"new") is not None
-    assert part.table.see(1400.0, S, b"k", "p1", State.OPEN)
-    row = part.table.rows.find(part.table.hash(S, b"k"))
-    assert part.table.rows.move[row] == 0  # the same name: it is bound to what it was bound to, and that has ended
-
-
-def test_a_key_keeps_its_cell_and_zone_when_its_provider_went() -> None:
-    part = alone()
-    part.table.see(1000.0, Kind.KEY, b"k", "p1", State.OPEN)
-    part.handle(1100.0, Providers({"p2": THERE["p2"], "p3": THERE["p3"]}))
-    found = part.table.find(1200.0, Kind.KEY, b"k")
-    assert found is not None and found[:3] == ("p1", "c1", "z1")
-    part.table.see(1200.0, Kind.KEY, b"k", "p3", State.OPEN)
-    found = part.table.find(1200.0, Kind.KEY, b"k")
-    assert found is not None and found.zone == "z1"
-    part.table.see(1300.0, Kind.KEY, b"k", "p2", State.OPEN)
-    found = part.table.find(1300.0, Kind.KEY, b"k")
-    assert found is not None and found[:3] == ("p2", "c1", "z1")
-
-
-def test_alone_it_is_over_at_its_age_and_a_new_one_outranks_it() -> None:
-    part = alone()
-    table, idle = part.table, QUICK.sessions.open
-    table.see(1000.0, S, b"k", "p1", State.OPEN)
-    assert table.find(1000.0 + idle - 1, S, b"k") is not None
-    slow = 1000.0 + idle * (1 + 2 * QUICK.drift)
-    assert table.find(slow, S, b"k") is None
-    table.age(slow + 100, 100)
-    assert table.live == 0
-    assert table.see(slow + 200, S, b"k", "p2", State.OPEN)
-    assert gen(part, b"k") == 1
-    found = table.find(slow + 200, S, b"k")
-    assert found is not None and found.provider == "p2"
-
-
-def test_the_longest_time_ends_what_is_seen_all_the_time() -> None:
-    part = alone(Tuning(conn=Ages(open=1000, longest=5000)))
-    for now in range(1000, 6000, 500):
-        part.table.see(float(now), Kind.CONN, b"k", "p1", State.OPEN)
-    part.table.least = 0.0  # whatever others say: no sight of theirs changes that
-    assert part.table.find(6090.0, Kind.CONN, b"k") is not None
-    part.table.see(6001.0, Kind.CONN, b"k", "p2", State.OPEN)
-    assert gen(part, b"k", Kind.CONN) == 1
-
-
-def test_a_closing_one_has_its_own_idle_time() -> None:
-    part = alone()
-    part.table.see(1000.0, S, b"k", "p1", State.OPEN)
-    part.table.see(1100.0, S, b"k", "p1", State.CLOSING)
-    part.table.see(1200.0, S, b"k", "p1", State.OPEN)
-    part.table.age(1200.0 + 500 * 1.04 + 100, 100)
-    assert part.table.live == 0
-
-
-def test_the_window_is_the_keys_time_in_each_state() -> None:
-    spans = Spans(QUICK)
-    assert spans.idle[Kind.KEY :: 4] == [3000, 3000, 5000, 3000]
-    spans.window(90_000.0)
-    assert spans.idle[Kind.KEY :: 4] == [90_000] * 4
-    spans.window(90_000_000.0)
-    assert spans.longest[Kind.KEY] == 90_000_000
-    part = alone()
-    part.handle(1000.0, Window(60_000.0))
-    part.table.see(1000.0, Kind.KEY, b"k", "p1", State.OPENING)
-    assert part.table.find(60_000.0, Kind.KEY, b"k") is not None
-
-
 def test_nothing_is_told_a_call_and_the_last_sight_is_told_in_time() -> None:
     """An eighth of 4 s: a sight each 100 ms is told each 600 ms, and what was held back when others' age runs out."""
     part = alone()
@@ -143,7 +46,7 @@
 def test_what_is_held_back_after_the_row_was_looked_at_is_told_in_time() -> None:
     part = alone()
     for now in (1000.0, 4900.0):
-        hear(part, sights(part, b"k", now, now, seq=int(now)), now, "z")
+        hear(part, sights(b"k", now, now, seq=int(now)), now, "z")
     for at in range(4900, 5200, 50):
         part.table.age(float(at), 10)
     part.table.see(5200.0, S, b"k", "p1", State.OPEN)  # an eighth of 4 s is more than this changes
@@ -161,10 +64,10 @@
     part = alone()
     part.table.counter = 50
     part.table.see(6000.0, S, b"k", "p2", State.OPEN)
-    hear(part, sights(part, b"k", 1000.0, 1000.0), 6100.0, "z")
+    hear(part, sights(b"k", 1000.0, 1000.0), 6100.0, "z")
     found = part.table.find(6101.0, S, b"k")
     assert found is not None and found.provider == "p2"
-    hear(part, sights(part, b"k", 6150.0, 6150.0, seq=2), 6151.0, "z")
+    hear(part, sights(b"k", 6150.0, 6150.0, seq=2), 6151.0, "z")
     found = part.table.find(6152.0, S, b"k")
     assert found is not None and found.provider == "p1"
 
@@ -220,32 +123,16 @@
     assert one.counts["not to be undone"] == 1
 
 
-def hear(part: Bindings, message: Any, now: float, sender: str = "a") -> list[Any]:
-    """As of a member whose clock is the same."""
-    if part.ground.peers.get(sender) is None:
-        part.handle(now, MemberChanged(sender, "alive", address(sender), 0, 1))
-        part.handle(now, Heard(address(sender), sender, say.Pong(1, now, now)))
-    return part.handle(now, Heard(address(sender), sender, message))
-
-
-def sights(part: Bindings, key: bytes, seen: float, now: float, seq: int = 1, **other: Any) -> say.Sights:
-    """As the member `z` would tell it."""
-    made = alone(name="z")
-    made.table.see(seen, S, key, other.get("provider", "p1"), State.OPEN)
-    batch, = made.ground.teller.batches(now)
-    return msgspec.structs.replace(batch, seq=seq)
-
-
 def test_a_batch_that_comes_late_is_older() -> None:
     part = alone()
-    batch = sights(part, b"k", 1000.0, 1000.0)
+    batch = sights(b"k", 1000.0, 1000.0)
     hear(part, batch, 1001.0, "z")
     part.table.bury(1002.0, part.table.rows.find(part.table.hash(S, b"k")), "over")
-    late = sights(part, b"k2", 1000.0, 1000.0, seq=2)
+    late = sights(b"k2", 1000.0, 1000.0, seq=2)
     hear(part, late, 4000.0, "z")
     found = part.table.find(4000.0, S, b"k2")
     assert found is not None and 2850 <= found.seen_ms <= 3000
-    hear(part, sights(part, b"k3", 1000.0, 1000.0, seq=3), 6000.0, "z")
+    hear(part, sights(b"k3", 1000.0, 1000.0, seq=3), 6000.0, "z")
     assert part.table.find(6000.0, S, b"k3") is None
 
 
@@ -253,7 +140,7 @@
     """They may have lain in a stream for as long as they like."""
     part = alone()
     part.handle(2000.0, MemberChanged("z", "alive", address("z"), 0, 1))
-    old = sights(part, b"k", 1000.0, 1000.0)
+    old = sights(b"k", 1000.0, 1000.0)
     out = part.handle(9000.0, Heard(address("z"), "z", old))
     assert [type(act.message) for act in out if isinstance(act, Tell)] == [say.Ping]
     assert part.table.find(9000.0, S, b"k") is None
@@ -294,14 +181,6 @@
     assert found is not None and found.provider == "p2"
 
 
-def test_what_was_found_to_be_over_stays_so() -> None:
-    part = alone()
-    part.table.see(1000.0, S, b"k", "p1", State.OPEN)
-    assert part.table.find(5500.0, S, b"k") is None
-    part.table.least = 0.0
-    assert part.table.find(5501.0, S, b"k") is None
-
-
 def test_an_age_grows_no_younger_by_going_round() -> None:
     """One's own sight, back as a copy by a way of 40 ms."""
     one, two = alone(), alone(name="z")
@@ -318,29 +197,6 @@
         assert one.table.rows.seen[0] == before
 
 
-def test_a_sweep_passes_over_rows_that_are_none() -> None:
-    part = alone()
-    part.table.see(1000.0, S, b"k", "p1", State.OPEN)  # the first provider's number is that of an empty row
-    part.table.see(1000.0, S, b"x", "p1", State.OPEN)
-    part.table.bury(1000.0, part.table.rows.find(part.table.hash(S, b"x")), "undo")
-    part.handle(1100.0, Providers({"p2": THERE["p2"]}))
-    part.handle(1200.0, TimerFired(1))
-    assert part.table.figures()["ended"] == 1
-    part.table.see(1300.0, S, b"k", "p2", State.OPEN)
-    assert part.table.figures()["ended"] == 0
-
-
-def test_a_row_that_changes_keeps_its_provider() -> None:
-    """The only one of it: its number must not be another's meanwhile."""
-    part = alone()
-    part.table.see(1000.0, S, b"k", "p3", State.OPENING)
-    part.table.see(1001.0, S, b"k", "p3", State.OPEN)
-    part.table.see(1002.0, S, b"other", "p2", State.OPEN)
-    part.table.see(1003.0, S, b"third", "p1", State.OPEN)
-    assert [found and found.provider for found in (part.table.find(1004.0, S, key) for key in (b"k", b"other"))] == [
-        "p3", "p2"]
-
-
 def test_ten_thousand_that_expire_in_one_ms_go_by_pieces() -> None:
     part = alone(Tuning(conn=Ages(open=1000)))
     for number in range(10_000):
@@ -357,8 +213,7 @@
 
 
 def test_an_old_programs_messages_are_read_and_newer_ones_fields_skipped() -> None:
-    part = alone()
-    batch = sights(part, b"k", 1000.0, 1000.0)
+    batch = sights(b"k", 1000.0, 1000.0)
     plain = msgspec.msgpack.decode(msgspec.msgpack.encode(batch))
     older, newer = plain[:-1], [*plain, "more"]
     older[-1] = [row[:-1] for row in older[-1]]
@@ -374,7 +229,7 @@
     {"count": 1 << 63}, {"age": -1}, {"old": -1}, {"stamp": -1}])
 def test_unsound_copies_change_nothing(change: dict[str, Any]) -> None:
     part = alone()
-    batch = sights(part, b"k", 1000.0, 1000.0)
+    batch = sights(b"k", 1000.0, 1000.0)
     bad = msgspec.structs.replace(batch, rows=(msgspec.structs.replace(batch.rows[0], **change),))
     hear(part, bad, 1001.0, "z")
     assert part.table.live == 0
