Take ports for tests from below those that the kernel gives to connections

Seen: relay and process tests ended in 'address already in use', 2 of 8 of the relay's beside other runs: a port of the kernel's choice went to an outgoing connection, or one in TIME_WAIT held it, before its owner listened or while it restarted. Checked: no other listener had it (ss). The relay's tests pass beside the same load.

--- a/benchmarks/bindings_cost.py
+++ b/benchmarks/bindings_cost.py
@@ -25,7 +25,6 @@
 
 from limenotch.lab.emulate.sidecars import free_port
 from limenotch.lab.fleet.processes import NodeProcess, Processes, fleet_table
-from limenotch.lab.fleet.stage import free_for_both
 from limenotch.net import http1
 
 from .promises import cpu_ms, listed, provider
@@ -77,7 +76,7 @@
 
 async def fleet(processes: Processes, folder: Path, names: list[str], known: dict[str, Any],
                 more: dict[str, Any]) -> None:
-    at = {name: f"127.0.0.1:{free_for_both()}" for name in names}
+    at = {name: f"127.0.0.1:{free_port()}" for name in names}
 
     def toml(node: NodeProcess) -> str:
         return fleet_table(at[node.name], {}, {
--- a/benchmarks/promises.py
+++ b/benchmarks/promises.py
@@ -23,7 +23,6 @@
 
 from limenotch.lab.emulate.sidecars import free_port
 from limenotch.lab.fleet.processes import NodeProcess, Processes, fleet_table
-from limenotch.lab.fleet.stage import free_for_both
 from limenotch.net import http1
 
 TURN = 500  # calls
@@ -60,7 +59,7 @@
 async def fleet(folder: Path, names: str, known: dict[str, Any]) -> Processes:
     """All vote, all are there when it returns, and the first leads."""
     (folder / "key").write_text("a key of a benchmark alone")
-    at = {name: f"127.0.0.1:{free_for_both()}" for name in names}
+    at = {name: f"127.0.0.1:{free_port()}" for name in names}
     processes = Processes()
     for name in names:
         def toml(node: NodeProcess) -> str:
--- a/benchmarks/wallet_cost.py
+++ b/benchmarks/wallet_cost.py
@@ -28,7 +28,6 @@
 from limenotch.fleet.wallet.tuning import Tuning
 from limenotch.lab.emulate.sidecars import free_port
 from limenotch.lab.fleet.processes import NodeProcess, Processes, fleet_table
-from limenotch.lab.fleet.stage import free_for_both
 from limenotch.layers.wallet import Till
 from limenotch.net.calls import Final, Verdict
 
@@ -101,7 +100,7 @@
             # A turn comes at once after a rest, so its rate is not known: slices as large as they would soon be, and
             # none is called back while others have their turns.
             more["wallet"] = {"tenants": ["acme"], "least_slice": 10 * TURN, "idle_ms": 60_000.0}
-        return fleet_table(f"127.0.0.1:{free_for_both()}", {}, more)
+        return fleet_table(f"127.0.0.1:{free_port()}", {}, more)
 
     for name in ("paying", "fleet", "alone"):
         processes.add(NodeProcess(name, folder, SETTINGS, free_port(), 1, known, toml))
--- a/limenotch/lab/emulate/sidecars.py
+++ b/limenotch/lab/emulate/sidecars.py
@@ -10,6 +10,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from random import SystemRandom
 from typing import Any
 
 START_S = 20.0  # a machine that is busy starting dozens of them
@@ -21,10 +22,25 @@
     """A sidecar could not be started; the text has what it said."""
 
 
+PORTS = range(12_000, 32_000)  # below those that kernels give to connections that go out
+_ports = SystemRandom().sample(PORTS, len(PORTS))
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """A port that is free now for streams and for datagrams, each time another one.
+
+    One of the kernel's choice may go to a connection before its owner listens, or while that one restarts.
+    """
+    while True:
+        port = _ports.pop()
+        _ports.insert(0, port)
+        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
+            try:
+                stream.bind(("127.0.0.1", port))
+                datagram.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class SidecarProcess:
--- a/limenotch/lab/fleet/stage.py
+++ b/limenotch/lab/fleet/stage.py
@@ -16,7 +16,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -24,6 +23,7 @@
 
 from ..emulate.host import Rehearsal
 from ..emulate.load import SLACK_MS
+from ..emulate.sidecars import free_port
 from ..emulate.wire import Pool
 from ..model.clients import Request
 from ..model.rules import Limits, Violation
@@ -93,18 +93,6 @@
         return self
 
 
-def free_for_both() -> int:
-    """A port that is free now for datagrams and for streams."""
-    while True:
-        with socket.socket() as stream, socket.socket(type=socket.SOCK_DGRAM) as datagram:
-            stream.bind(("127.0.0.1", 0))
-            try:
-                datagram.bind(stream.getsockname())
-            except OSError:
-                continue
-            return int(stream.getsockname()[1])
-
-
 class Stage(Rehearsal):
     """Owns all of a run: `perform` once, then `close`, whatever happened."""
 
@@ -136,7 +124,7 @@
         self.rules = self.providers.rules = self.trial
         self.processes = Processes()
         self.keys_of = {name: (0, rank) for rank, name in enumerate(drawing.nodes)}
-        self.ports = {name: free_for_both() for name in drawing.nodes}
+        self.ports = {name: free_port() for name in drawing.nodes}
         self.relay: network.Relay | None = None
         self.happened = [0.0] * len(drawing.faults)
         self._last_pools: list[Pool] = []  # of nodes that are gone: their calls still hear of it
--- a/tests/fleet/test_relay.py
+++ b/tests/fleet/test_relay.py
@@ -10,6 +10,7 @@
 import pytest
 
 from limenotch.fleet.contract import Carrier
+from limenotch.lab.emulate.sidecars import free_port
 from limenotch.lab.emulate.wire import reset
 from limenotch.lab.fleet import relay as relay_module
 from limenotch.lab.fleet.relay import Relay
@@ -90,7 +91,7 @@
 
         for name, mouth in self.mouths.items():
             await loop.create_datagram_endpoint(lambda mouth=mouth: mouth,  # type: ignore[misc]
-                                                local_addr=("127.0.0.1", 0))
+                                                local_addr=("127.0.0.1", free_port()))
             own[name] = mouth.transport.get_extra_info("sockname")
             self.servers.append(await asyncio.start_server(meet, *own[name]))
         self.relay = Relay(own, self.plan)
