Take the drills' traffic for the tests of processes, in place of a second copy of it

Thirty-six lines stood twice, the same but for the scenario's name (compared as parsed). The nine tests of the file pass with their assertions as they were.

--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -16,6 +16,7 @@
 
 from limenotch.fleet.contract import Carrier
 from limenotch.lab import planning, scenario
+from limenotch.lab.fleet import drills
 from limenotch.lab.fleet import node as node_module
 from limenotch.lab.fleet.faulty import FaultyFiles, Wish, Wishes, ask_for, read_wish
 from limenotch.lab.fleet.processes import NodeProcess, NotReachedError, Processes, Seen, Tail, fleet_table
@@ -271,45 +272,7 @@
     assert trial.counts[ONE_ANSWER] == 1
 
 
-TRAFFIC = """
-name = "stage"
-length_s = 3
-[sidecars]
-count = 3
-[clients]
-rate_per_s = 60
-[network]
-zones = ["z1", "z2", "z3"]
-same_ms = 0.01
-cross_ms = [0.01, 0.02]
-[[tier]]
-name = "only"
-providers = 6
-[[tier.kind]]
-name = "k"
-slots = 4
-queue = 4
-[[class]]
-name = "free"
-work_ms = 2
-aim_ms = 300
-deadline_ms = 600
-[[class]]
-name = "keyed"
-share = 0.3
-work_ms = 2
-aim_ms = 300
-deadline_ms = 600
-effect = "deduplicated"
-window_s = 2
-[[class]]
-name = "once"
-share = 0.3
-work_ms = 2
-aim_ms = 300
-deadline_ms = 600
-effect = "at_most_once"
-"""
+TRAFFIC = drills.TRAFFIC.format(length_s=3, count=3, rate=60)
 
 
 class Drawn(NamedTuple):
