Ask one pure function whether a call that may have run may run again, or be refused

Seen by reading: a keyed call whose window for repeats had passed was still refused (503 says that a repeat is harmless), since only the scope was asked; the rule itself stood in placement and, worded otherwise, in the refusal. Now switchthread/repeats.py has it once, under policy: placement asks for the endpoint's group and time, the refusal for everywhere until the advised return.

--- a/switchthread/books.py
+++ b/switchthread/books.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Hashable
 from itertools import accumulate
 from math import inf
 from random import Random
@@ -40,7 +41,7 @@
         self.roster = Roster(self.random)
         self.order: list[list[Server]] = [[], []]  # those ready: own zone, others
         self.table, self.home = drawable([]), drawable([])  # those drawn from, and of them the own zone's
-        self.groups: dict[tuple[Scope, int], Table] = {}
+        self.groups: dict[tuple[Scope, Hashable], Table] = {}
         self.tier = Mean()
         self.calls: dict[str, Call] = {}
         self.timers: dict[int, Call | None] = {}
@@ -66,6 +67,13 @@
 
     # The list, and the time
 
+    def hear(self, now: float, event: face.Ban | face.Retuned) -> None:
+        """Operators have changed who may be sent to, or the rules."""
+        if isinstance(event, face.Ban):
+            self.roster.ban(now, event)
+        else:
+            self.adopt(event.settings)
+
     def relist(self, now: float) -> None:
         """The list or the operators have changed who may be sent to."""
         self.silent.intersection_update(self.roster.servers.values())
@@ -78,9 +86,19 @@
         """How many of those listed are sent nothing, or one call at a time to see whether they are back."""
         return len(self.roster.servers) - sum(not s.quiet for part in self.order for s in part)
 
-    def end_window(self, now: float) -> None:
-        """Sums fade and means are taken, of the window that ends."""
-        span = now - self.began
+    def advance(self, now: float) -> bool:
+        """The time of the event that comes; whether a window ends with it. Raises ValueError if it runs backwards."""
+        if now < self.now:
+            raise ValueError(f"now_ms: {now} runs backwards, expected {self.now} or later")
+        self.now = now
+        return now >= self.due
+
+    def end_window(self, now: float) -> bool:
+        """Sums fade and means are taken, of the window that ends; False if none had begun."""
+        begun, span = self.began >= 0, now - self.began
+        self.began, self.due = now, now + self.window
+        if not begun:
+            return False
         self.demand += (self.arrived / span * 1000 - self.demand) * (0.2 if self.demand else 1.0)
         self.entry.renew(span, self.good, self.bad)
         self.good, self.bad, self.arrived = self.good * 0.9, self.bad * 0.9, 0
@@ -89,6 +107,7 @@
             mean.renew(ENOUGH, SPAN)
         usual = self.usual.values()
         self.typical = sum(u.mean * u.answers for u in usual) / max(sum(u.answers for u in usual), 1)
+        return True
 
     def wake(self, at: float, call: Call | None, acts: list[Action]) -> None:
         """A timer for a call, or for the list."""
@@ -118,6 +137,13 @@
         self.held += (self.out - self.held) / 20
         return call
 
+    def worth(self, now: float, call: Call, event: face.Arrival) -> float:
+        """What an answer to it earns, by its class and by what its tenant has used of its quota."""
+        if event.tenant >= len(self.set.tenants):
+            return call.cls.worth
+        over = self.over_quota(now, self.set.tenants[event.tenant])
+        return call.cls.worth * (self.set.over_share_worth if over else 1.0)
+
     def over_quota(self, now: float, tenant: face.Tenant) -> bool:
         """One call more of this tenant: whether it is above what its quota has saved up."""
         rate = tenant.quota_per_s / self.set.parts / 1000
@@ -161,8 +187,15 @@
         if event.outcome in HEARD:
             attempt.server.heard, attempt.server.quiet = now, False
             self.silent.discard(attempt.server)
+        if call.done:
+            self.forget(call)
         return call, attempt
 
+    def forget(self, call: Call) -> None:
+        """One with its final answer, once no attempt of it is out."""
+        if not any(t.open for t in call.tries):
+            self.calls.pop(call.name, None)
+
     # Evidence
 
     def reported(self, now: float, server: Server, event: face.Finished) -> None:
--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -14,6 +14,7 @@
 from .interface import Action, Effect, Outcome
 from .placement import choose
 from .records import Call
+from .repeats import may_repeat
 from .shares import reshare
 from .verdicts import tired
 
@@ -23,10 +24,7 @@
 
     def handle(self, now_ms: float, event: face.Event) -> list[Action]:
         acts: list[Action] = []
-        if now_ms < self.now:
-            raise ValueError(f"now_ms: {now_ms} runs backwards, expected {self.now} or later")
-        self.now = now_ms
-        if now_ms >= self.due:
+        if self.advance(now_ms):
             self._renew(now_ms)
         if isinstance(event, face.Arrival):
             self._arrival(now_ms, event, acts)
@@ -45,11 +43,8 @@
                 self._cancel(self.calls[event.call], event.attempt, acts)
         elif isinstance(event, face.Uploaded):
             self.uploaded(now_ms, event)
-        elif isinstance(event, face.Ban):
-            self.roster.ban(now_ms, event)
-            self._ready(now_ms)
-        elif isinstance(event, face.Retuned):
-            self.adopt(event.settings)
+        elif isinstance(event, (face.Ban, face.Retuned)):
+            self.hear(now_ms, event)
             self._ready(now_ms)
         elif isinstance(event, face.Started):
             acts += [face.Subscribe()] if self.set.must_ask else []
@@ -75,10 +70,8 @@
         reshare(self, now)
 
     def _renew(self, now: float) -> None:
-        if self.began >= 0:
-            self.end_window(now)
+        if self.end_window(now):
             rebound(self)
-        self.began, self.due = now, now + self.window
         reshare(self, now)
 
     # Calls
@@ -120,10 +113,7 @@
         self.learn(now, call, attempt.server, event)
         if event.closed or event.outcome is Outcome.OK:
             self._close(call, acts)
-        elif call.done or any(t.open for t in call.tries):
-            if call.done and not any(t.open for t in call.tries):
-                self.calls.pop(call.name, None)
-        else:
+        elif not call.done and not any(t.open for t in call.tries):
             call.most *= not (call.once and event.spent)  # what is gone of it can't go out again
             self._further(now, call, acts)
 
@@ -137,17 +127,18 @@
 
     def _finish(self, now: float, call: Call, acts: list[Action]) -> None:
         """Final answer without success: a refusal where a repeat is harmless, else a failure."""
-        if any(t.ran for t in call.tries) and (self.set.narrow or not call.cls.free):
-            acts.append(face.Fail(call.name))
+        wait = min(self.set.max_retry_after_ms, self.window)
+        begun = call.begun()
+        if may_repeat(call.cls, begun, now + wait) and not (begun and self.set.narrow):
+            acts.append(face.Refuse(call.name, wait))
         else:
-            acts.append(face.Refuse(call.name, min(self.set.max_retry_after_ms, self.window)))
+            acts.append(face.Fail(call.name))
         self._close(call, acts)
 
     def _close(self, call: Call, acts: list[Action]) -> None:
         call.done = True
         self._cancel(call, -1, acts)
-        if not any(t.open for t in call.tries):
-            del self.calls[call.name]
+        self.forget(call)
 
     def _cancel(self, call: Call, but: int, acts: list[Action]) -> None:
         if self.set.may_cancel:
@@ -159,9 +150,7 @@
         call = self.timers.pop(token)
         if call is None:
             acts.append(face.Subscribe())
-        elif call.done or call.streaming:
-            return
-        elif not call.tries:
+        elif not call.tries and not call.done:
             self._place(now, call, acts)
-        elif sum(t.open for t in call.tries) == 1:
+        elif not (call.done or call.streaming) and sum(t.open for t in call.tries) == 1:
             overdue(self, now, call, acts)
--- a/switchthread/entry.py
+++ b/switchthread/entry.py
@@ -65,10 +65,7 @@
 
 
 def refused(books: Books, now: float, call: Call, event: face.Arrival) -> bool:
-    worth = call.cls.worth
-    if event.tenant < len(books.set.tenants):
-        over = books.over_quota(now, books.set.tenants[event.tenant])
-        worth *= books.set.over_share_worth if over else 1.0
+    worth = books.worth(now, call, event)
     # Calls that hang at a silent upstream are no load on the others; the mean smooths what chance brings.
     held = (books.out + books.held) / 2 - sum(s.out for s in books.silent)
     return books.entry.refuses(now, worth / max(call.usual.mean, 1.0), held, books.live)
--- a/switchthread/interface.py
+++ b/switchthread/interface.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from enum import Enum
 from math import inf
@@ -205,6 +206,15 @@
     sent_ms: float  # of the first of them
 
 
+class Earlier(NamedTuple):
+    """An attempt that was sent, here or elsewhere. While it is out it may run."""
+
+    zone: Hashable
+    cell: Hashable
+    sent_ms: float
+    ran: bool = True  # may have run, for all that is known
+
+
 class Arrival(NamedTuple):
     """A call came in; it is owed exactly one final answer within `budget_ms`."""
 
--- a/switchthread/placement.py
+++ b/switchthread/placement.py
@@ -9,8 +9,9 @@
 from math import exp, inf
 
 from .books import Books, Table, drawable
-from .interface import Bound, Effect, Scope
+from .interface import Effect, Scope
 from .records import Call, Server
+from .repeats import group, may_repeat
 from .shares import share
 from .verdicts import crowded, quiet
 
@@ -60,20 +61,18 @@
 
 
 def reach(books: Books, now: float, call: Call, home: bool = False) -> Table:
-    ran = next((t for t in call.tries if t.ran), None)
-    bound = call.bound or (Bound(ran.server.at.zone, ran.server.at.cell, ran.sent) if ran else None)
-    if bound is not None and books.set.narrow:
-        return [], []
-    if bound is None or call.cls.effect is Effect.IDEMPOTENT:
+    """Those that the rule on repeats leaves to the next attempt."""
+    earlier = call.earlier() if call.tries or call.bound else []
+    if not earlier or call.cls.effect is Effect.IDEMPOTENT and not books.set.narrow:
         return books.home if home else books.table
-    if call.cls.effect is Effect.AT_MOST_ONCE or now - bound.sent_ms >= call.cls.window_ms:
+    first, scope = earlier[0], call.cls.scope
+    if books.set.narrow or not may_repeat(call.cls, earlier, now, first.zone, first.cell):
         return [], []
-    if call.cls.scope is Scope.ALL:
+    if scope is Scope.ALL:
         return books.table
-    zone = call.cls.scope is Scope.ZONE
-    key = (call.cls.scope, bound.zone if zone else bound.cell)
+    key = (scope, group(scope, first.zone, first.cell))
     if key not in books.groups:
-        members = [s for part in books.order for s in part if (s.at.zone if zone else s.at.cell) == key[1]]
+        members = [s for part in books.order for s in part if group(scope, s.at.zone, s.at.cell) == key[1]]
         for s in members:
             share(books, s, now)
         books.groups[key] = drawable(members)
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -150,3 +150,13 @@
     once: bool = False
     prefer: str = ""
     bound: face.Bound | None = None
+
+    def begun(self) -> list[face.Earlier]:
+        """Its attempts that may have run."""
+        return [face.Earlier(t.server.at.zone, t.server.at.cell, t.sent) for t in self.tries if t.ran]
+
+    def earlier(self) -> list[face.Earlier]:
+        """The same, after what was told of it elsewhere."""
+        if self.bound is None:
+            return self.begun()
+        return [face.Earlier(self.bound.zone, self.bound.cell, self.bound.sent_ms), *self.begun()]
