Stand one admission check right before an attempt's first byte, waits for connections included

Seen by reading: between the choice of an endpoint and the first byte lies the wait for a connection (up to connect_timeout_ms), and the check after it asked for the call, the list and the time, but not for the window for repeats, the group, an attempt that is still out, or an endpoint that had started anew meanwhile (its cold budget was charged for another process). Now net/admission.py names each hindrance, permits.py puts the rule on repeats (switchthread/repeats.py) in terms of the network, as it stood when the call came; connections to a process that has started anew are closed instead of reset at the next request. A connection rests for settle_s after an answer before it carries another request: a second answer that comes some milliseconds late would pass for the next request's, and if it said X-Rejected the call would go out again though it may have run. Calls open at SIGTERM have their answer before the process may be killed (Calls.end_by, to be called by the leaving side).

--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -18,6 +18,8 @@
 from switchthread import interface as face
 from switchthread.knowledge import learn, told_by
 
+from .permits import Permits
+
 # The answer must be with the consumer when its budget ends: what the way there and a busy core may take.
 MARGIN_MS = 20.0
 
@@ -65,6 +67,10 @@
     NOT_SENT = "not sent"
 
 
+# The endings that show that an attempt never ran. All others leave it open.
+NEVER_RAN = frozenset({Ending.TURNED_AWAY, Ending.CONNECT_FAILED, Ending.NOT_SENT})
+
+
 class Hint(NamedTuple):
     """Where a call belongs, by what was done for it elsewhere."""
 
@@ -194,6 +200,10 @@
         """How long any consumer waits for a call of this class."""
         return self.classes[self._classes[class_name]].deadline_ms
 
+    def permits(self, class_name: str) -> Permits:
+        """What the attempts of a call of this class that comes now may do, also once the settings have changed."""
+        return Permits(self.classes[self._classes[class_name]], self._settings.may_copy)
+
     @property
     def most_advice_ms(self) -> float:
         """What the configuration allows a rejection to say of when to return; 0: nothing."""
--- a/limenotch/layers/bindings.py
+++ b/limenotch/layers/bindings.py
@@ -26,7 +26,7 @@
 from switchthread.interface import Effect
 
 from ..config import Config
-from ..facade import Ending, Hint, Provider, Status
+from ..facade import NEVER_RAN, Ending, Hint, Provider, Status
 from ..fleet.bindings import messages
 from ..fleet.bindings.api import Kind, Providers, State, Window
 from ..fleet.bindings.core import Bindings
@@ -37,7 +37,6 @@
 from .base import Among, Layer, messages_of
 
 PREFIX = "bi."
-NEVER_RAN = frozenset({Ending.TURNED_AWAY, Ending.CONNECT_FAILED, Ending.NOT_SENT})
 MOST_EARLY = 10_000  # bindings of calls that came before this process was among the others
 COUNTS = ("keyed", "repeats", "unsure", "unbound", "crossed", "undone", "sessions", "connections")
 
--- /dev/null
+++ b/limenotch/net/admission.py
@@ -0,0 +1,51 @@
+"""The one check that stands right before an attempt's first byte. Nothing is sent to an endpoint around it.
+
+Between the choice of an endpoint and that moment lies the wait for a connection, in which the call may end, its client
+leave, its time run out, the endpoint begin to drain or start anew, and the time for a repeat pass.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from ..facade import Provider
+from .calls import InvokerCall
+
+
+class Hindrance(Enum):
+    """Why an attempt may not begin."""
+
+    CALL_OVER = "its call has its answer"
+    CLIENT_GONE = "its client has gone"
+    ENDED = "the attempt has ended"
+    NO_TIME = "its time is over"
+    NOT_IN_SERVICE = "the endpoint takes nothing new"
+    RESTARTED = "the endpoint is not the process that was chosen"  # the cold budget was charged for another one
+    ANOTHER_OUT = "another attempt of the call is out"
+    MAY_HAVE_RUN = "an earlier attempt may have run, and no repeat is allowed there or any more"
+
+
+def hindrance(attempt: InvokerCall, endpoint: Provider | None, now: float) -> Hindrance | None:
+    """What stops the attempt now, by `time.monotonic`; None: it may begin.
+
+    `endpoint` is the attempt's by the newest list; None if that takes nothing new.
+    """
+    call, chosen = attempt.call, attempt.endpoint
+    if call.gone:
+        return Hindrance.CLIENT_GONE
+    if call.final is not None:
+        return Hindrance.CALL_OVER
+    if attempt.over:
+        return Hindrance.ENDED
+    if now >= attempt.end:
+        return Hindrance.NO_TIME
+    if endpoint is None or chosen is None:
+        return Hindrance.NOT_IN_SERVICE
+    if (endpoint.address, endpoint.since_ms) != (chosen.address, chosen.since_ms):
+        return Hindrance.RESTARTED
+    sent = call.sent()
+    if not call.permits.beside(sent):
+        return Hindrance.ANOTHER_OUT
+    if not call.permits.again(sent, endpoint.zone, endpoint.group, now * 1000.0):
+        return Hindrance.MAY_HAVE_RUN
+    return None
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -19,8 +19,9 @@
 
 from .. import facade as house
 from .. import logs
-from ..facade import Ending, Facade, Hint, Orders, time_left_ms
+from ..facade import NEVER_RAN, Ending, Facade, Hint, Orders, Provider, time_left_ms
 from ..figures import Figures
+from ..permits import Permits, Sent
 from .pipe import Pipe
 
 log = logs.get(__name__)
@@ -55,6 +56,14 @@
     end: float
     first: float = 0.0  # when its answer began to be passed on
     over: bool = False
+    endpoint: Provider | None = None  # as the list told of it when it was chosen
+    sent_at: float = 0.0  # when its first byte was written, by time.monotonic; 0: not yet
+    ending: Ending | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Its first byte is out, and it is still out or ended in a way that leaves open whether it ran."""
+        return self.sent_at > 0 and self.ending not in NEVER_RAN
 
     @property
     def wanted(self) -> bool:
@@ -94,6 +103,17 @@
     made: list[InvokerCall] = field(default_factory=list)
     final: Final | None = None
     gone: bool = False
+    permits: Permits = Permits()
+    ran_elsewhere: Sent | None = None  # by another sidecar's word
+
+    def sent(self) -> list[Sent]:
+        """Its attempts that may have run, those that are out included."""
+        told = [self.ran_elsewhere] if self.ran_elsewhere is not None else []
+        return told + [
+            Sent(attempt.endpoint.zone, attempt.endpoint.group, attempt.sent_at * 1000.0, not attempt.over)
+            for attempt in self.made
+            if attempt.may_have_run and attempt.endpoint is not None
+        ]
 
 
 class Later(NamedTuple):
@@ -179,6 +199,7 @@
         self._count += 1
         end = math.inf if rest is not None else monotonic() + left / 1000.0
         call = Call(self._count, name, class_name, payload, end, left / 1000.0, answer, rest, tenant, about)
+        call.permits = self.facade.permits(class_name)
         self.figures.took()
         if not room or len(self.open) >= self.max_open or self.facade.shut:
             self._close(call, Final(Verdict.REJECTED, retry_after_ms=1000.0))
@@ -206,6 +227,9 @@
                 self._close(call, replace(said, retry_after_ms=advice))
                 return
             call.told.append(one)
+        if call.hint is not None and call.hint.ran:
+            ran_at_ms = monotonic() * 1000.0 - call.hint.ago_ms
+            call.ran_elsewhere = Sent(call.hint.zone, call.hint.group, ran_at_ms)
         left = call.left_s if call.rest is not None else max(call.end - monotonic(), 0.0)
         self.carry_out(self.facade.pick(
             call.number, call.kind, call.tenant, left * 1000.0, call.about.resent, call.rest is not None, call.hint))
@@ -214,6 +238,20 @@
         if call.number in self.open:
             self._admit(call)
 
+    def end_by(self, last: float) -> None:
+        """The program leaves: every call, open ones included, has its answer by then (`time.monotonic`)."""
+        self.last = last
+        self._loop.call_later(max(last - monotonic(), 0.0), self._end_all)
+
+    def _end_all(self) -> None:
+        for call in list(self.open.values()):
+            if call.end <= self.last:
+                continue  # its own time sees to it
+            ran = any(attempt.may_have_run for attempt in call.made)
+            self._close(call, Final(Verdict.FAILED, timed_out=True) if ran else Final(Verdict.REJECTED))
+            self.carry_out(self.facade.depart(call.number))
+            self._release(call)
+
     def depart(self, call: Call) -> None:
         """The consumer is gone: nothing is owed, its invoker calls end."""
         if call.number in self.passing:
@@ -227,7 +265,11 @@
             self.carry_out(self.facade.depart(call.number))
         else:
             return
-        for invoker_call in call.made:  # those the module may not cancel, and the one whose answer is passed on
+        self._release(call)
+
+    def _release(self, call: Call) -> None:
+        """Its attempts end, as nobody waits for their answers: also the one whose answer is passed on."""
+        for invoker_call in call.made:  # those the module may not cancel, too
             if not invoker_call.over:
                 self.invoker.abandon(invoker_call)
 
@@ -274,6 +316,7 @@
         if invoker_call.over:
             return
         invoker_call.over = True
+        invoker_call.ending = ending
         call = invoker_call.call
         del self._out[call.number, invoker_call.number]
         for one in call.told:
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -14,7 +14,7 @@
 
 from .. import logs, settings
 from ..facade import Ending, Provider, Status
-from . import http1
+from . import admission, http1
 from .calls import Calls, InvokerCall
 from .pipe import HOLD, BrokenError, Budget, Pipe
 from .sockets import Share
@@ -42,6 +42,8 @@
         can't be had elsewhere any more, and may stop for `stall_s`.
         """
         self.stream, self.provider, self.address = stream, provider, address
+        self.since_ms = 0.0  # of the endpoint's process that it was opened to, as the list told
+        self.idle_since = 0.0
         self._answer_s, self._stall_s = answer_s, stall_s
         self.idle_timer: object = None
         self.passed: asyncio.Future[bool] | None = None  # of an answer that is passed on: whether it came whole
@@ -174,6 +176,10 @@
             pass
         return False
 
+    def reaches(self, endpoint: Provider) -> bool:
+        """Whether it leads to the process that the list tells of: one that has started anew resets what is written."""
+        return (self.address, self.since_ms) == (endpoint.address, endpoint.since_ms)
+
     def reusable(self, response: http1.Message) -> bool:
         return response.keep_alive and self._parser.idle and not self.stream.closed()
 
@@ -204,6 +210,7 @@
         self._used: dict[InvokerCall, Connection] = {}  # of those that have one now
         self._timers: dict[InvokerCall, object] = {}
         self._cut: dict[InvokerCall, Ending] = {}  # those that end at our wish, and as what
+        self._trace = logs.tracing()
         self._tasks: set[asyncio.Task[None]] = set()
         sockets.drop_idle = self._drop_oldest
 
@@ -248,7 +255,7 @@
         for name in list(self._idle):
             provider = self._usable(name)
             for connection in list(self._idle[name]):
-                if provider is None or provider.address != connection.address:
+                if provider is None or not connection.reaches(provider):
                     connection.close()
 
     # Invoker calls
@@ -307,8 +314,9 @@
         try:
             # Getting a connection takes time in which the call may end or the provider begin to drain:
             # nothing may be written then, or a drain is broken or a finished call runs.
-            if not self._may_write(invoker_call, connection):
+            if not self._admits(invoker_call):
                 return self._unsent(invoker_call, Ending.NOT_SENT), None
+            invoker_call.sent_at = monotonic()
             answer = connection.expect()
             written = await self._write(invoker_call, connection, answer)
             response = await answer
@@ -374,15 +382,16 @@
         if framed:
             await stream.write(http1.LAST_CHUNK)
 
-    def _may_write(self, invoker_call: InvokerCall, connection: Connection) -> bool:
-        provider = self._usable(invoker_call.provider)
-        return (
-            invoker_call.wanted
-            and invoker_call not in self._cut
-            and provider is not None
-            and provider.address == connection.address
-            and monotonic() < invoker_call.end
-        )
+    def _admits(self, invoker_call: InvokerCall) -> bool:
+        """Whether its first byte may be written now."""
+        if invoker_call in self._cut:
+            return False
+        endpoint = self._usable(invoker_call.provider)
+        hindrance = admission.hindrance(invoker_call, endpoint, monotonic())
+        if hindrance is not None and self._trace:
+            log.debug("not sent", call=invoker_call.call.number, provider=invoker_call.provider,
+                      reason=hindrance.value)
+        return hindrance is None
 
     def _unsent(self, invoker_call: InvokerCall, else_: Ending) -> Ending:
         """What ended it before its first byte: one whose time is over then was never sent."""
@@ -403,17 +412,14 @@
 
     async def _connection(self, invoker_call: InvokerCall) -> Connection | None:
         """An idle connection or a new one; None if there is none in time."""
-        provider = self._usable(invoker_call.provider)
-        if provider is None or invoker_call in self._cut:
+        provider = invoker_call.endpoint = self._usable(invoker_call.provider)
+        if provider is None or not self._admits(invoker_call):
             self._cut.setdefault(invoker_call, Ending.NOT_SENT)
             return None
-        while idle := self._idle.get(provider.name):
-            connection = idle[-1]  # the latest used: the others get to be closed
-            self._not_idle(connection)
-            if connection.clean():
-                self._used[invoker_call] = connection
-                return connection
-            connection.close()
+        connection = self._settled(provider)
+        if connection is not None:
+            self._used[invoker_call] = connection
+            return connection
         opened = self._open(provider) if self._sockets.take() else None
         if opened is None:
             self._cut.setdefault(invoker_call, Ending.NOT_SENT)
@@ -433,6 +439,22 @@
         task.add_done_callback(self._tasks.discard)
         return connection
 
+    def _settled(self, endpoint: Provider) -> Connection | None:
+        """The latest used of those that have rested for long enough, so that the others get to be closed.
+
+        An endpoint in trouble may answer a second time: right after the first answer nobody can tell whether what comes
+        is that or the next request's answer. Where no connection has rested yet, a new one is opened.
+        """
+        rested_before = monotonic() - self._tuning.settle_s
+        for connection in reversed(self._idle.get(endpoint.name, [])[:]):
+            if connection.idle_since > rested_before:
+                continue
+            self._not_idle(connection)
+            if connection.clean():
+                return connection
+            connection.close()
+        return None
+
     def _open(self, provider: Provider) -> Connection | None:
         family = socket.AF_INET6 if ":" in provider.address[0] else socket.AF_INET
         try:
@@ -446,15 +468,18 @@
         connection = Connection(
             stream, provider.name, provider.address, self._tuning.answer_s, self._tuning.stall_s, self._budget
         )
+        connection.since_ms = provider.since_ms
         stream.set_close_callback(lambda: self._closed(connection))
         return connection
 
     def _release(self, connection: Connection, response: http1.Message | None) -> None:
         """Back to the idle ones if the exchange left it clean, else closed."""
-        wanted = self._usable(connection.provider) is not None
+        endpoint = self._usable(connection.provider)
+        wanted = endpoint is not None and connection.reaches(endpoint)
         if response is None or not wanted or not connection.reusable(response):
             connection.close()
             return
+        connection.idle_since = monotonic()
         connection.idle_timer = self._loop.call_later(self._idle_s, connection.close)
         self._idle.setdefault(connection.provider, []).append(connection)
         self._sockets.idle += 1
--- /dev/null
+++ b/limenotch/permits.py
@@ -0,0 +1,44 @@
+"""What a call's class and settings let its attempts do, as both stood when the call came."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from switchthread import interface as face
+from switchthread.repeats import may_repeat
+
+# A request counts at its endpoint with its last byte: what the way there and a busy core may take until then.
+ARRIVAL_MS = 20.0
+
+
+@dataclass(frozen=True, slots=True)
+class Sent:
+    """An attempt whose first byte has gone out, here or through another sidecar."""
+
+    zone: str
+    group: int
+    at_ms: float
+    out: bool = False  # it has not ended yet
+
+    def as_earlier(self) -> face.Earlier:
+        """The same in the decision module's terms."""
+        return face.Earlier(self.zone, self.group, self.at_ms)
+
+
+@dataclass(frozen=True, slots=True)
+class Permits:
+    """Asked right before an attempt's first byte. Without a class nothing may go out twice."""
+
+    traffic_class: face.TrafficClass = face.TrafficClass("", face.Effect.AT_MOST_ONCE, 1.0, 1.0)
+    copies: bool = False
+
+    def beside(self, sent: Iterable[Sent]) -> bool:
+        """Whether a further attempt may be out together with those that are."""
+        once = self.traffic_class.effect is face.Effect.AT_MOST_ONCE
+        return not any(attempt.out for attempt in sent) or (self.copies and not once)
+
+    def again(self, may_have_run: Iterable[Sent], zone: str, group: int, now_ms: float) -> bool:
+        """Whether an attempt may begin now at an endpoint of this zone and group, after those that may have run."""
+        earlier = [attempt.as_earlier() for attempt in may_have_run]
+        return may_repeat(self.traffic_class, earlier, now_ms + ARRIVAL_MS, zone, group)
--- a/tests/helpers/scripted.py
+++ b/tests/helpers/scripted.py
@@ -7,6 +7,7 @@
 
 from limenotch.facade import Ending, Facade, Hint, Order, Orders
 from limenotch.net.calls import About, Beside, Call, Calls, Final, InvokerCall
+from limenotch.permits import Permits
 
 
 class Script:
@@ -21,6 +22,9 @@
     def longest_ms(self, class_name: str) -> float:
         return 20_000.0
 
+    def permits(self, class_name: str) -> Permits:
+        return Permits()
+
     def pick(self, call: int, class_name: str, tenant: str, left_ms: float, resent: bool = False,
              once: bool = False, hint: Hint | None = None) -> Orders:
         self.hints.append(hint)
