Remember names of calls that may have run, and test the rule on repeats against a checker

Seen by reading: a client whose request crossed our closing of its connection sends it once more under the same id. If the first was read after all and its answer lost on the way, a once-only call would run again here. Names of calls that may have run and whose class is not free to repeat are kept for the class's deadline and answered 409, as those of open calls are. tests/test_repeats.py: the pure rule and the admission check over random histories (fixed seeds) against a checker written apart.

--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -22,6 +22,7 @@
 from ..facade import NEVER_RAN, Ending, Facade, Hint, Orders, Provider, time_left_ms
 from ..figures import Figures
 from ..permits import Permits, Sent
+from .names import Names
 from .pipe import Pipe
 
 log = logs.get(__name__)
@@ -164,7 +165,7 @@
         self.beside: tuple[Beside, ...] = ()
         self.open: dict[int, Call] = {}
         self.passing: dict[int, Call] = {}  # their answers are being passed on
-        self._names: set[bytes] = set()  # of those open
+        self._names = Names()
         self.invoker: Invoker
         self.watch: Callable[[], None]
         self._loop = IOLoop.current()
@@ -175,8 +176,8 @@
         self._trace = logs.tracing()
 
     def has(self, name: bytes) -> bool:
-        """Whether a call of this name is open."""
-        return name in self._names
+        """Whether a call of this name is open, or one that may not run again was."""
+        return self._names.taken(name, monotonic())
 
     def take(
         self,
@@ -410,5 +411,8 @@
             one.closed(call)
 
     def _forget(self, call: Call) -> None:
+        if not call.permits.free and any(attempt.may_have_run for attempt in call.made):
+            now = monotonic()
+            self._names.remember(call.name, now, now + call.permits.longest_s)
         if self.open.pop(call.number, None) is not None and call.number not in self.passing:
             self._names.discard(call.name)
--- a/limenotch/permits.py
+++ b/limenotch/permits.py
@@ -33,6 +33,16 @@
     traffic_class: face.TrafficClass = face.TrafficClass("", face.Effect.AT_MOST_ONCE, 1.0, 1.0)
     copies: bool = False
 
+    @property
+    def free(self) -> bool:
+        """Whether a second run is harmless wherever and whenever it comes."""
+        return self.traffic_class.effect is face.Effect.IDEMPOTENT
+
+    @property
+    def longest_s(self) -> float:
+        """How long a client waits, over all its tries."""
+        return self.traffic_class.deadline_ms / 1000.0
+
     def beside(self, sent: Iterable[Sent]) -> bool:
         """Whether a further attempt may be out together with those that are."""
         once = self.traffic_class.effect is face.Effect.AT_MOST_ONCE
--- a/tests/helpers/peers.py
+++ b/tests/helpers/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from itertools import count
 
 from limenotch.net import http1
 
@@ -26,6 +27,14 @@
 }
 
 
+NEW = count(1)
+
+
+def renamed(wire: bytes) -> bytes:
+    """The same request under an id of its own, as every request of a client has one."""
+    return wire.replace(b"X-Call-Id: 1\r\n", b"X-Call-Id: new-%d\r\n" % next(NEW), 1)
+
+
 def answering(*answers: bytes) -> tuple[Handler, list[http1.Message]]:
     """A provider that answers its requests with these in turn, the last again and again; b"" hangs up."""
     seen: list[http1.Message] = []
--- /dev/null
+++ b/tests/test_repeats.py
@@ -0,0 +1,150 @@
+"""Whether a further attempt may begin: the pure rule against a checker that was written apart from it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from limenotch.facade import NEVER_RAN, Ending, Provider, Status
+from limenotch.net.admission import Hindrance, hindrance
+from limenotch.net.calls import Call, InvokerCall
+from limenotch.net.names import MOST_REMEMBERED, Names
+from limenotch.permits import ARRIVAL_MS, Permits, Sent
+from switchthread.interface import Earlier, Effect, Scope, TrafficClass
+from switchthread.repeats import may_repeat
+
+EFFECTS = st.builds(
+    lambda effect, scope, window: TrafficClass("c", effect, 100.0, 1000.0, scope=scope, window_ms=window),
+    st.sampled_from(list(Effect)), st.sampled_from(list(Scope)), st.sampled_from([0.0, 50.0, 400.0, 9000.0]),
+)
+EARLIER = st.lists(st.builds(Earlier, st.sampled_from("ab"), st.sampled_from([1, 2]), st.floats(0.0, 1000.0),
+                             st.booleans()), max_size=4)
+
+
+def allowed_by_the_pages(cls: TrafficClass, ran: Sequence[Earlier], now: float, zone: object, cell: object) -> bool:
+    """The second of the four rules, word for word, with no regard to how the program has it."""
+    for one in ran:
+        if cls.effect.value == "at_most_once":
+            return False
+        if cls.effect.value == "deduplicated":
+            if now - one.sent_ms >= cls.window_ms:
+                return False
+            if cls.scope.value == "zone" and one.zone != zone:
+                return False
+            if cls.scope.value == "cell" and one.cell != cell:
+                return False
+    return True
+
+
+@settings(derandomize=True, max_examples=400, deadline=None)
+@given(EFFECTS, EARLIER, st.floats(0.0, 10_000.0), st.sampled_from("ab"), st.sampled_from([1, 2]))
+def test_the_rule_is_that_of_the_pages(cls: TrafficClass, earlier: list[Earlier], now: float, zone: str,
+                                       cell: int) -> None:
+    ran = [one for one in earlier if one.ran]
+    assert may_repeat(cls, earlier, now, zone, cell) is allowed_by_the_pages(cls, ran, now, zone, cell)
+    # With no place named it is a client's repeat, that may land anywhere.
+    anywhere = all(allowed_by_the_pages(cls, ran, now, z, c) for z in "abc" for c in (1, 2, 3))
+    assert may_repeat(cls, earlier, now) is anywhere
+
+
+# Right before the first byte, over random histories of one call
+
+
+CHOSEN = Provider("p", ("127.0.0.1", 1), Status.IN_SERVICE, zone="a", group=1, since_ms=5.0)
+
+
+def call_of(cls: TrafficClass, copies: bool = False) -> Call:
+    call = Call(1, b"n", "c", None, 100.0, 100.0, lambda final: None)
+    call.permits = Permits(cls, copies)
+    return call
+
+
+def attempt_of(call: Call, endpoint: Provider = CHOSEN) -> InvokerCall:
+    attempt = InvokerCall(call, len(call.made), endpoint.name, 0.0, 90.0, endpoint=endpoint)
+    call.made.append(attempt)
+    return attempt
+
+
+HISTORY = st.lists(st.tuples(st.sampled_from([None, *Ending]), st.booleans(), st.sampled_from("ab"),
+                             st.sampled_from([1, 2]), st.floats(0.001, 40.0)), max_size=4)
+
+
+@settings(derandomize=True, max_examples=600, deadline=None)
+@given(EFFECTS, st.booleans(), HISTORY, st.floats(0.0, 10.0))
+def test_no_attempt_begins_that_a_checker_forbids(
+    cls: TrafficClass, copies: bool, history: list[tuple[Ending | None, bool, str, int, float]], later: float
+) -> None:
+    """An ending of None is an attempt that is out; one whose first byte never went out is nothing to anybody."""
+    call, now = call_of(cls, copies), 41.0 + later
+    for ending, begun, zone, group, at in history:
+        attempt = attempt_of(call, CHOSEN._replace(zone=zone, group=group))
+        attempt.sent_at = at * begun
+        attempt.over, attempt.ending = ending is not None, ending
+    found = hindrance(attempt_of(call), CHOSEN, now)
+
+    ran = [Earlier(zone, group, at * 1000.0) for ending, begun, zone, group, at in history
+           if begun and ending not in NEVER_RAN]
+    out = any(begun and ending is None for ending, begun, *_ in history)
+    may = allowed_by_the_pages(cls, ran, now * 1000.0 + ARRIVAL_MS, "a", 1)
+    if out and (not copies or cls.effect is Effect.AT_MOST_ONCE):
+        assert found is Hindrance.ANOTHER_OUT
+    else:
+        assert found is (None if may else Hindrance.MAY_HAVE_RUN)
+
+
+SAFE = TrafficClass("c", Effect.IDEMPOTENT, 100.0, 1000.0)
+
+
+def test_each_hindrance_has_its_name() -> None:
+    assert hindrance(attempt_of(call_of(SAFE)), CHOSEN, 1.0) is None
+    gone = attempt_of(call_of(SAFE))
+    gone.call.gone = True
+    assert hindrance(gone, CHOSEN, 1.0) is Hindrance.CLIENT_GONE
+    over = attempt_of(call_of(SAFE))
+    over.over = True
+    assert hindrance(over, CHOSEN, 1.0) is Hindrance.ENDED
+    assert hindrance(attempt_of(call_of(SAFE)), CHOSEN, 90.0) is Hindrance.NO_TIME
+    assert hindrance(attempt_of(call_of(SAFE)), None, 1.0) is Hindrance.NOT_IN_SERVICE
+    for changed in (CHOSEN._replace(since_ms=6.0), CHOSEN._replace(address=("127.0.0.1", 2))):
+        assert hindrance(attempt_of(call_of(SAFE)), changed, 1.0) is Hindrance.RESTARTED
+
+
+def test_a_run_elsewhere_counts_as_an_earlier_attempt() -> None:
+    once = call_of(replace(SAFE, effect=Effect.AT_MOST_ONCE))
+    once.ran_elsewhere = Sent("a", 1, 0.0)
+    assert hindrance(attempt_of(once), CHOSEN, 1.0) is Hindrance.MAY_HAVE_RUN
+
+
+def test_without_a_class_nothing_goes_out_twice() -> None:
+    call = Call(1, b"n", "c", None, 100.0, 100.0, lambda final: None)
+    first = attempt_of(call)
+    assert hindrance(first, CHOSEN, 1.0) is None
+    first.sent_at, first.over, first.ending = 1.0, True, Ending.RESET
+    assert hindrance(attempt_of(call), CHOSEN, 2.0) is Hindrance.MAY_HAVE_RUN
+
+
+# Names
+
+
+@pytest.mark.parametrize("still_open", [True, False])
+def test_a_name_stays_taken_while_it_is_open_or_its_client_may_still_wait(still_open: bool) -> None:
+    names = Names()
+    names.add(b"a")
+    assert names.taken(b"a", 1.0) and not names.taken(b"b", 1.0)
+    names.remember(b"a", 1.0, 5.0)
+    if not still_open:
+        names.discard(b"a")
+    assert names.taken(b"a", 4.9) and names.taken(b"a", 5.0) is still_open
+
+
+def test_names_are_bounded_and_the_oldest_go_first() -> None:
+    names = Names()
+    for number in range(MOST_REMEMBERED + 5):
+        names.remember(b"%d" % number, 1.0, 9.0)
+    assert not names.taken(b"4", 1.0) and names.taken(b"5", 1.0)
+    names.remember(b"new", 9.5, 12.0)  # all the others are over
+    assert len(names._ran) == 1
