Let each crossing's test fail for its own check alone

With the check on an attempt that is out taken away no test failed (a once-only call was stopped by the next check), and the connections to a process that has started anew ended by themselves in the test. Both are seen to fail now without their mend.

--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -67,6 +67,7 @@
         async def handler(reader: Reader, writer: Writer) -> None:
             self.seen.put_nowait(await reader.read(1))
             writer.write(whole(200))
+            await reader.read()  # it is kept until the other side ends it
 
         server = await asyncio.start_server(handler, "127.0.0.1", 0)
         self.endpoint = Provider("a", server.sockets[0].getsockname(), Status.IN_SERVICE, since_ms=5.0)
@@ -97,7 +98,7 @@
     "it is abandoned": (SAFE, Ending.ERROR, lambda pool, attempt: pool.pool.abandon(attempt)),
     "the window for repeats passes": (KEYED, Ending.RESET, window_passes),
     "an earlier one turns out to be out": (
-        ONCE, Ending.TURNED_AWAY, lambda pool, attempt: begun(attempt.call, None)),
+        SAFE, Ending.TURNED_AWAY, lambda pool, attempt: begun(attempt.call, None)),
     "an earlier one turns out to have run": (
         ONCE, Ending.TURNED_AWAY, lambda pool, attempt: begun(attempt.call, Ending.TIMED_OUT)),
 }
