--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -59,7 +59,7 @@
 
     def __init__(self) -> None:
         self.calls, self.sockets = Heard(), unlimited()
-        self.pool = Providers(self.calls, self.sockets, 9000.0, 9000.0)
+        self.pool = Providers(self.calls, self.sockets, 9000.0, 9e6)
         self.seen: asyncio.Queue[bytes] = asyncio.Queue()
         self.endpoint: Provider
 
