Look at a new connection too before its first request is written

Kept connections were looked at for bytes that nobody asked for, new ones not: an endpoint that speaks first would have its words taken for the answer, a stray rejection among them (the call then goes out again though it may have run). The test is seen to fail without the look.

--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -273,6 +273,9 @@
             return None
         finally:
             self._loop.remove_timeout(timer)
+        if not connection.clean():  # what has come already answers no request of ours
+            connection.close()
+            return None
         task = asyncio.get_running_loop().create_task(connection.read())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -212,6 +213,41 @@
     run(case())
 
 
+def test_what_comes_on_a_new_connection_before_the_request_is_no_answer(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards once-only work: an endpoint that speaks first could pass a stray rejection off as the request's answer.
+    async def case() -> None:
+        pool, spoken = Pool(), asyncio.Event()
+
+        class Spoken(IOStream):
+            """Comes up only once the endpoint's first word is there."""
+
+            async def connect(self, *arguments: Any) -> IOStream:  # type: ignore[override]
+                await super().connect(*arguments)
+                await spoken.wait()
+                while True:
+                    with contextlib.suppress(BlockingIOError):
+                        self.socket.recv(1, socket.MSG_PEEK)
+                        return self
+                    await asyncio.sleep(0)
+
+        monkeypatch.setattr(providers, "IOStream", Spoken)
+
+        async def handler(reader: Reader, writer: Writer) -> None:
+            writer.write(REJECTED)
+            await writer.drain()
+            spoken.set()
+            pool.seen.put_nowait(await reader.read())
+
+        server = await asyncio.start_server(handler, "127.0.0.1", 0)
+        pool.pool.listed([Provider("a", server.sockets[0].getsockname(), Status.IN_SERVICE)], True)
+        attempt = attempt_of(call_of(ONCE))
+        pool.pool.make(attempt)
+        assert await pool.calls.endings.get() is Ending.CONNECT_FAILED
+        assert not attempt.sent_at
+
+    run(case())
+
+
 class Halting(IOStream):
     """A connection whose kernel takes only the first bytes of a request."""
 
