--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -15,9 +15,9 @@
 from .. import logs, settings
 from ..facade import Ending, Provider, Status
 from . import admission, http1
-from .answers import ending_of, report_of
 from .calls import Calls, InvokerCall
 from .connection import MAX_BUFFER, Connection
+from .outcomes import ending_of, report_of
 from .pipe import BrokenError, Budget, Pipe
 from .sockets import Share
 
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -13,11 +13,11 @@
 
 from limenotch.facade import Ending, Facade, Provider, Status
 from limenotch.net import http1
-from limenotch.net.answers import ending_of, report_of
 from limenotch.net.calls import Call, Calls, Final, InvokerCall, Verdict
 from limenotch.net.connection import Connection
 from limenotch.net.consumer import budget_ms
 from limenotch.net.consumers import Consumers
+from limenotch.net.outcomes import ending_of, report_of
 from limenotch.net.providers import Providers
 from limenotch.net.sockets import OPERATORS, Share, Sockets
 from limenotch.settings import Consumers as ConsumerTuning
