--- a/limenotch/lab/model/rules.py
+++ b/limenotch/lab/model/rules.py
@@ -86,6 +86,15 @@
         return tuple(f"{at:.1f} ms: {text.format(*about)}" for at, text, about in self.history)
 
 
+def _harmless(held: _Call) -> bool:
+    """Whether its consumer may repeat it anywhere for as long as it waits, which a rejection says."""
+    ran = [attempt.sent for attempt in held.attempts if attempt.ran]
+    if not ran or held.effect == "idempotent":
+        return True
+    dropped_everywhere = held.effect == "deduplicated" and held.scope == "all"
+    return dropped_everywhere and held.end < min(ran) + held.window_ms
+
+
 class Rules:
     def __init__(self, limits: Limits | None = None) -> None:
         self.limits = limits or Limits()
@@ -192,8 +201,7 @@
         late = now - held.end - self.limits.slack_ms
         if late > 0 and late > self.lag_ms() and not held.left:
             self._break(ONE_ANSWER, now, f"call {call!r} was answered {now - held.end:.1f} ms late", held)
-        harmless = held.effect == "idempotent" or (held.effect == "deduplicated" and held.scope == "all")
-        if verdict == "rejected" and not harmless and any(a.ran for a in held.attempts):
+        if verdict == "rejected" and not _harmless(held):
             self._break(REPEATS, now, f"call {call!r} was rejected though it may have run", held)
         held.answered = True
         self._drop(now, call, held)
--- a/tests/lab/test_rules.py
+++ b/tests/lab/test_rules.py
@@ -133,3 +133,12 @@
     for _ in range(MOST_KEPT + 5):
         rules.fell(5.0, "p")
     assert rules.counts[COLD] == MOST_KEPT + 5 and len(rules.violations) == MOST_KEPT and not rules.kept
+
+
+@pytest.mark.parametrize(("window", "ok"), [(400.0, False), (1000.0, True)])
+def test_a_rejection_says_that_a_repeat_is_harmless_for_as_long_as_its_consumer_waits(window: float, ok: bool) -> None:
+    rules = taken("deduplicated", "all", window=window, end=500.0)
+    rules.sent(1.0, 1, "s", "p", 1)
+    rules.ended(300.0, 1, 0, "reset", True)
+    rules.answered(310.0, 1, "rejected")
+    assert rules.kept is ok and broken(rules) == [REPEATS] * (not ok)
