--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -34,6 +34,8 @@
     FAILED = "failed"
 
 
+FULL_MS = 1000.0  # when to come again while there is no room at all; less where the settings allow less
+
 ENDS = {Verdict.SERVED: "answered", Verdict.REJECTED: "deferred", Verdict.FAILED: "errored"}  # in the figures
 
 
@@ -203,7 +205,7 @@
         call.permits = self.facade.permits(class_name)
         self.figures.took()
         if not room or len(self.open) >= self.max_open or self.facade.shut:
-            self._close(call, Final(Verdict.REJECTED, retry_after_ms=1000.0))
+            self._close(call, Final(Verdict.REJECTED, retry_after_ms=min(FULL_MS, self.facade.most_advice_ms)))
             return call
         self.open[call.number] = call
         self._names.add(name)
