Notice a client's end at once, and close its connection only with nothing owed

Ruled out: Calls.depart, which does end them once it is called. At fault: consumer.py read nothing while a call was open, and Tornado's IOStream listens for reads only while its own buffer is empty (_handle_events, _maybe_add_error_listener), so a client's end behind bytes that nobody asked for is not seen. Also: a request and its end in one read were taken as a call; Tornado tells its close callback a turn of the loop later, after timers that are due; the pipe of a long request was not emptied when its client left before the first attempt, and its bytes counted in the budget for good. A call is taken only after a look for the end. ClientStream.ended tells of the end in the same turn.

Seen: a due timer runs in the turn of the loop that reads a request, before the coroutine that waits for it, and _overdue closed the connection: read and not answered; _drop_idle the same. At fault: Consumer._overdue, Consumers._drop_idle, each with a rule of its own. Mend: Consumer.end_rest is the one way to end an idle connection: it looks at the pending read, the parser and the kernel, and shuts our sending with nothing run in between.

Last answers. Seen: ECONNRESET in place of a 200 with Connection: close, and of a 408, over unread bytes. At fault: serve's plain close, _overdue's write and close in one. Mend: Consumer._finish (flushed, SHUT_WR, read and dropped up to LINGER_S and LINGER_BYTES, closed) is the end of every path that answers last. Connections that linger are the first to give way for descriptors, then those that never asked, then the others.

Found beside: a fault of ours within a passed answer wrote its 502 into the body (now a reset); a call stayed open while the 502 was read (now it departs first); one aborted connection in the accept queue cost those behind it at leave; Expect of HTTP/1.0 was answered.

--- a/limenotch/net/consumer.py
+++ b/limenotch/net/consumer.py
@@ -7,25 +7,26 @@
 import re
 import socket
 import struct
-from collections.abc import Callable
 from time import monotonic
-from typing import Protocol
 
 from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
-from .. import logs, settings
+from .. import logs
 from ..config import host_port
-from ..facade import Facade
 from . import http1
-from .calls import About, Call, Calls, Final, Verdict
-from .pipe import PIECE, BrokenError, Budget, Pipe
-from .sockets import Sockets
+from .ahead import ClientStream, Mode, ReadAhead
+from .answers import answer_of, passed_headers
+from .calls import About, Call, Final, Verdict
+from .house import House
+from .pipe import BrokenError, Pipe
 
 log = logs.get(__name__)
 
-LINGER_S = 0.5  # a consumer that still writes gets this long to read why it is turned off ...
-LINGER_BYTES = 256 * 1024  # ... and is read this far: more would be work for nothing
+# A close over unread bytes resets the connection, and the client may lose the answer before it. So after the end of our
+# sending a client has this long to read it and close, and is read this far: more would be work for nothing.
+LINGER_S = 0.5
+LINGER_BYTES = 256 * 1024
 
 READY = b"/up"
 BUDGET = re.compile(rb"([0-9]{1,18}(?:\.[0-9]{0,9})?)([mu])")
@@ -40,53 +41,20 @@
     return value
 
 
-def answer_of(final: Final, close: bool) -> bytes:
-    """A final answer as this protocol words it; a provider's 200 goes on with its body unchanged."""
-    if final.verdict is Verdict.SERVED:
-        response: http1.Message = final.payload
-        return http1.write_response(200, passed_headers(response), response.body, close)
-    if final.verdict is Verdict.REJECTED:
-        advice: http1.Headers = []
-        if final.retry_after_ms > 0:
-            advice.append((b"Retry-After", b"%.3f" % (final.retry_after_ms / 1000.0)))
-        return http1.write_response(429 if final.paused else 503, advice, b"", close)
-    return http1.write_response(504 if final.timed_out else 502, [], b"", close)
-
-
-def passed_headers(response: http1.Message) -> http1.Headers:
-    return [pair for pair in response.end_to_end() if pair[0].lower() != b"x-load-report"]
+class RestOverError(Exception):
+    """The connection ends between two requests."""
 
 
 def _printable(call: Call | None) -> str | None:
     return call.name.decode("latin-1") if call is not None else None
 
 
-class House(Protocol):
-    """What a connection knows of all of them."""
-
-    budget: Budget
-    calls: Calls
-    facade: Facade
-    sockets: Sockets
-    tuning: settings.Consumers
-    closing: bool  # each connection ends with its next answer
-
-    @property
-    def ready(self) -> Callable[[], bool]: ...
-
-    @property
-    def gone(self) -> Callable[[str], None]: ...
-
-    def left(self, consumer: Consumer) -> None: ...
-
-    def waits(self, consumer: Consumer, waiting: bool) -> None: ...
-
-
 class Consumer:
     """One connection of a consumer; one call at a time."""
 
-    def __init__(self, stream: IOStream, house: House) -> None:
+    def __init__(self, stream: ClientStream, house: House) -> None:
         self.stream, self._all = stream, house
+        self.reader = ReadAhead(stream, house.budget)
         self._parser = http1.RequestParser(http1.MAX_LONG)
         self._timer: object = None  # of the wait for a request, its head and its body
         self._call: Call | None = None
@@ -94,33 +62,56 @@
         self._upload: asyncio.Task[None] | None = None  # of the rest of a long request
         self._read_s = 0.0  # spent in waiting for a body
         self._from: str | None = None  # where it comes from, once that was asked
+        self._begun = False  # a part of an answer is written
+        self._ending = False  # nothing more is written
         self.used = False
-        stream.set_close_callback(self._closed)
+        stream.ended = self._closed
 
     @property
-    def idle(self) -> bool:
-        return self._final is None and self._parser.idle
+    def owes(self) -> bool:
+        """A call is open, or its answer is being passed on."""
+        return self._call is not None
 
-    def waiting(self) -> bool:
-        """Whether bytes have come that are not read yet."""
-        try:
-            return bool(self.stream.socket.recv(1, socket.MSG_PEEK))
-        except (BlockingIOError, OSError):
+    @property
+    def _quiet(self) -> bool:
+        """Nothing of a further request has come, neither here nor in the kernel."""
+        return self._parser.idle and self.reader.empty
+
+    def end_rest(self) -> bool:
+        """End the connection if it is between two requests; whether it was.
+
+        The one way to end an idle connection in order. From the look at what has come to the end of our sending
+        nothing else runs: a request that is read later is not sent on, and its client knows that it was not.
+        """
+        if self._ending or self._final is not None or self.stream.closed() or not self._quiet:
+            return False
+        self._shut()
+        self.reader.stop(RestOverError())
+        return True
+
+    def give_way(self) -> bool:
+        """The same at once, to give the descriptor back; the end of a connection that lingers is cut short."""
+        if not self._ending and not self.end_rest():
             return False
+        self.stream.close()
+        return True
+
+    def give_up(self) -> None:
+        """The program is about to end: a request that is not whole is turned off, and is not sent on."""
+        if self._ending or self.end_rest():
+            return
+        uploading = self._upload is not None and not self._upload.done()
+        if self._final is None or uploading:
+            self.reader.stop(http1.MalformedError(503, "the sidecar is ending"))
+        if self._call is not None and uploading:
+            self._call.payload.rest.cut()
 
     async def serve(self) -> None:
         try:
-            while True:
-                request = await self._request()
-                self.used = True
-                if request.target == READY:
-                    ready = http1.write_response(200 if self._all.ready() else 503, [], b"", not request.keep_alive)
-                    await self._write(ready)
-                    keep = request.keep_alive
-                else:
-                    keep = await self._serve(request)
-                if not keep:
-                    return
+            await self._answers()
+            await self._finish()
+        except RestOverError:
+            await self._finish()
         except http1.MalformedError as error:
             await self._turn_off(error)
         except StreamClosedError:
@@ -133,6 +124,26 @@
                 self._upload.cancel()
             self.stream.close()
 
+    async def _answers(self) -> None:
+        """One after another, up to the last."""
+        keep = True
+        while keep:
+            request = await self._request()
+            self.used = True
+            if request.target == READY:
+                keep = self._keeps(request)
+                await self._write(http1.write_response(200 if self._all.ready() else 503, [], b"", not keep))
+            else:
+                keep = await self._serve(request)
+            if self._all.closing and (self._all.over or self._quiet):  # since the answer was worded
+                return
+
+    def _keeps(self, request: http1.Message) -> bool:
+        """Whether the connection serves on after the answer to this request."""
+        if not request.keep_alive or self.reader.dropped:
+            return False
+        return not self._all.closing or not (self._all.over or self._quiet)
+
     async def _serve(self, request: http1.Message) -> bool:
         """One call up to its answer; whether the connection can be used again."""
         self._take(request)
@@ -144,7 +155,7 @@
         early = self._upload is not None and not self._upload.done()
         if request.rest is not None:
             request.rest.cut()
-        keep = request.keep_alive and not self._all.closing and not early
+        keep = not early and self._keeps(request)
         if final.verdict is Verdict.SERVED and final.payload.rest is not None:
             keep = await self._pass_on(call, final.payload, keep, request.minor)
         else:
@@ -153,6 +164,9 @@
         if self._upload is not None:
             await self._upload
         self._call = self._final = self._upload = None
+        if self.reader.dropped:
+            return False
+        self.reader.go(Mode.REST)
         return keep
 
     async def _pass_on(self, call: Call, response: http1.Message, keep: bool, minor: int) -> bool:
@@ -160,23 +174,23 @@
         chunked = response.length is None and minor == 1
         keep = keep and (chunked or response.length is not None)
         head = http1.response_head(200, passed_headers(response), response.length, not keep, minor)
-        end = "errored"
+        end, self._begun = "errored", True
         try:
             await self._write(head + (http1.chunk(response.body) if chunked and response.body else response.body))
             while piece := await response.rest.get():
                 await self._write(http1.chunk(piece) if chunked else piece)
             if chunked:
                 await self._write(http1.LAST_CHUNK)
-            end = "answered"
+            end, self._begun = "answered", False
         except BrokenError:
             log.info("long answer broke off", call=_printable(call))
-            if minor == 0 and not self.stream.closed():  # an end in good order would pass for the answer's
-                self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             keep = False
         finally:
             response.rest.cut()
             self._call = None
             self._all.calls.passed_on(call, end)
+            if self._begun and minor == 0:  # an end in good order would pass for the answer's
+                self._reset()
         return keep
 
     async def _write(self, response: bytes) -> None:
@@ -200,10 +214,11 @@
                 if not (begun or parser.idle):
                     begun = True
                     self._time(tuning.request_s)
-                parser.feed(await self.stream.read_bytes(PIECE, partial=True))
+                parser.feed(await self.reader.read())
                 self._all.waits(self, False)
-            if parser.asked:
-                await self.stream.write(http1.CONTINUE)
+            if parser.asked and request.minor == 1:
+                self._untime()
+                await self._write(http1.CONTINUE)
             return await self._body(request)
         finally:
             self._all.waits(self, False)
@@ -234,7 +249,7 @@
         tuning, before = self._all.tuning, monotonic()
         left = tuning.body_s + size / tuning.body_rate - self._read_s
         self._time(max(min(left, tuning.body_s), 0.0))
-        self._parser.feed(await self.stream.read_bytes(self._all.budget.piece, partial=True))
+        self._parser.feed(await self.reader.read())
         self._untime()
         self._read_s += monotonic() - before
 
@@ -249,6 +264,7 @@
                     await pipe.put(piece)
                 if parser.complete:
                     parser.next()
+                    self.reader.go(Mode.WATCH)
                     pipe.end()
                     return
                 await self._read(size)
@@ -273,10 +289,12 @@
 
     def _overdue(self) -> None:
         """Silent, or a head or body that does not end: such connections would use up the descriptors."""
-        if not self._parser.idle and not self.stream.closed():
-            error = http1.MalformedError(408, "request not complete in time")
-            self.stream.write(http1.write_response(error.status, [], b"", close=True))
-        self.stream.close()
+        if self.stream.closed():
+            return
+        if not self.reader.empty:  # read in this turn of the loop, or about to be
+            self._time(0.0)
+        elif not self.end_rest():
+            self.reader.stop(http1.MalformedError(408, "request not complete in time"))
 
     def _take(self, request: http1.Message) -> None:
         fields, facade = request.fields, self._all.facade
@@ -295,6 +313,9 @@
             raise http1.MalformedError(400, "X-Call-Class: unknown")
         if not facade.knows_tenant(tenant):
             raise http1.MalformedError(400, "X-Caller: unknown")
+        self.reader.go(Mode.HOLD if request.rest is not None else Mode.WATCH)
+        if self.stream.closed():  # its client has gone already
+            raise StreamClosedError
         # One taken while leaving must not be found open by what ends the process.
         left = min(budget_ms(fields.get(b"x-budget", b"")), max((self._all.calls.last - monotonic()) * 1000.0, 1.0))
         final = self._final = asyncio.get_running_loop().create_future()
@@ -317,25 +338,58 @@
         return self._from
 
     def _closed(self) -> None:
+        self.reader.close()
         self._all.left(self)
-        if self._call is not None:
-            self._all.calls.depart(self._call)
+        self._depart()
         if self._final is not None and not self._final.done():
             self._final.cancel()
         if self._from:
             self._all.gone(self._from)
 
+    def _depart(self) -> None:
+        """Whatever was to come for this client's call is not wanted any more."""
+        call, self._call = self._call, None
+        if call is not None:
+            self._all.calls.depart(call)
+            if call.payload.rest is not None:
+                call.payload.rest.cut()
+
     async def _turn_off(self, error: http1.MalformedError) -> None:
-        """Say why and close, reading on for a while: closing on unread bytes would drop the answer."""
+        """Say why, and end; within an answer the words would be taken for a part of it."""
+        if self._begun:
+            self._reset()
+            return
+        self._depart()
         body = (str(error) + "\n").encode()
+        with contextlib.suppress(StreamClosedError):
+            await self._write(http1.write_response(error.status, [], body, close=True))
+            await self._finish()
+
+    async def _finish(self) -> None:
+        """The end in order: what was written is sent, then our end, and what still comes is dropped for a while."""
+        if self.stream.closed():
+            return
+        if self._upload is not None:
+            self._upload.cancel()
+        self._shut()
         timer = IOLoop.current().call_later(LINGER_S, self.stream.close)
         try:
-            await self.stream.write(http1.write_response(error.status, [], body, close=True))
-            self.stream.socket.shutdown(socket.SHUT_WR)
-            read = 0
-            while read < LINGER_BYTES:
-                read += len(await self.stream.read_bytes(65536, partial=True))
-        except (StreamClosedError, OSError):
-            pass
+            with contextlib.suppress(StreamClosedError):
+                await self.reader.discard(LINGER_BYTES)
         finally:
             IOLoop.current().remove_timeout(timer)
+
+    def _shut(self) -> None:
+        """The end of our sending; the connection is the first to give way from then on."""
+        if self._ending:
+            return
+        self._ending = True
+        self._all.lingers(self)
+        with contextlib.suppress(OSError):  # the client has gone already
+            self.stream.socket.shutdown(socket.SHUT_WR)
+
+    def _reset(self) -> None:
+        """End so that nobody takes what was written for the whole."""
+        if not self.stream.closed():
+            self.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.stream.close()
--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -8,12 +8,12 @@
 from time import monotonic
 
 from tornado.gen import sleep
-from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
 from .. import logs, settings
 from ..config import Address
 from ..facade import Facade
+from .ahead import ClientStream
 from .calls import Calls
 from .consumer import Consumer
 from .pipe import Budget
@@ -46,12 +46,14 @@
         self.budget = budget or Budget(MAX_BUFFER)
         self.calls, self.facade, self.sockets, self.tuning = calls, facade, sockets, tuning
         self.leaving = False  # no more connections ...
-        self.closing = False  # ... and each ends with its next answer
+        self.closing = False  # ... and each ends with its next answer, unless more of its client's has come
+        self.over = False  # ... whatever has come
         self.gone: Callable[[str], None] = lambda origin: None  # hears of each end of a connection of which calls came
         self._has_list = has_list
         self._listener: Listener | None = None
         self._open: dict[Consumer, asyncio.Task[None]] = {}
         self._waiting: dict[Consumer, None] = {}  # those between two requests, the longest first
+        self._lingering: dict[Consumer, None] = {}  # those whose clients have not closed yet though we have
         sockets.consumers.drop_idle = self._drop_idle
 
     def listen(self, at: Address, inherited: socket.socket | None = None) -> socket.socket:
@@ -61,16 +63,21 @@
         """
         if inherited is None:
             inherited = bind_sockets(at[1], at[0], backlog=BACKLOG, reuse_port=True)[0]
-        self._listener = Listener(inherited, self._accept)
+        self._listener = Listener(inherited, self._some_wait)
         return inherited
 
     def ready(self) -> bool:
         return self._listener is not None and self._has_list()
 
-    def _accept(self, most: int = ACCEPTS) -> None:
-        """Some of those that wait: of many at once, each is read before the next ones push it out."""
-        if self._listener is not None:
-            self._listener.take(most, self._admit, self._refused)
+    def _some_wait(self) -> None:
+        self._accept()
+
+    def _accept(self, most: int = ACCEPTS) -> bool:
+        """Some of those that wait: of many at once, each is read before the next ones push it out.
+
+        Whether it came to the end of them.
+        """
+        return self._listener is None or self._listener.take(most, self._admit, self._refused)
 
     def _refused(self, error: OSError) -> None:
         """Aborted by the consumer, or no descriptor left: an idle one makes room."""
@@ -87,13 +94,14 @@
             sock.close()
             self.sockets.consumers.give_back()
             return
-        consumer = Consumer(IOStream(sock, max_buffer_size=MAX_BUFFER), self)
+        consumer = Consumer(ClientStream(sock, max_buffer_size=MAX_BUFFER), self)
         self._open[consumer] = asyncio.get_running_loop().create_task(consumer.serve())
 
     def left(self, consumer: Consumer) -> None:
         """Its connection closed."""
         if self._open.pop(consumer, None) is not None:
             self.waits(consumer, False)
+            self._lingering.pop(consumer, None)
             self.sockets.consumers.give_back()
 
     def waits(self, consumer: Consumer, waiting: bool) -> None:
@@ -103,12 +111,15 @@
         else:
             self._waiting.pop(consumer, None)
 
+    def lingers(self, consumer: Consumer) -> None:
+        """Its connection has ended but for its client's part."""
+        self.waits(consumer, False)
+        self._lingering[consumer] = None
+
     def _drop_idle(self) -> bool:
-        consumer = next(iter(self._waiting), None)
-        if consumer is not None:
-            self.waits(consumer, False)  # its end is told later, and must not be counted on twice
-            consumer.stream.close()
-        return consumer is not None
+        """The first that can give way: those that linger, then those that never asked, then those that have."""
+        waiting = sorted(self._waiting, key=lambda consumer: consumer.used)
+        return any(consumer.give_way() for consumer in [*self._lingering, *waiting])
 
     async def leave(self, handed_on: bool = False) -> None:
         """Take no more, once those under way have arrived; return when every call is answered.
@@ -123,17 +134,23 @@
         accept_s = 0.0 if handed_on else self.tuning.accept_s
         await sleep(accept_s)
         if not handed_on:
-            self._accept(BACKLOG)  # what waits in the queue would be reset with the listener
+            self._accept_all()
         self._stop_listening()
         await sleep(self.tuning.keep_s - accept_s)
         self.closing = True
-        for consumer in [c for c in self._open if c.idle and not c.waiting()]:
-            consumer.stream.close()
+        for consumer in list(self._open):
+            consumer.end_rest()
         # Every call is answered by its deadline; who has not read its answer by then is not waited for.
         end = monotonic() + longest
         while self._open and monotonic() < end:
             await asyncio.wait(list(self._open.values()), timeout=end - monotonic())
 
+    def _accept_all(self) -> None:
+        """What waits in the queue would be reset with the listener."""
+        for _ in range(ACCEPTS):  # one that was aborted ends a turn, and must not cost those behind it
+            if self._accept(BACKLOG):
+                return
+
     def _stop_listening(self) -> None:
         if self._listener is not None:
             self._listener.close()
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -44,22 +44,23 @@
         self._loop.add_handler(sock, lambda *_: accept(), IOLoop.READ)
         self._closed = False
 
-    def take(self, most: int, admit: Callable[[socket.socket], None], failed: Callable[[OSError], None]) -> None:
-        """Accepts up to `most` of those that wait, each given to `admit` in turn, until none is left.
+    def take(self, most: int, admit: Callable[[socket.socket], None], failed: Callable[[OSError], None]) -> bool:
+        """Accepts up to `most` of those that wait, each given to `admit` in turn; whether none is left.
 
         An accept that fails otherwise (aborted by its peer, no descriptor left) goes to `failed` and ends the turn.
         """
         for _ in range(most):
             if self._closed:
-                return
+                return True
             try:
                 sock, _ = self.socket.accept()
             except BlockingIOError:
-                return
+                return True
             except OSError as error:
                 failed(error)
-                return
+                return False
             admit(sock)
+        return False
 
     def close(self) -> None:
         self._closed = True
--- /dev/null
+++ b/tests/test_client_endings.py
@@ -0,0 +1,306 @@
+"""Every way to end a client's connection, at the instant at which something of the client's crosses it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+
+import pytest
+from tornado.ioloop import IOLoop
+
+from limenotch.net import consumer as module
+from limenotch.net import http1
+from limenotch.net.consumer import Consumer
+from limenotch.net.consumers import Consumers
+from limenotch.net.pipe import HOLD, Pipe
+from limenotch.settings import Consumers as Tuning
+
+from .helpers.connections import UP, Connections, received, until, with_connections
+from .helpers.peers import DELIVER, LOOK, Reader, Writer, answering, ask, whole
+from .helpers.processes import run, with_sidecar
+
+PATIENT = Tuning(request_s=60.0, idle_s=60.0)  # only the test ends anything
+BIG = DELIVER.replace(b"Content-Length: 3\r\n\r\ndoc", b"Content-Length: %d\r\n\r\n" % (3 * HOLD)) + bytes(3 * HOLD)
+
+
+def timer(connections: Connections, consumer: Consumer) -> None:
+    consumer._overdue()
+
+
+def eviction(connections: Connections, consumer: Consumer) -> None:
+    connections.all._drop_idle()
+
+
+def leaving(connections: Connections, consumer: Consumer) -> None:
+    consumer.end_rest()
+
+
+def in_kernel(consumer: Consumer) -> None:
+    pass
+
+
+def read(consumer: Consumer) -> None:
+    """As the loop does in the turn in which a timer is due as well: nobody has heard of the bytes yet."""
+    consumer.stream._handle_events(consumer.stream.socket, IOLoop.READ)
+
+
+@pytest.mark.parametrize("used", [False, True], ids=["new", "used"])
+@pytest.mark.parametrize("where", [in_kernel, read])
+@pytest.mark.parametrize("end", [timer, eviction, leaving])
+def test_a_request_that_has_come_is_served_whoever_ends_idle_connections(
+    end: Callable[[Connections, Consumer], None], where: Callable[[Consumer], None], used: bool,
+) -> None:
+    # Guards requests read and not answered: a timer is run before whoever waits for the bytes of the same turn.
+    async def use(connections: Connections) -> None:
+        sock, consumer = await connections.client()
+        if used:
+            sock.sendall(UP)
+            await received(sock, b"\r\n\r\n")
+            await until(lambda: consumer in connections.all._waiting)
+        sock.sendall(UP)
+        where(consumer)
+        end(connections, consumer)
+        assert (await received(sock, b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+        sock.close()
+
+    run(with_connections(use, PATIENT))
+
+
+@pytest.mark.parametrize("end", [timer, leaving])
+def test_a_resting_client_sees_an_end_and_what_it_sends_then_is_not_taken(
+    end: Callable[[Connections, Consumer], None],
+) -> None:
+    async def use(connections: Connections) -> None:
+        sock, consumer = await connections.client()
+        end(connections, consumer)
+        sock.sendall(LOOK * 100)
+        assert await received(sock) == b""  # neither an answer nor a reset
+        sock.close()
+        await until(lambda: not connections.all._open)
+        assert connections.taken() == 0 and connections.sockets.consumers.used == 0
+
+    run(with_connections(use, PATIENT))
+
+
+@pytest.mark.parametrize(("part", "crossing", "behind"), [
+    (LOOK[:30], b"x", b""), (LOOK[:30], b"", b"x"), (DELIVER[:-1], b"", b"x" * 100_000),
+], ids=["unread then", "later", "much later"])
+def test_a_request_that_does_not_end_is_told_so_though_more_of_it_comes(
+    part: bytes, crossing: bytes, behind: bytes,
+) -> None:
+    # Guards the answer: closed at once, over bytes that were not read, the connection was reset.
+    async def use(connections: Connections) -> None:
+        sock, consumer = await connections.client()
+        sock.sendall(part)
+        await until(lambda: not consumer._parser.idle and consumer._timer is not None)
+        sock.sendall(crossing)
+        consumer._overdue()
+        sock.sendall(behind)
+        answer = await received(sock)
+        sock.close()
+        assert answer.startswith(b"HTTP/1.1 408 ") and b"Connection: close" in answer
+
+    run(with_connections(use, PATIENT))
+
+
+@pytest.mark.parametrize("late", [b"\r\n\r\n", b"c"], ids=["head", "body"])
+def test_a_request_whose_last_bytes_came_with_its_time_is_served(late: bytes) -> None:
+    async def use(connections: Connections) -> None:
+        with_body = UP.replace(b"GET", b"POST").replace(b"\r\n\r\n", b"\r\nContent-Length: 3\r\n\r\ndoc")
+        wire = with_body if late == b"c" else UP
+        sock, consumer = await connections.client()
+        sock.sendall(wire[:-len(late)])
+        await until(lambda: not consumer._parser.idle and consumer.reader.empty)
+        sock.sendall(late)
+        consumer._overdue()
+        assert (await received(sock, b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+        sock.close()
+
+    run(with_connections(use, PATIENT))
+
+
+CLOSING = b"\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize(("wire", "status"), [
+    (UP.replace(b"\r\n\r\n", CLOSING), 200),
+    (UP.replace(b"HTTP/1.1", b"HTTP/1.0"), 200),
+    (LOOK.replace(b"look", b"odd"), 400),
+    (BIG.replace(b"deliver", b"odd"), 400),
+    (LOOK.replace(b"GET", b"HEAD"), 405),
+    (DELIVER.replace(b"Length: 3", b"Length: 70000000"), 413),
+    (b"GET /" + b"a" * 20_000, 431),
+], ids=["asked to close", "HTTP/1.0", "400", "400 to a long one", "405", "413", "431"])
+def test_a_last_answer_is_had_though_more_is_sent(wire: bytes, status: int) -> None:
+    # Guards the answer: a close over unread bytes resets the connection, and the answer may be dropped unread.
+    async def use(connections: Connections) -> None:
+        sock, consumer = await connections.client()
+        sock.sendall(wire + UP * 3000)  # more than one read
+        answer = await received(sock)  # a reset would raise
+        assert answer.startswith(b"HTTP/1.1 %d " % status) and answer.count(b"HTTP/1.") == 1
+        sock.close()
+        await until(lambda: not connections.all._open)
+
+    run(with_connections(use, PATIENT))
+
+
+def test_a_client_that_stays_after_our_end_holds_its_descriptor_for_a_bounded_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(module, "LINGER_S", 0.05)
+
+    async def use(connections: Connections) -> None:
+        silent, _ = await connections.client()
+        silent.sendall(UP.replace(b"\r\n\r\n", CLOSING))
+        await received(silent)
+        while connections.sockets.consumers.used:
+            await asyncio.sleep(0.01)
+        silent.close()
+
+    run(with_connections(use, PATIENT))
+
+
+def test_at_the_limit_those_that_linger_go_first_then_those_that_never_asked() -> None:
+    async def use(connections: Connections) -> None:
+        working, work = await connections.client()
+        working.sendall(UP)
+        await received(working, b"\r\n\r\n")
+        silent, never = await connections.client()
+        lingering, gone = await connections.client()
+        lingering.sendall(UP.replace(b"\r\n\r\n", CLOSING))
+        await received(lingering)
+        await until(lambda: work in connections.all._waiting)
+        order: list[Consumer] = []
+        for _ in range(3):
+            before = set(connections.all._open)
+            assert connections.all._drop_idle()
+            order += before - set(connections.all._open)
+        assert order == [gone, never, work] and not connections.all._drop_idle()
+        assert connections.sockets.consumers.used == 0
+        for sock in (working, silent, lingering):
+            sock.close()
+
+    run(with_connections(use, PATIENT))
+
+
+def test_idle_clients_that_fill_the_descriptors_keep_nobody_out() -> None:
+    # Neither one that has worked before, nor a new one that asks at once, nor one with a request in the kernel.
+    async def use(connections: Connections) -> None:
+        limit = connections.sockets.consumers.limit
+        working, work = await connections.client()
+        working.sendall(UP)
+        await received(working, b"\r\n\r\n")
+        await until(lambda: work in connections.all._waiting)
+        idle = []
+        for _ in range(3 * limit):
+            idle.append((await connections.client())[0])
+        assert connections.sockets.consumers.used <= limit
+        working.sendall(UP)
+        assert (await received(working, b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+        assert (await ask(connections.port, UP)).status == 200
+        for sock in (working, *idle):
+            sock.close()
+
+    run(with_connections(use, PATIENT, limit=64))
+
+
+@pytest.mark.parametrize(("version", "told"), [(b"HTTP/1.1", True), (b"HTTP/1.0", False)])
+def test_a_word_is_awaited_and_then_nothing_comes(version: bytes, told: bool) -> None:
+    # RFC 9110 10.1.1: of HTTP/1.0 the expectation is not looked at.
+    async def use(connections: Connections) -> None:
+        sock, consumer = await connections.client()
+        head = DELIVER[:-3].replace(b"HTTP/1.1", version).replace(b"\r\n\r\n", b"\r\nExpect: 100-continue\r\n\r\n")
+        sock.sendall(head)
+        await until(lambda: not consumer._parser.idle and consumer._timer is not None)
+        consumer._overdue()
+        answer = await received(sock)
+        sock.close()
+        assert answer.startswith(http1.CONTINUE + b"HTTP/1.1 408 " if told else b"HTTP/1.1 408 ")
+
+    run(with_connections(use, Tuning(request_s=60.0, body_s=60.0)))
+
+
+def test_a_fault_of_ours_is_told_and_its_call_ends_first() -> None:
+    # Guards the one final answer: attempts must not begin after it, while the client still reads it.
+    async def use(connections: Connections) -> None:
+        sock, consumer = await connections.client()
+        sock.sendall(LOOK)
+        await until(lambda: bool(connections.calls.open))
+        assert consumer._final is not None
+        consumer._final.set_exception(RuntimeError("a fault"))
+        answer = await received(sock)
+        assert answer.startswith(b"HTTP/1.1 502 ") and not connections.calls.open
+        sock.close()
+
+    run(with_connections(use, PATIENT))
+
+
+@pytest.mark.parametrize("framing", [b"Content-Length: %d\r\n" % (4 * HOLD), b""], ids=["length", "until the end"])
+@pytest.mark.parametrize("minor", [0, 1])
+def test_a_fault_of_ours_within_an_answer_adds_nothing_to_it(
+    framing: bytes, minor: int, monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against bytes that no endpoint made: the words for our fault would be taken for a part of the body.
+    async def faulty(self: Pipe) -> bytes:
+        raise RuntimeError("a fault")
+
+    async def handle(reader: Reader, writer: Writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n" + framing + b"\r\n" + bytes(2 * HOLD))
+        await reader.read()
+        writer.close()
+
+    async def use(port: int) -> None:
+        monkeypatch.setattr(Pipe, "get", faulty)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(LOOK.replace(b"HTTP/1.1", b"HTTP/1.%d" % minor))
+        with pytest.raises(ConnectionResetError):
+            while data := await reader.read(1024 * 1024):
+                assert b"internal fault" not in data
+        writer.close()
+
+    run(with_sidecar(handle, use))
+
+
+def test_a_connection_accepted_and_gone_at_once_costs_nobody_anything() -> None:
+    async def use(port: int) -> None:
+        for _ in range(50):
+            sock = socket.create_connection(("127.0.0.1", port))
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+            sock.close()
+        assert (await ask(port, LOOK)).status == 200
+
+    run(with_sidecar(answering(whole(200))[0], use))
+
+
+def test_one_aborted_in_the_queue_costs_those_behind_it_nothing() -> None:
+    # Guards what waits when a process leaves: the accept that failed ended the turn, and the queue was reset.
+    class Aborting(socket.socket):
+        aborted = 0
+
+        def accept(self) -> tuple[socket.socket, object]:
+            if self.aborted < 2:
+                self.aborted += 1
+                raise ConnectionAbortedError(103, "Software caused connection abort")
+            return super().accept()
+
+    async def use(connections: Connections) -> None:
+        all_: Consumers = connections.all
+        all_._stop_listening()
+        queue = Aborting()
+        queue.bind(("127.0.0.1", 0))
+        queue.listen(8)
+        queue.setblocking(False)
+        all_.listen(("127.0.0.1", 0), queue)
+        clients = [socket.create_connection(queue.getsockname()) for _ in range(3)]
+        for sock in clients:
+            sock.settimeout(20.0)
+            sock.sendall(UP)
+        all_._accept_all()
+        all_._stop_listening()
+        for sock in clients:
+            assert (await received(sock, b"\r\n\r\n")).startswith(b"HTTP/1.1 503 ")  # no listener: not ready
+            sock.close()
+
+    run(with_connections(use, PATIENT))
