Let the stages of shutting down follow from the longest deadline

Seen: with deadlines of 0.3 s (SIGKILL 1.0 s after SIGTERM) connections were served on for 1.8 s: what came after 0.7 s was found unanswered by SIGKILL. A client that only asked GET /up kept its connection up to the kill; one whose answer was worded just before closing began stayed for idle_s; half a request waited for request_s; with nothing open the process still stayed for 1.8 s. Ruled out: the calls' own end (Calls.last), which did follow from the deadlines. At fault: Consumers.leave, whose stages were accept_s and keep_s alone, and the /up branch of Consumer.serve. Mend: net/leaving.py, a pure function from the longest deadline to the stages; who is taken last has half of it, answers are given 0.2 s before the kill and connections ended 0.1 s before it. A request that is not whole then is answered 503 and not sent on. keep_s and accept_s are what operators wish at most; nothing changes for deadlines of 3 s and more. The time counts from the signal itself, also where it comes during the start.

--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -16,6 +16,7 @@
 from .ahead import ClientStream
 from .calls import Calls
 from .consumer import Consumer
+from .leaving import schedule
 from .pipe import Budget
 from .sockets import Listener, Sockets
 
@@ -25,11 +26,6 @@
 ACCEPTS = 16  # in a row
 MAX_BUFFER = 512 * 1024
 
-# What ends a process after SIGTERM comes no earlier than the longest deadline, counted as so much at most ...
-KILL_MOST_S = 3.0
-KILL_AFTER_S = 0.7  # ... and so much more.
-KILL_MARGIN_S = 0.2
-
 
 class Consumers:
     """Owns the listener and the consumers' connections."""
@@ -121,29 +117,39 @@
         waiting = sorted(self._waiting, key=lambda consumer: consumer.used)
         return any(consumer.give_way() for consumer in [*self._lingering, *waiting])
 
-    async def leave(self, handed_on: bool = False) -> None:
+    async def leave(self, handed_on: bool = False, since: float | None = None) -> None:
         """Take no more, once those under way have arrived; return when every call is answered.
 
         Kept connections are served on as long as there is time, since their consumers may have nowhere else to go.
         With the listener `handed_on` they have: each closes with its next answer, and what waits in the queue is the
-        next process's.
+        next process's. `since`: when SIGTERM came, by time.monotonic.
         """
-        self.leaving, self.closing = True, handed_on
+        begun = monotonic() if since is None else since
         longest = max(cls.deadline_ms for cls in self.facade.classes) / 1000.0
-        self.calls.last = monotonic() + min(longest, KILL_MOST_S) + KILL_AFTER_S - KILL_MARGIN_S
-        accept_s = 0.0 if handed_on else self.tuning.accept_s
-        await sleep(accept_s)
+        times = schedule(longest, self.tuning.accept_s, self.tuning.keep_s, handed_on)
+        self.leaving, self.closing = True, handed_on
+        self.calls.last = begun + times.answer_s
+        await sleep(begun + times.accept_s - monotonic())
         if not handed_on:
             self._accept_all()
         self._stop_listening()
-        await sleep(self.tuning.keep_s - accept_s)
+        await self._until(begun + times.close_s)
         self.closing = True
         for consumer in list(self._open):
             consumer.end_rest()
-        # Every call is answered by its deadline; who has not read its answer by then is not waited for.
-        end = monotonic() + longest
-        while self._open and monotonic() < end:
-            await asyncio.wait(list(self._open.values()), timeout=end - monotonic())
+        await self._until(begun + times.answer_s)
+        self.over = True
+        for consumer in list(self._open):
+            consumer.give_up()
+        await self._until(begun + times.end_s)
+        for consumer in [consumer for consumer in self._open if not consumer.owes]:
+            consumer.stream.close()
+        await self._until(begun + times.wait_s)
+
+    async def _until(self, time: float) -> None:
+        """No connection is open any more, or it is this late."""
+        while self._open and (left := time - monotonic()) > 0:
+            await asyncio.wait(list(self._open.values()), timeout=left)
 
     def _accept_all(self) -> None:
         """What waits in the queue would be reset with the listener."""
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -7,6 +7,7 @@
 import os
 import signal
 from collections.abc import Callable
+from time import monotonic
 from typing import TYPE_CHECKING, Any
 
 from tornado.ioloop import PeriodicCallback
@@ -135,10 +136,16 @@
         else:
             parts.adopt(new)
 
-    stop = asyncio.Event()
+    stop, told = asyncio.Event(), list[float]()
+
+    def end() -> None:
+        """What ends the process counts from the first signal, wherever that finds us."""
+        told.append(monotonic())
+        stop.set()
+
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        asyncio.get_running_loop().add_signal_handler(number, end)
     calls.carry_out(facade.start())
     inherited = await successor.ask()
     if inherited is not None:
@@ -164,7 +171,7 @@
     log.info("leaving", open_calls=len(calls.open), handed_on=successor.serves)
     if others is not None:
         others.leave()
-    await consumers.leave(successor.serves)
+    await consumers.leave(successor.serves, told[0])
     looking.stop()
     operators.close()
     successor.close()
--- /dev/null
+++ b/tests/test_shutdown.py
@@ -0,0 +1,226 @@
+"""From SIGTERM to the end of the process: what is owed at each stage, and that it is paid before SIGKILL may come."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+from time import monotonic
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limenotch.net import http1
+from limenotch.net.leaving import KILL_AFTER_S, KILL_MOST_S, Schedule, schedule
+from limenotch.net.pipe import HOLD
+from limenotch.settings import Consumers as Tuning
+from limenotch.settings import Settings
+from switchthread.settings import read_settings
+
+from .helpers.connections import UP, Connections, received, until, with_connections
+from .helpers.peers import DELIVER, LOOK, SETTINGS, Reader, Writer, answer_from, answering, ask, whole
+from .helpers.processes import run, with_sidecar
+
+PATIENT = Tuning(request_s=60.0, idle_s=60.0)  # only leaving ends anything
+BIG = DELIVER.replace(b"Content-Length: 3\r\n\r\ndoc", b"Content-Length: %d\r\n\r\n" % (3 * HOLD)) + bytes(3 * HOLD)
+OF_OLD_S = 1.8  # keep_s: connections were served on for so long, whatever the deadlines
+
+
+def deadlines(seconds: float) -> dict[str, Any]:
+    """The tests' settings with these deadlines."""
+    limits = {"target_ms": seconds * 500.0, "hard_limit_ms": seconds * 1000.0}
+    classes = [{**cls, **limits} for cls in json.loads(json.dumps(SETTINGS["classes"]))]
+    return {**SETTINGS, "classes": classes}
+
+
+@pytest.mark.parametrize(("longest", "expected"), [
+    (0.3, Schedule(0.5, 0.65, 0.8, 0.9, 0.9)),
+    (1.0, Schedule(0.5, 1.0, 1.5, 1.6, 1.6)),
+    (3.0, Schedule(0.5, 1.8, 3.5, 3.6, 3.6)),
+    (10.0, Schedule(0.5, 1.8, 3.5, 3.6, 10.0)),
+])
+def test_the_schedule_follows_from_the_longest_deadline(longest: float, expected: Schedule) -> None:
+    assert schedule(longest, 0.5, 1.8) == pytest.approx(expected)
+    assert schedule(longest, 0.5, 1.8, handed_on=True) == pytest.approx(expected._replace(accept_s=0.0))
+
+
+@given(st.floats(0.001, 3600.0), st.floats(0.001, 3600.0), st.floats(0.0, 3600.0), st.booleans())
+def test_whatever_the_settings_all_is_over_before_the_kill(
+    longest: float, accept: float, more: float, handed_on: bool
+) -> None:
+    counted = min(longest, KILL_MOST_S)
+    times = schedule(longest, accept, accept + more, handed_on)
+    assert 0.0 <= times.accept_s <= times.close_s < times.answer_s < times.end_s < counted + KILL_AFTER_S
+    assert times.answer_s - times.close_s >= counted / 2 - 1e-9  # an honest chance for who comes last
+    assert times.wait_s >= longest  # calls taken before
+    if not handed_on:
+        assert times.accept_s >= min(accept, 0.5) - 1e-9  # new connections keep arriving for 0.4 s
+
+
+def test_short_deadlines_all_connections_end_in_order_before_the_kill() -> None:
+    # Guards what SIGKILL finds: the stages were fixed times, beyond the kill where deadlines are under a second.
+    # One client sends on while its connection stays open, one rests, one never closes, one has sent half a request,
+    # one waits for an endpoint that hangs.
+    async def case() -> None:
+        hanging, seen = asyncio.Event(), list[bytes]()
+
+        async def handle(reader: Reader, writer: Writer) -> None:
+            while not reader.at_eof():
+                request = await reader.readuntil(b"\r\n\r\n")
+                seen.append(request)
+                if b"Id: hangs" in request:
+                    hanging.set()
+                    await reader.read()
+                    break
+                writer.write(whole(200))
+            writer.close()
+
+        async def sends_on(port: int) -> int:
+            """How many were answered. An end may cross the last one: then it was not sent on."""
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            parser, number, keep = http1.ResponseParser(), 0, True
+            while keep:
+                number += 1
+                writer.write(LOOK.replace(b"Id: 1", b"Id: s%d" % number))
+                data = await reader.read(65536)
+                if not data:
+                    assert not any(b"Id: s%d\r\n" % number in request for request in seen)
+                    break
+                parser.feed(data)
+                keep = (await answer_from(reader, parser)).keep_alive  # fails where it does not come whole
+            assert await reader.read() == b""
+            writer.close()
+            return number
+
+        async def use(port: int) -> None:
+            resting = await asyncio.open_connection("127.0.0.1", port)
+            staying = await asyncio.open_connection("127.0.0.1", port)
+            half = await asyncio.open_connection("127.0.0.1", port)
+            half[1].write(LOOK.replace(b"Id: 1", b"Id: half")[:-2])
+            waiting = asyncio.create_task(ask(port, LOOK.replace(b"Id: 1", b"Id: hangs")))
+            await hanging.wait()
+            began = monotonic()
+            os.kill(os.getpid(), signal.SIGTERM)
+            sending = asyncio.create_task(sends_on(port))
+            assert await resting[0].read() == b"" and await staying[0].read() == b""
+            resting[1].close()
+            assert (await half[0].read()).startswith(b"HTTP/1.1 503 ")
+            half[1].close()
+            assert (await waiting).status in (502, 503, 504)
+            assert await sending > 1
+            while True:
+                try:
+                    socket.create_connection(("127.0.0.1", port)).close()
+                except OSError:
+                    break
+                await asyncio.sleep(0)
+            assert monotonic() - began < OF_OLD_S
+            ended.append(began)
+            staying[1].close()
+
+        ended: list[float] = []
+        tuning, more = Settings(consumers=PATIENT), {"settings": deadlines(0.3)}
+        await with_sidecar(handle, use, ends=True, tuning=tuning, more=more)
+        assert monotonic() - ended[0] < OF_OLD_S
+        assert not any(b"Id: half" in request for request in seen)
+
+    run(case())
+
+
+def test_sigterm_twice_and_nothing_open_ends_once_the_last_connections_have_arrived() -> None:
+    async def case() -> None:
+        began: list[float] = []
+
+        async def use(port: int) -> None:
+            began.append(monotonic())
+            os.kill(os.getpid(), signal.SIGTERM)
+            assert (await ask(port, LOOK)).status == 200  # one that comes late
+            os.kill(os.getpid(), signal.SIGTERM)
+
+        await with_sidecar(answering(whole(200))[0], use, ends=True)
+        assert monotonic() - began[0] < OF_OLD_S
+
+    run(case())
+
+
+@pytest.mark.parametrize(("sent", "answers"), [(UP, 1), (UP * 3, 3)], ids=["one", "more has come"])
+def test_while_closing_the_last_answer_to_what_has_come_says_so(sent: bytes, answers: int) -> None:
+    # Guards the end: who only asks whether we are ready kept its connection up to the kill.
+    async def use(connections: Connections) -> None:
+        sock, _ = await connections.client()
+        connections.all.closing = True
+        sock.sendall(sent)
+        said = await received(sock)
+        assert said.count(b"HTTP/1.1 200 ") == answers and said.count(b"Connection: close") == 1
+        sock.close()
+
+    run(with_connections(use, PATIENT))
+
+
+def test_a_connection_whose_answer_was_worded_before_closing_began_ends_after_it() -> None:
+    async def use(connections: Connections) -> None:
+        sock, consumer = await connections.client()
+        written = consumer._write
+
+        async def write(response: bytes) -> None:
+            await written(response)
+            connections.all.closing = True
+
+        consumer._write = write  # type: ignore[method-assign]
+        sock.sendall(UP)
+        said = await received(sock)
+        assert said.startswith(b"HTTP/1.1 200 ") and b"Connection: close" not in said
+        sock.close()
+
+    run(with_connections(use, PATIENT))
+
+
+@pytest.mark.parametrize("part", [b"GET /ap", DELIVER[:-1], BIG[:-1]], ids=["head", "body", "long body"])
+def test_a_request_that_is_not_whole_at_the_end_is_turned_off(part: bytes) -> None:
+    # A long one has its call open: no endpoint has had its last byte, and none gets it.
+    async def use(connections: Connections) -> None:
+        sock, consumer = await connections.client()
+        await asyncio.to_thread(sock.sendall, part)
+        await until(lambda: not consumer._parser.idle)
+        if part == BIG[:-1]:
+            await until(lambda: bool(connections.calls.open))
+        times = schedule(20.0, 0.5, 1.8)
+        leaving = asyncio.create_task(connections.all.leave(since=monotonic() - times.answer_s))
+        assert (await received(sock)).startswith(b"HTTP/1.1 503 ")
+        assert not connections.calls.open
+        sock.close()
+        await leaving
+        assert connections.budget.used == 0
+
+    run(with_connections(use, PATIENT))
+
+
+def test_connections_that_linger_do_not_hold_up_the_end() -> None:
+    async def use(connections: Connections) -> None:
+        sock, _ = await connections.client()
+        times = schedule(20.0, 0.5, 1.8)
+        await connections.all.leave(since=monotonic() - times.end_s)
+        assert not connections.all._open
+        assert await received(sock) == b""
+        sock.close()
+
+    run(with_connections(use, PATIENT))
+
+
+def test_deadlines_that_change_while_leaving_change_no_time() -> None:
+    # SIGKILL counts from what was in force at SIGTERM.
+    async def use(connections: Connections) -> None:
+        leaving = asyncio.create_task(connections.all.leave())
+        await asyncio.sleep(0)
+        last = connections.calls.last
+        for seconds in (0.1, 100.0):
+            connections.calls.carry_out(connections.calls.facade.retune(read_settings(deadlines(seconds))))
+            await asyncio.sleep(0)
+            assert connections.calls.last == last
+        leaving.cancel()
+
+    run(with_connections(use, PATIENT))
