End an idle connection only when all is written, and an upload's fault with its call

Seen by review: Consumer.end_rest could shut our sending over an answer to /up not yet flushed; a fault of ours in _read_on ended the upload's task, left its call open to its deadline, and a fault after an early answer was told as a second one. At fault: no look at the stream's own write buffer; `except` of two kinds only. Mend: both lines; a fault in an upload cuts the pipe, ends the call and is told once.

--- a/limenotch/net/consumer.py
+++ b/limenotch/net/consumer.py
@@ -83,7 +83,7 @@
         The one way to end an idle connection in order. From the look at what has come to the end of our sending
         nothing else runs: a request that is read later is not sent on, and its client knows that it was not.
         """
-        if self._ending or self._final is not None or self.stream.closed() or not self._quiet:
+        if self._ending or self._final is not None or self.stream.closed() or self.stream.writing() or not self._quiet:
             return False
         self._shut()
         self.reader.stop(RestOverError())
@@ -268,13 +268,15 @@
                     pipe.end()
                     return
                 await self._read(size)
-        except http1.MalformedError as error:
-            pipe.cut()
-            if self._final is not None and not self._final.done() and self._call is not None:
-                self._all.calls.depart(self._call)  # never whole, so never taken
-                self._final.set_exception(error)
         except StreamClosedError:
             pipe.cut()
+        except Exception as error:  # malformed or late, else a fault of ours: either way it never was whole
+            pipe.cut()
+            if self._final is not None and not self._final.done():
+                self._depart()
+                self._final.set_exception(error)
+            elif not isinstance(error, http1.MalformedError):
+                log.exception("fault at a consumer's upload")
         finally:
             self._untime()
 
--- a/tests/helpers/connections.py
+++ b/tests/helpers/connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -58,9 +59,9 @@
             consumer.stream.close()
 
 
-async def until(holds: Callable[[], bool]) -> None:
-    """Turns of the loop until it holds; without a fault that is soon."""
-    for _ in range(STEPS):
+async def until(holds: Callable[[], bool], turns: int | None = STEPS) -> None:
+    """Turns of the loop until it holds; without a fault that is soon. `turns` None: the case's own limit holds."""
+    for _ in itertools.count() if turns is None else range(turns):
         if holds():
             return
         await asyncio.sleep(0)
--- a/tests/test_client_endings.py
+++ b/tests/test_client_endings.py
@@ -263,6 +263,38 @@
     run(with_sidecar(handle, use))
 
 
+def test_a_fault_of_ours_in_an_upload_is_told_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards the call: nobody filled its pipe any more, and it stayed open to its deadline.
+    async def faulty(self: Pipe, piece: bytes) -> None:
+        raise RuntimeError("a fault")
+
+    async def use(connections: Connections) -> None:
+        monkeypatch.setattr(Pipe, "put", faulty)
+        sock, _ = await connections.client()
+        await asyncio.to_thread(sock.sendall, BIG)
+        answer = await received(sock)
+        assert answer.startswith(b"HTTP/1.1 502 ") and answer.count(b"HTTP/1.") == 1
+        assert not connections.calls.open and connections.budget.used == 0
+        sock.close()
+
+    run(with_connections(use, PATIENT))
+
+
+def test_an_answer_that_is_still_being_written_is_not_cut_off() -> None:
+    async def use(connections: Connections) -> None:
+        sock, consumer = await connections.client()
+        size = 32 * 1024 * 1024
+        consumer.stream.write(bytes(size))
+        assert consumer.stream.writing() and not consumer.end_rest()
+        got = asyncio.create_task(received(sock))
+        await until(lambda: not consumer.stream.writing(), turns=None)
+        assert consumer.end_rest()
+        assert len(await got) == size
+        sock.close()
+
+    run(with_connections(use, PATIENT))
+
+
 def test_a_connection_accepted_and_gone_at_once_costs_nobody_anything() -> None:
     async def use(port: int) -> None:
         for _ in range(50):
