Wait for answers that have begun while leaving, beyond the time of the kill

Seen by review of the new schedule: with deadlines of 3 s and less the process ended by itself 0.1 s before the kill though a long answer was still being passed on: a process that ends loses what it has not answered, and whether the kill comes is not ours to say. At fault: Schedule.wait_s, the end of all stages at the latest. Mend: the longest deadline after them. The new case in tests/test_shutdown.py was seen to fail without it.

--- a/limenotch/net/leaving.py
+++ b/limenotch/net/leaving.py
@@ -18,7 +18,7 @@
     close_s: float  # from then on a connection without a call ends, each other one with its answer
     answer_s: float  # until then calls taken while leaving are answered; requests that are not whole are turned off
     end_s: float  # connections end of which nothing is owed, whatever their clients do
-    wait_s: float  # calls taken before SIGTERM are waited for until then: whatever we leave behind is lost
+    wait_s: float  # calls taken before SIGTERM, and answers that have begun, are waited for: what we leave is lost
 
 
 def schedule(longest_s: float, accept_s: float, keep_s: float, handed_on: bool = False) -> Schedule:
@@ -33,4 +33,4 @@
     latest = answer - counted / 2
     accept = 0.0 if handed_on else min(accept_s, latest)
     end = kill - END_MARGIN_S
-    return Schedule(accept, max(accept, min(keep_s, latest)), answer, end, max(longest_s, end))
+    return Schedule(accept, max(accept, min(keep_s, latest)), answer, end, end + longest_s)
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -15,6 +15,7 @@
 from hypothesis import strategies as st
 
 from limenotch.net import http1
+from limenotch.net.consumers import Consumers
 from limenotch.net.leaving import KILL_AFTER_S, KILL_MOST_S, Schedule, schedule
 from limenotch.net.pipe import HOLD
 from limenotch.settings import Consumers as Tuning
@@ -38,10 +39,10 @@
 
 
 @pytest.mark.parametrize(("longest", "expected"), [
-    (0.3, Schedule(0.5, 0.65, 0.8, 0.9, 0.9)),
-    (1.0, Schedule(0.5, 1.0, 1.5, 1.6, 1.6)),
-    (3.0, Schedule(0.5, 1.8, 3.5, 3.6, 3.6)),
-    (10.0, Schedule(0.5, 1.8, 3.5, 3.6, 10.0)),
+    (0.3, Schedule(0.5, 0.65, 0.8, 0.9, 1.2)),
+    (1.0, Schedule(0.5, 1.0, 1.5, 1.6, 2.6)),
+    (3.0, Schedule(0.5, 1.8, 3.5, 3.6, 6.6)),
+    (10.0, Schedule(0.5, 1.8, 3.5, 3.6, 13.6)),
 ])
 def test_the_schedule_follows_from_the_longest_deadline(longest: float, expected: Schedule) -> None:
     assert schedule(longest, 0.5, 1.8) == pytest.approx(expected)
@@ -56,7 +57,7 @@
     times = schedule(longest, accept, accept + more, handed_on)
     assert 0.0 <= times.accept_s <= times.close_s < times.answer_s < times.end_s < counted + KILL_AFTER_S
     assert times.answer_s - times.close_s >= counted / 2 - 1e-9  # an honest chance for who comes last
-    assert times.wait_s >= longest  # calls taken before
+    assert times.wait_s >= longest + times.end_s  # calls taken before, and answers that have begun
     if not handed_on:
         assert times.accept_s >= min(accept, 0.5) - 1e-9  # new connections keep arriving for 0.4 s
 
@@ -131,6 +132,46 @@
     run(case())
 
 
+def test_an_answer_that_has_begun_is_not_cut_off_by_our_own_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Whether SIGKILL comes is not ours to say; a process that ends by itself loses what it has not answered.
+    left, leave = list[bool](), Consumers.leave
+
+    async def leaves(self: Consumers, *given: Any) -> None:
+        await leave(self, *given)
+        left.append(True)  # the program ends
+
+    async def case() -> None:
+        monkeypatch.setattr(Consumers, "leave", leaves)
+        begun, release, size = asyncio.Event(), asyncio.Event(), 4 * HOLD
+
+        async def handle(reader: Reader, writer: Writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + bytes(size - 1))
+            begun.set()
+            await release.wait()
+            writer.write(b"!")
+            await reader.read()
+            writer.close()
+
+        async def use(port: int) -> None:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(LOOK)
+            await begun.wait()
+            os.kill(os.getpid(), signal.SIGTERM)
+            await reader.readuntil(b"\r\n\r\n")
+            assert len(await reader.readexactly(size - 1)) == size - 1
+            await asyncio.sleep(schedule(1.0, 0.5, 1.8).end_s + 0.1)
+            assert not left
+            release.set()
+            assert await reader.read() == b"!"
+            writer.close()
+
+        await with_sidecar(handle, use, ends=True, more={"settings": deadlines(1.0)})
+        assert left
+
+    run(case())
+
+
 def test_sigterm_twice_and_nothing_open_ends_once_the_last_connections_have_arrived() -> None:
     async def case() -> None:
         began: list[float] = []
