Let the listener rest while no descriptor is to be had

Any other failed accept (one aborted by its client) closed an idle client's connection for nothing. At fault: Consumers._refused. Mend: an idle one gives way for want of a descriptor alone; where there is none the listener rests for 0.02 s, and who waits stays in the queue. The case in tests/test_client_endings.py was seen to fail without it.

--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 from time import monotonic
@@ -25,6 +26,8 @@
 BACKLOG = 1024
 ACCEPTS = 16  # in a row
 MAX_BUFFER = 512 * 1024
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
+REST_S = 0.02  # with no descriptor left and none to be had: the queue would call us in every turn of the loop
 
 
 class Consumers:
@@ -78,7 +81,8 @@
     def _refused(self, error: OSError) -> None:
         """Aborted by the consumer, or no descriptor left: an idle one makes room."""
         log.warning("listener", error=str(error))
-        self._drop_idle()
+        if error.errno in NO_DESCRIPTOR and not self._drop_idle() and self._listener is not None:
+            self._listener.rest(REST_S)
 
     def _admit(self, sock: socket.socket) -> None:
         if not self.sockets.consumers.take():
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -41,8 +41,9 @@
     def __init__(self, sock: socket.socket, accept: Callable[[], None]) -> None:
         self.socket = sock
         self._loop = IOLoop.current()
+        self._accept = accept
+        self._closed, self._resting = False, False
         self._loop.add_handler(sock, lambda *_: accept(), IOLoop.READ)
-        self._closed = False
 
     def take(self, most: int, admit: Callable[[socket.socket], None], failed: Callable[[OSError], None]) -> bool:
         """Accepts up to `most` of those that wait, each given to `admit` in turn; whether none is left.
@@ -62,9 +63,22 @@
             admit(sock)
         return False
 
+    def rest(self, wait_s: float) -> None:
+        """Call `accept` no more for so long: who waits stays in the queue."""
+        if not self._closed and not self._resting:
+            self._resting = True
+            self._loop.remove_handler(self.socket)
+            self._loop.call_later(wait_s, self._wake)
+
+    def _wake(self) -> None:
+        if not self._closed:
+            self._resting = False
+            self._loop.add_handler(self.socket, lambda *_: self._accept(), IOLoop.READ)
+
     def close(self) -> None:
         self._closed = True
-        self._loop.remove_handler(self.socket)
+        if not self._resting:
+            self._loop.remove_handler(self.socket)
         self.socket.close()
 
 
--- a/tests/test_client_endings.py
+++ b/tests/test_client_endings.py
@@ -336,3 +336,35 @@
             sock.close()
 
     run(with_connections(use, PATIENT))
+
+
+def test_without_a_descriptor_the_queue_waits_and_the_loop_does_not_spin() -> None:
+    # Guards everybody else: a queue that can't be emptied called the listener in every turn of the loop.
+    class Full(socket.socket):
+        tries, full = 0, True
+
+        def accept(self) -> tuple[socket.socket, object]:
+            self.tries += 1
+            if self.full:
+                raise OSError(24, "Too many open files")
+            return super().accept()
+
+    async def use(connections: Connections) -> None:
+        connections.all._stop_listening()
+        queue = Full()
+        queue.bind(("127.0.0.1", 0))
+        queue.listen(8)
+        queue.setblocking(False)
+        connections.all.listen(("127.0.0.1", 0), queue)
+        sock = socket.create_connection(queue.getsockname())
+        sock.settimeout(20.0)
+        sock.sendall(UP)
+        await until(lambda: queue.tries > 0)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert queue.tries < 10  # in so many turns, each of which used to try
+        queue.full = False
+        assert (await received(sock, b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+        sock.close()
+
+    run(with_connections(use, PATIENT))
