--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections.abc import Callable
 from time import monotonic
 
 from tornado.gen import sleep
-from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
 
 from .. import logs, settings
 from ..config import Address
 from ..facade import Facade
+from .ahead import ClientStream
 from .calls import Calls
 from .consumer import Consumer
+from .leaving import schedule
 from .pipe import Budget
 from .sockets import Listener, Sockets
 
@@ -24,11 +26,8 @@
 BACKLOG = 1024
 ACCEPTS = 16  # in a row
 MAX_BUFFER = 512 * 1024
-
-# What ends a process after SIGTERM comes no earlier than the longest deadline, counted as so much at most ...
-KILL_MOST_S = 3.0
-KILL_AFTER_S = 0.7  # ... and so much more.
-KILL_MARGIN_S = 0.2
+NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE)
+REST_S = 0.02  # with no descriptor left and none to be had: the queue would call us in every turn of the loop
 
 
 class Consumers:
@@ -46,12 +45,14 @@
         self.budget = budget or Budget(MAX_BUFFER)
         self.calls, self.facade, self.sockets, self.tuning = calls, facade, sockets, tuning
         self.leaving = False  # no more connections ...
-        self.closing = False  # ... and each ends with its next answer
+        self.closing = False  # ... and each ends with its next answer, unless more of its client's has come
+        self.over = False  # ... whatever has come
         self.gone: Callable[[str], None] = lambda origin: None  # hears of each end of a connection of which calls came
         self._has_list = has_list
         self._listener: Listener | None = None
         self._open: dict[Consumer, asyncio.Task[None]] = {}
         self._waiting: dict[Consumer, None] = {}  # those between two requests, the longest first
+        self._lingering: dict[Consumer, None] = {}  # those whose clients have not closed yet though we have
         sockets.consumers.drop_idle = self._drop_idle
 
     def listen(self, at: Address, inherited: socket.socket | None = None) -> socket.socket:
@@ -61,21 +62,27 @@
         """
         if inherited is None:
             inherited = bind_sockets(at[1], at[0], backlog=BACKLOG, reuse_port=True)[0]
-        self._listener = Listener(inherited, self._accept)
+        self._listener = Listener(inherited, self._some_wait)
         return inherited
 
     def ready(self) -> bool:
         return self._listener is not None and self._has_list()
 
-    def _accept(self, most: int = ACCEPTS) -> None:
-        """Some of those that wait: of many at once, each is read before the next ones push it out."""
-        if self._listener is not None:
-            self._listener.take(most, self._admit, self._refused)
+    def _some_wait(self) -> None:
+        self._accept()
+
+    def _accept(self, most: int = ACCEPTS) -> bool:
+        """Some of those that wait: of many at once, each is read before the next ones push it out.
+
+        Whether it came to the end of them.
+        """
+        return self._listener is None or self._listener.take(most, self._admit, self._refused)
 
     def _refused(self, error: OSError) -> None:
         """Aborted by the consumer, or no descriptor left: an idle one makes room."""
         log.warning("listener", error=str(error))
-        self._drop_idle()
+        if error.errno in NO_DESCRIPTOR and not self._drop_idle() and self._listener is not None:
+            self._listener.rest(REST_S)
 
     def _admit(self, sock: socket.socket) -> None:
         if not self.sockets.consumers.take():
@@ -87,13 +94,14 @@
             sock.close()
             self.sockets.consumers.give_back()
             return
-        consumer = Consumer(IOStream(sock, max_buffer_size=MAX_BUFFER), self)
+        consumer = Consumer(ClientStream(sock, max_buffer_size=MAX_BUFFER), self)
         self._open[consumer] = asyncio.get_running_loop().create_task(consumer.serve())
 
     def left(self, consumer: Consumer) -> None:
         """Its connection closed."""
         if self._open.pop(consumer, None) is not None:
             self.waits(consumer, False)
+            self._lingering.pop(consumer, None)
             self.sockets.consumers.give_back()
 
     def waits(self, consumer: Consumer, waiting: bool) -> None:
@@ -103,36 +111,55 @@
         else:
             self._waiting.pop(consumer, None)
 
+    def lingers(self, consumer: Consumer) -> None:
+        """Its connection has ended but for its client's part."""
+        self.waits(consumer, False)
+        self._lingering[consumer] = None
+
     def _drop_idle(self) -> bool:
-        consumer = next(iter(self._waiting), None)
-        if consumer is not None:
-            self.waits(consumer, False)  # its end is told later, and must not be counted on twice
-            consumer.stream.close()
-        return consumer is not None
+        """The first that can give way: those that linger, then those that never asked, then those that have."""
+        waiting = sorted(self._waiting, key=lambda consumer: consumer.used)
+        return any(consumer.give_way() for consumer in [*self._lingering, *waiting])
 
-    async def leave(self, handed_on: bool = False) -> None:
+    async def leave(self, handed_on: bool = False, since: float | None = None) -> None:
         """Take no more, once those under way have arrived; return when every call is answered.
 
         Kept connections are served on as long as there is time, since their consumers may have nowhere else to go.
         With the listener `handed_on` they have: each closes with its next answer, and what waits in the queue is the
-        next process's.
+        next process's. `since`: when SIGTERM came, by time.monotonic.
         """
-        self.leaving, self.closing = True, handed_on
+        begun = monotonic() if since is None else since
         longest = max(cls.deadline_ms for cls in self.facade.classes) / 1000.0
-        self.calls.last = monotonic() + min(longest, KILL_MOST_S) + KILL_AFTER_S - KILL_MARGIN_S
-        accept_s = 0.0 if handed_on else self.tuning.accept_s
-        await sleep(accept_s)
+        times = schedule(longest, self.tuning.accept_s, self.tuning.keep_s, handed_on)
+        self.leaving, self.closing = True, handed_on
+        self.calls.last = begun + times.answer_s
+        await sleep(begun + times.accept_s - monotonic())
         if not handed_on:
-            self._accept(BACKLOG)  # what waits in the queue would be reset with the listener
+            self._accept_all()
         self._stop_listening()
-        await sleep(self.tuning.keep_s - accept_s)
+        await self._until(begun + times.close_s)
         self.closing = True
-        for consumer in [c for c in self._open if c.idle and not c.waiting()]:
+        for consumer in list(self._open):
+            consumer.end_rest()
+        await self._until(begun + times.answer_s)
+        self.over = True
+        for consumer in list(self._open):
+            consumer.give_up()
+        await self._until(begun + times.end_s)
+        for consumer in [consumer for consumer in self._open if not consumer.owes]:
             consumer.stream.close()
-        # Every call is answered by its deadline; who has not read its answer by then is not waited for.
-        end = monotonic() + longest
-        while self._open and monotonic() < end:
-            await asyncio.wait(list(self._open.values()), timeout=end - monotonic())
+        await self._until(begun + times.wait_s)
+
+    async def _until(self, time: float) -> None:
+        """No connection is open any more, or it is this late."""
+        while self._open and (left := time - monotonic()) > 0:
+            await asyncio.wait(list(self._open.values()), timeout=left)
+
+    def _accept_all(self) -> None:
+        """What waits in the queue would be reset with the listener."""
+        for _ in range(ACCEPTS):  # one that was aborted ends a turn, and must not cost those behind it
+            if self._accept(BACKLOG):
+                return
 
     def _stop_listening(self) -> None:
         if self._listener is not None:
