Look for the client's end at the first byte, answer open calls before the kill, read names as UTF-8

A busy loop may reach an attempt before it reads a FIN: the admission check asks the kernel. A fault while a call is taken left it open for nobody; it departs now. Names in X-Call-Class and X-Caller were read as latin-1 and compared with settings in UTF-8: a customer with other letters had every request answered 400.

--- a/limenotch/net/admission.py
+++ b/limenotch/net/admission.py
@@ -31,7 +31,7 @@
     `endpoint` is the attempt's by the newest list; None if that takes nothing new.
     """
     call, chosen = attempt.call, attempt.endpoint
-    if call.gone:
+    if call.gone or not call.present():
         return Hindrance.CLIENT_GONE
     if call.final is not None:
         return Hindrance.CALL_OVER
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -106,6 +106,7 @@
     made: list[InvokerCall] = field(default_factory=list)
     final: Final | None = None
     gone: bool = False
+    present: Callable[[], bool] = lambda: True  # whether its client is there, by a look at this moment
     permits: Permits = Permits()
     ran_elsewhere: Sent | None = None  # by another sidecar's word
 
@@ -212,7 +213,11 @@
         if self._trace:
             log.debug("taken", call=call.number, kind=class_name, account=tenant, left_ms=round(left),
                       resent=about.resent)
-        self._admit(call)
+        try:
+            self._admit(call)
+        except Exception:
+            self.depart(call)  # whoever brought it never had it
+            raise
         return call
 
     def _admit(self, call: Call) -> None:
--- a/limenotch/net/house.py
+++ b/limenotch/net/client_group.py
@@ -15,7 +15,7 @@
     from .consumer import Consumer
 
 
-class House(Protocol):
+class ClientGroup(Protocol):
     """All connections of clients, as one of them sees them."""
 
     budget: Budget
--- a/limenotch/net/consumer.py
+++ b/limenotch/net/consumer.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import re
 import socket
 import struct
 from time import monotonic
@@ -18,7 +17,8 @@
 from .ahead import ClientStream, Mode, ReadAhead
 from .answers import answer_of, passed_headers
 from .calls import About, Call, Final, Verdict
-from .house import House
+from .client_group import ClientGroup
+from .fields import budget_ms, name_in
 from .pipe import BrokenError, Pipe
 
 log = logs.get(__name__)
@@ -29,16 +29,6 @@
 LINGER_BYTES = 256 * 1024
 
 READY = b"/up"
-BUDGET = re.compile(rb"([0-9]{1,18}(?:\.[0-9]{0,9})?)([mu])")
-
-
-def budget_ms(text: bytes) -> float:
-    """`480m` and `480000u`, in milliseconds."""
-    match = BUDGET.fullmatch(text)
-    value = float(match[1]) * (1.0 if match[2] == b"m" else 0.001) if match else 0.0
-    if not 0 < value < 1e9:
-        raise http1.MalformedError(400, "X-Budget: expected a number and m or u")
-    return value
 
 
 class RestOverError(Exception):
@@ -52,9 +42,9 @@
 class Consumer:
     """One connection of a consumer; one call at a time."""
 
-    def __init__(self, stream: ClientStream, house: House) -> None:
-        self.stream, self._all = stream, house
-        self.reader = ReadAhead(stream, house.budget)
+    def __init__(self, stream: ClientStream, group: ClientGroup) -> None:
+        self.stream, self._all = stream, group
+        self.reader = ReadAhead(stream, group.budget)
         self._parser = http1.RequestParser(http1.MAX_LONG)
         self._timer: object = None  # of the wait for a request, its head and its body
         self._call: Call | None = None
@@ -304,8 +294,8 @@
             raise http1.MalformedError(405, "GET or POST expected")
         if request.minor == 1 and b"host" not in fields:
             raise http1.MalformedError(400, "Host: missing")
-        class_name = fields.get(b"x-call-class", b"").decode("latin-1")
-        tenant = fields.get(b"x-caller", b"").decode("latin-1")
+        class_name = name_in(fields.get(b"x-call-class", b""))
+        tenant = name_in(fields.get(b"x-caller", b""))
         name = fields.get(b"x-call-id")
         if not name:
             raise http1.MalformedError(400, "X-Call-Id: missing")
@@ -326,9 +316,19 @@
         self._call = self._all.calls.take(
             name, request, class_name, tenant, left, final.set_result, room, request.rest, about
         )
+        self._call.present = self._present
         if request.rest is not None:
             self._upload = asyncio.get_running_loop().create_task(self._read_on(request))
 
+    def _present(self) -> bool:
+        """Whether the client is there as far as the kernel knows, which hears of its end before a busy loop does."""
+        try:
+            return self.stream.socket.recv(1, socket.MSG_PEEK) != b""
+        except BlockingIOError:
+            return True
+        except (OSError, AttributeError):  # broken, or closed here
+            return False
+
     def _origin(self) -> str:
         """Where it comes from, if anybody asks."""
         if not self._all.calls.beside:
--- a/limenotch/net/consumers.py
+++ b/limenotch/net/consumers.py
@@ -132,7 +132,7 @@
         longest = max(cls.deadline_ms for cls in self.facade.classes) / 1000.0
         times = schedule(longest, self.tuning.accept_s, self.tuning.keep_s, handed_on)
         self.leaving, self.closing = True, handed_on
-        self.calls.last = begun + times.answer_s
+        self.calls.end_by(begun + times.answer_s)
         await sleep(begun + times.accept_s - monotonic())
         if not handed_on:
             self._accept_all()
--- /dev/null
+++ b/limenotch/net/fields.py
@@ -0,0 +1,26 @@
+"""Header fields of a request that the protocol gives a meaning."""
+
+from __future__ import annotations
+
+import re
+
+from . import http1
+
+BUDGET = re.compile(rb"([0-9]{1,18}(?:\.[0-9]{0,9})?)([mu])")
+
+
+def budget_ms(text: bytes) -> float:
+    """`480m` and `480000u`, in milliseconds."""
+    match = BUDGET.fullmatch(text)
+    value = float(match[1]) * (1.0 if match[2] == b"m" else 0.001) if match else 0.0
+    if not 0 < value < 1e9:
+        raise http1.MalformedError(400, "X-Budget: expected a number and m or u")
+    return value
+
+
+def name_in(value: bytes) -> str:
+    """A name of the settings, which are UTF-8; other bytes stand each for itself, and name nothing there."""
+    try:
+        return value.decode("utf-8")
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -87,6 +87,8 @@
 
 
 CROSSINGS: dict[str, tuple[TrafficClass, Ending | None, Crossing]] = {
+    "its client's end lies in the kernel": (
+        SAFE, Ending.ERROR, lambda pool, attempt: setattr(attempt.call, "present", lambda: False)),
     "its client goes": (SAFE, Ending.ERROR, lambda pool, attempt: setattr(attempt.call, "gone", True)),
     "its call is answered": (SAFE, Ending.ERROR, lambda pool, attempt: setattr(attempt.call, "final", object())),
     "its time passes": (SAFE, Ending.ERROR, lambda pool, attempt: setattr(attempt, "end", monotonic())),
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -5,10 +5,11 @@
 import asyncio
 from collections.abc import Callable
 from time import monotonic
+from typing import Any
 
 import pytest
 
-from limenotch.facade import Ending, Invoke, Order
+from limenotch.facade import Ending, Invoke, Order, Orders
 from limenotch.net.calls import Call, Calls, Final, Verdict
 
 from .helpers.scripted import Hand, Script, calls_of, take
@@ -82,3 +83,18 @@
         assert len(calls.open) == 1 and not finals and not hand.out[0].over
 
     asyncio.run(case())
+
+
+def test_a_call_whose_taking_fails_is_not_kept() -> None:
+    # Guards its id and its place among the open calls: its client is told of the fault, and nobody ends it later.
+    class Failing(Script):
+        def pick(self, *arguments: Any, **more: Any) -> Orders:
+            raise RuntimeError("a fault")
+
+    async def case() -> None:
+        calls, _ = calls_of(Failing([]))
+        with pytest.raises(RuntimeError):
+            take(calls, lambda final: None)
+        assert not calls.open and not calls.has(b"n")
+
+    asyncio.run(case())
--- a/tests/test_client_endings.py
+++ b/tests/test_client_endings.py
@@ -17,7 +17,7 @@
 from limenotch.settings import Consumers as Tuning
 
 from .helpers.connections import UP, Connections, received, until, with_connections
-from .helpers.peers import DELIVER, LOOK, Reader, Writer, answering, ask, whole
+from .helpers.peers import DELIVER, LOOK, SETTINGS, Reader, Writer, answering, ask, whole
 from .helpers.processes import run, with_sidecar
 
 PATIENT = Tuning(request_s=60.0, idle_s=60.0)  # only the test ends anything
@@ -368,3 +368,18 @@
         sock.close()
 
     run(with_connections(use, PATIENT))
+
+
+@pytest.mark.parametrize("encoding", ["utf-8", "latin-1"])
+def test_names_of_classes_and_tenants_may_have_any_letter(encoding: str) -> None:
+    # Guards customers whose language is not English: their names came out as others and every request was a 400.
+    classes = [{**SETTINGS["classes"][0], "name": "lekérdezés"}]  # type: ignore[index]
+    named = {**SETTINGS, "classes": classes, "tenants": [{"name": "Órarend", "quota_per_s": 100.0}]}
+    request = LOOK.replace(b"look", "lekérdezés".encode(encoding)).replace(b"acme", "Órarend".encode(encoding))
+    handler, seen = answering(whole(200))
+
+    async def use(port: int) -> None:
+        assert (await ask(port, request)).status == 200
+
+    run(with_sidecar(handler, use, more={"settings": named}))
+    assert len(seen) == 1
--- a/tests/test_client_gone.py
+++ b/tests/test_client_gone.py
@@ -265,3 +265,19 @@
         await with_sidecar(handle, use)
 
     run(case())
+
+
+def test_an_end_that_only_the_kernel_knows_stops_an_attempt() -> None:
+    # Guards against a loop that was busy: what it has not read yet is asked of the kernel right before the first byte.
+    async def use(connections: Connections) -> None:
+        sock, _ = await connections.client()
+        sock.sendall(LOOK)
+        await until(lambda: connections.taken() == 1)
+        (call,) = connections.calls.open.values()
+        assert call.present()
+        sock.close()  # in the kernel at once; this loop has not turned since
+        assert not call.present() and not call.gone
+        await until(lambda: call.gone)
+        assert not call.present()
+
+    run(with_connections(use))
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -15,8 +15,8 @@
 from limenotch.net import http1
 from limenotch.net.calls import Call, Calls, Final, InvokerCall, Verdict
 from limenotch.net.connection import Connection
-from limenotch.net.consumer import budget_ms
 from limenotch.net.consumers import Consumers
+from limenotch.net.fields import budget_ms
 from limenotch.net.outcomes import ending_of, report_of
 from limenotch.net.providers import Providers
 from limenotch.net.sockets import OPERATORS, Share, Sockets
