--- a/benchmarks/wallet_cost.py
+++ b/benchmarks/wallet_cost.py
@@ -29,7 +29,7 @@
 from limenotch.lab.emulate.sidecars import free_port
 from limenotch.lab.fleet.processes import NodeProcess, Processes, fleet_table
 from limenotch.layers.wallet import Till
-from limenotch.net.calls import Final, Verdict
+from limenotch.net.call import Final, Verdict
 
 from .promises import SETTINGS, TURN, listed, provider, turn
 
--- a/limenotch/layers/base.py
+++ b/limenotch/layers/base.py
@@ -11,7 +11,7 @@
 from ..fleet.contract import Message, Part
 from ..fleet.hub import Asked
 from ..net.asking import says
-from ..net.calls import Beside
+from ..net.call import Beside
 from ..net.operators import Extra
 
 SPARE_S = 1.0  # for an answer that comes by the log's own bounds
--- a/limenotch/layers/bindings.py
+++ b/limenotch/layers/bindings.py
@@ -33,7 +33,7 @@
 from ..fleet.bindings.tuning import Tuning
 from ..fleet.contract import Part, Started
 from ..fleet.hub import Asked
-from ..net.calls import Call, Final, InvokerCall, Verdict
+from ..net.call import Call, Final, InvokerCall, Verdict
 from .base import Among, Layer, messages_of
 
 PREFIX = "bi."
--- a/limenotch/layers/rules.py
+++ b/limenotch/layers/rules.py
@@ -15,7 +15,7 @@
 from ..fleet.rules import Rules, messages
 from ..fleet.rules.api import Answer, Counted, InForce, Narrow, Voters
 from ..fleet.rules.tuning import Tuning
-from ..net.calls import Call, Final, InvokerCall, Verdict
+from ..net.call import Call, Final, InvokerCall, Verdict
 from ..net.ruled import PREFIX, RULES, Ruled
 from .base import SPARE_S, Among, Layer, messages_of
 
--- a/limenotch/layers/wallet.py
+++ b/limenotch/layers/wallet.py
@@ -20,7 +20,7 @@
 from ..fleet.wallet import Wallet, messages
 from ..fleet.wallet.api import Answer, Look, Purse, Reservation, Turned, Witnesses
 from ..fleet.wallet.tuning import Tuning
-from ..net.calls import Call, Final, InvokerCall, Later, Verdict
+from ..net.call import Call, Final, InvokerCall, Later, Verdict
 from ..net.paid import PREFIX, Paid
 from .base import SPARE_S, Among, Layer, messages_of
 
--- a/limenotch/net/admission.py
+++ b/limenotch/net/admission.py
@@ -9,7 +9,7 @@
 from enum import Enum
 
 from ..facade import Provider
-from .calls import InvokerCall
+from .call import InvokerCall
 
 
 class Hindrance(Enum):
--- a/limenotch/net/answers.py
+++ b/limenotch/net/answers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from . import http1
-from .calls import Final, Verdict
+from .call import Final, Verdict
 
 
 def answer_of(final: Final, close: bool) -> bytes:
--- /dev/null
+++ b/limenotch/net/call.py
@@ -0,0 +1,137 @@
+"""What is kept of a call and of its attempts, and who has a part in them. Owned by `Calls`; carried in no protocol."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, NamedTuple, Protocol
+
+from ..facade import NEVER_RAN, Ending, Hint, Provider
+from ..permits import Permits, Sent
+from .pipe import Pipe
+
+
+class Verdict(Enum):
+    SERVED = "served"
+    REJECTED = "rejected"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Final:
+    """The one final answer of a call."""
+
+    verdict: Verdict
+    payload: Any = None  # of the provider that served it
+    retry_after_ms: float = 0.0
+    timed_out: bool = False
+    paused: bool = False  # rejected, as its tenant has nothing to spend
+
+
+@dataclass(slots=True, eq=False)
+class InvokerCall:
+    call: Call
+    number: int
+    provider: str
+    began: float  # by time.monotonic: the loop's own clock is the wall's, which may be set
+    end: float
+    first: float = 0.0  # when its answer began to be passed on
+    over: bool = False
+    endpoint: Provider | None = None  # as the list told of it when it was chosen
+    sent_at: float = 0.0  # when its first byte was written, by time.monotonic; 0: not yet
+    ending: Ending | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Its first byte is out, and it is still out or ended in a way that leaves open whether it ran."""
+        return self.sent_at > 0 and self.ending not in NEVER_RAN
+
+    @property
+    def wanted(self) -> bool:
+        """Not yet over, and its call still waits for an answer."""
+        return not self.over and self.call.final is None and not self.call.gone
+
+
+@dataclass(frozen=True, slots=True)
+class About:
+    """What a consumer said of a call beside what it is."""
+
+    key: bytes = b""  # by which providers know a repeat
+    fields: Mapping[bytes, bytes] = field(default_factory=dict)  # header fields, names in lower case
+    origin: str = ""  # the consumer's connection
+    resent: bool = False  # marked as a repeat of one that came before
+
+
+NOTHING = About()
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    number: int
+    name: bytes  # as the consumer calls it
+    kind: str  # its class
+    payload: Any
+    end: float  # by time.monotonic; without one while its message is coming
+    left_s: float  # of its budget, from the last byte of its message
+    answer: Callable[[Final], None]
+    rest: Pipe | None = None  # of a long message: what goes out once
+    tenant: str = ""
+    about: About = NOTHING
+    hint: Hint | None = None  # where it should go
+    paid: bool = False  # a repeat of one that was paid for
+    waited_ms: float = 0.0  # for who said Later
+    told: list[Beside] = field(default_factory=list)  # who took it, and is told of its end
+    made: list[InvokerCall] = field(default_factory=list)
+    final: Final | None = None
+    gone: bool = False
+    present: Callable[[], bool] = lambda: True  # whether its client is there, by a look at this moment
+    permits: Permits = Permits()
+    ran_elsewhere: Sent | None = None  # by another sidecar's word
+
+    def sent(self) -> list[Sent]:
+        """Its attempts that may have run, those that are out included."""
+        told = [self.ran_elsewhere] if self.ran_elsewhere is not None else []
+        return told + [
+            Sent(attempt.endpoint.zone, attempt.endpoint.group, attempt.sent_at * 1000.0, not attempt.over)
+            for attempt in self.made
+            if attempt.may_have_run and attempt.endpoint is not None
+        ]
+
+
+class Later(NamedTuple):
+    """What it takes to say is on its way: to be asked again after so long, or `final` if there is no such time."""
+
+    ms: float
+    final: Final
+
+
+class Beside(Protocol):
+    """Who has a say in calls beside the decisions: told of each call from its taking to its end. Never waits."""
+
+    def taken(self, call: Call) -> Final | Later | None:
+        """Before the decisions hear of it. A final answer turns it away, with no more advice on when to return than the
+        configuration allows; else it may set the call's `hint`, and is told of all that follows, its end by `closed`,
+        once. Asked again after Later, unless the call has ended meanwhile.
+        """
+        ...
+
+    def sent(self, invoker_call: InvokerCall) -> None:
+        """An attempt is being made: from now on it may run."""
+        ...
+
+    def ended(self, invoker_call: InvokerCall, ending: Ending) -> None:
+        """An attempt ended; once each, also after its call's end."""
+        ...
+
+    def closed(self, call: Call) -> None:
+        """`call.final` is its answer; none: its consumer has gone."""
+        ...
+
+
+class Invoker(Protocol):
+    """Carries invoker calls to providers; tells Calls.ended of each once, never from within `make`."""
+
+    def make(self, invoker_call: InvokerCall) -> None: ...
+
+    def abandon(self, invoker_call: InvokerCall) -> None: ...
--- a/limenotch/net/consumer.py
+++ b/limenotch/net/consumer.py
@@ -16,7 +16,7 @@
 from . import http1
 from .ahead import ClientStream, Mode, ReadAhead
 from .answers import answer_of, passed_headers
-from .calls import About, Call, Final, Verdict
+from .call import About, Call, Final, Verdict
 from .client_group import ClientGroup
 from .fields import budget_ms, name_in
 from .pipe import BrokenError, Pipe
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -15,7 +15,8 @@
 from .. import logs, settings
 from ..facade import Ending, Provider, Status
 from . import admission, http1
-from .calls import Calls, InvokerCall
+from .call import InvokerCall
+from .calls import Calls
 from .connection import MAX_BUFFER, Connection
 from .outcomes import ending_of, report_of
 from .pipe import BrokenError, Budget, Pipe
--- a/limenotch/together.py
+++ b/limenotch/together.py
@@ -35,7 +35,7 @@
 from .layers.rules import RulesLayer
 from .net import http1
 from .net.asking import says
-from .net.calls import Beside
+from .net.call import Beside
 from .net.kept import Folder, Memory, UnreadableError
 from .net.operators import Extra
 from .net.others import Disk, Others
--- a/tests/fleet/house.py
+++ b/tests/fleet/house.py
@@ -16,7 +16,8 @@
 from limenotch.fleet.settings import Bindings as Table
 from limenotch.layers.base import Among
 from limenotch.layers.bindings import BindingsLayer, joined
-from limenotch.net.calls import About, Calls, Final, InvokerCall, Verdict
+from limenotch.net.call import About, Final, InvokerCall, Verdict
+from limenotch.net.calls import Calls
 from limenotch.net.http1 import Message
 
 KEY = b"a key for tests, of 16 bytes"
--- a/tests/fleet/test_bindings_program.py
+++ b/tests/fleet/test_bindings_program.py
@@ -11,7 +11,7 @@
 from limenotch.fleet.bindings.api import Kind, State
 from limenotch.fleet.settings import Bindings as Table
 from limenotch.layers.bindings import joined
-from limenotch.net.calls import Verdict
+from limenotch.net.call import Verdict
 from limenotch.settings import parse as parse_settings
 
 from .house import ANSWER, CLASSES, FAR, NEAR, SERVED, SETTINGS, House, config, provider, run
--- a/tests/fleet/test_rules_late.py
+++ b/tests/fleet/test_rules_late.py
@@ -15,7 +15,7 @@
 from limenotch.fleet.rules.tuning import Tuning
 from limenotch.layers.base import Among
 from limenotch.layers.rules import RulesLayer
-from limenotch.net.calls import Call, Final, Verdict
+from limenotch.net.call import Call, Final, Verdict
 from tests.test_acting import RAW, Deeds
 
 
--- a/tests/fleet/test_wallet_program.py
+++ b/tests/fleet/test_wallet_program.py
@@ -18,7 +18,7 @@
 from limenotch.fleet.wallet.tuning import Tuning
 from limenotch.layers.wallet import Till
 from limenotch.net import http1
-from limenotch.net.calls import Final, Verdict
+from limenotch.net.call import Final, Verdict
 from limenotch.settings import parse
 from tests.helpers.peers import DELIVER, LOOK, SETTINGS, Handler, answering, ask, whole
 from tests.helpers.processes import free_port, run, with_sidecar
--- a/tests/helpers/scripted.py
+++ b/tests/helpers/scripted.py
@@ -6,7 +6,8 @@
 from typing import Any, cast
 
 from limenotch.facade import Ending, Facade, Hint, Order, Orders
-from limenotch.net.calls import About, Beside, Call, Calls, Final, InvokerCall
+from limenotch.net.call import About, Beside, Call, Final, InvokerCall
+from limenotch.net.calls import Calls
 from limenotch.permits import Permits
 
 
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -18,7 +18,7 @@
 
 from limenotch.facade import Ending, Provider, Status
 from limenotch.net import http1, providers
-from limenotch.net.calls import Call, InvokerCall
+from limenotch.net.call import Call, InvokerCall
 from limenotch.net.providers import Providers
 from limenotch.permits import Permits
 from limenotch.settings import Providers as ProviderTuning
--- a/tests/test_beside.py
+++ b/tests/test_beside.py
@@ -9,7 +9,8 @@
 import pytest
 
 from limenotch.facade import Abandon, Ending, GiveUp, Hint, Invoke, Order, Reject
-from limenotch.net.calls import Call, Calls, Final, InvokerCall, Later, Verdict
+from limenotch.net.call import Call, Final, InvokerCall, Later, Verdict
+from limenotch.net.calls import Calls
 
 from .helpers.scripted import Hand, Script, calls_of, take
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -10,7 +10,8 @@
 import pytest
 
 from limenotch.facade import Ending, Invoke, Order, Orders
-from limenotch.net.calls import Call, Calls, Final, Verdict
+from limenotch.net.call import Call, Final, Verdict
+from limenotch.net.calls import Calls
 
 from .helpers.scripted import Hand, Script, calls_of, take
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -13,7 +13,8 @@
 
 from limenotch.facade import Ending, Facade, Invoke, Provider, Status
 from limenotch.net import http1
-from limenotch.net.calls import Calls, Final, InvokerCall
+from limenotch.net.call import Final, InvokerCall
+from limenotch.net.calls import Calls
 from limenotch.net.pipe import HOLD, MOST, PIECE, SMALL, BrokenError, Budget, Pipe
 from limenotch.settings import Consumers as ConsumerTuning
 from limenotch.settings import Providers as ProviderTuning
--- a/tests/test_repeats.py
+++ b/tests/test_repeats.py
@@ -11,7 +11,7 @@
 
 from limenotch.facade import NEVER_RAN, Ending, Provider, Status
 from limenotch.net.admission import Hindrance, hindrance
-from limenotch.net.calls import Call, InvokerCall
+from limenotch.net.call import Call, InvokerCall
 from limenotch.net.names import MOST_REMEMBERED, Names
 from limenotch.permits import ARRIVAL_MS, Permits, Sent
 from switchthread.interface import Earlier, Effect, Scope, TrafficClass
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -13,7 +13,8 @@
 
 from limenotch.facade import Ending, Facade, Provider, Status
 from limenotch.net import http1
-from limenotch.net.calls import Call, Calls, Final, InvokerCall, Verdict
+from limenotch.net.call import Call, Final, InvokerCall, Verdict
+from limenotch.net.calls import Calls
 from limenotch.net.connection import Connection
 from limenotch.net.consumers import Consumers
 from limenotch.net.fields import budget_ms
