Bound the module's wait before it asks for the list again, whatever the aims

Seen by reading and by a probe: the wait after BROKEN was window * min(2^(n-1), 4) * (0.1..0.5) with the window half of the mean aim, so with aims of 8 s it came to 7.99 s, and a change counts as told after 6. And 2.0 ** (failures - 1) overflowed at the 1025th failure in a row (some 20 minutes of an outage): the exception ended the watch's task, and nobody asked again. Lines: decide.py, _membership. The window is held to 1 s, the count to 3. Aims up to 2 s wait as before.

--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -17,6 +17,8 @@
 from .shares import reshare
 from .verdicts import tired
 
+ASK_MS = 1000.0  # window by which asking again is timed at most: of 6 s, all that there is, a third is waited
+
 
 class Balancer(Books):
     """Feed it events in order; carry out the actions it returns in order."""
@@ -60,13 +62,12 @@
     # The list of upstreams
 
     def _membership(self, now: float, event: face.Membership, acts: list[Action]) -> None:
-        if event.listing is face.Listing.BROKEN:
+        self.failures = min(self.failures + 1, 3) if event.listing is face.Listing.BROKEN else 0
+        if self.failures:
             # Blind to drains, ask again; later each time, out of step, or the list service stays jammed.
-            self.failures += 1
-            wait = self.window * min(2.0 ** (self.failures - 1), 4.0) * (0.1 + 0.4 * self.random.random())
+            wait = min(self.window, ASK_MS) * 2.0 ** (self.failures - 1) * (0.1 + 0.4 * self.random.random())
             self.wake(now + wait, None, acts)
             return
-        self.failures = 0
         self.roster.heard(now, event, self.set.weights_listed)
         self._ready(now)
 
