Make one state machine of asking discovery, with one clock and bounded waits

Cause: the wait between two calls was the module's alone (net/directory.py told BROKEN and stood idle), added to up to 3 s of silence and not knowing how long a call had hung; a watch that ended right after each list was begun anew by the shortest wait each time; bytes that trickle into a list that never ends, or into a chunk's size line, kept a watch alive and deaf; a line that is no list was skipped, and what it told was missing from then on; a list of over 1 MiB in one chunk or with its length was refused (the parser's bound for answers).

net/discovery.py: states idle, connecting, asked, following, waiting; events typed; no sockets. The next call begins at most 3.5 s after the one before began or was last heard, whatever the settings, so that 2.5 s of the 6 are left for the answer; waits are drawn, and grow to 2 s while calls fail fast. Directory carries out what it says, holds a socket ready for the next call (a descriptor of its own), lets bytes that have come go before a time-out, and drops a watch at once when it moves. Where lists are pushed, waits are 0.05 to 0.2 s.

A process whose lists are pushed served from its earlier list at once: it now hears its agent first, and uses the earlier list after 3 s of silence.

--- /dev/null
+++ b/limenotch/net/discovery.py
@@ -0,0 +1,167 @@
+"""When discovery is asked: one state machine for the watch and for asking again, with one clock. No sockets here.
+
+The clock is the time at which the watch was last heard of: a whole line, or the first byte of a list. A call that has
+brought no list yet is timed from its beginning. From any state, with discovery in reach and answering within `a`:
+
+    the call under way is given up, fails, or is heard          LIST_S after its beginning at the latest
+    the next call begins                                        ASK_AGAIN_S after that beginning at the latest
+    its list is held                                            a later
+
+A change counts as told 6 s after discovery had it and could be reached, so `a` may be 2.5 s. A watch that falls silent
+is the same sum from its last line on, with `silence_s` for LIST_S. At a new address a call that is lost costs
+MOVED_LIST_S + MOVED_WAIT_S of the 4 s that there are. Where lists are pushed, the next call begins within the last of
+PUSHED_WAITS_S after one has failed.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from random import Random
+from typing import NamedTuple
+
+CONNECT_S = 1.25  # a SYN that is lost goes out again after 1 s; beyond, a new connection is likelier to come up
+LIST_S = 3.0  # a jammed discovery keeps a call for seconds: to leave it early is to lose the place in its queue
+ASK_AGAIN_S = 3.5  # from a call that failed to the next: what is left of 6 s is for the answer
+# The longest waits after a first, a second and any further failure in a row: many in step keep discovery jammed.
+WAITS_S = (0.5, 1.0, 2.0)
+LEAST = 0.2  # part of the longest wait that is always waited; the rest is drawn
+LASTING_S = 2.0  # a watch that ends sooner after its call counts as one more failure in a row
+# At a new address the list must be had within 4 s, however many failures there were at the old one.
+MOVED_S = 3.0  # the failures of so long are the move's own, and told nobody
+MOVED_LIST_S = 2.25
+MOVED_WAIT_S = 0.25
+# Where lists are pushed an agent is near, and what it has counts at once: a quarter of a second is the least grace.
+PUSHED_CONNECT_S = 0.5
+PUSHED_WAITS_S = (0.05, 0.1, 0.2)
+
+
+class State(Enum):
+    IDLE = "idle"  # nobody wants the list yet
+    CONNECTING = "connecting"
+    ASKED = "asked"  # the call has no list yet
+    FOLLOWING = "following"
+    WAITING = "waiting"  # to ask again
+
+
+class Wanted(NamedTuple):
+    """Somebody needs the list, and all changes from now on."""
+
+
+class Connected(NamedTuple):
+    """The connection of the call is up."""
+
+
+class Listed(NamedTuple):
+    """The call brought a list, whole or of changes."""
+
+
+class Heard(NamedTuple):
+    """The call brought an empty line, or the first byte of a list."""
+
+
+class Ended(NamedTuple):
+    """The call failed, or the watch ended: refused, reset, closed, no list, not understood."""
+
+
+class Moved(NamedTuple):
+    """Discovery is at another address."""
+
+
+class Due(NamedTuple):
+    """`DiscoveryState.due` is reached."""
+
+
+Event = Wanted | Connected | Listed | Heard | Ended | Moved | Due
+
+
+class Order(Enum):
+    """What is to be done, in the order given."""
+
+    OPEN = "open"  # begin a call
+    CLOSE = "close"  # the one under way is given up
+    TELL = "tell"  # that the watch is broken
+
+
+class DiscoveryState:
+    """Feed it events with the time in seconds; carry out what it returns. At most one call is under way at a time."""
+
+    def __init__(self, silence_s: float, random: Random, pushed: bool = False) -> None:
+        self.silence_s, self.pushed, self._random = silence_s, pushed, random
+        self.state = State.IDLE
+        self.due: float | None = None  # when to come with Due
+        self._began = self._heard = 0.0  # the call under way, or the last one
+        self._failures = 0  # in a row
+        self._moving = float("-inf")  # until when failures are the move's own
+
+    @property
+    def calling(self) -> bool:
+        """Whether a call is under way."""
+        return self.state in (State.CONNECTING, State.ASKED, State.FOLLOWING)
+
+    def handle(self, now: float, event: Event) -> list[Order]:
+        """What to do about an event; one that does not concern the present state does nothing."""
+        if isinstance(event, Wanted):
+            return self._open(now) if self.state is State.IDLE else []
+        if isinstance(event, Moved):
+            return self._move(now)
+        if isinstance(event, Due):
+            return self._overdue(now) if self.due is not None and now >= self.due else []
+        if not self.calling:
+            return []
+        if isinstance(event, Ended):
+            return self._failed(now)
+        if isinstance(event, Connected):
+            self._connected(now)
+        elif isinstance(event, Listed):
+            self._follow(now)
+        elif self.state is State.FOLLOWING:
+            self._hear(now)
+        return []
+
+    def _open(self, now: float) -> list[Order]:
+        self.state, self._began = State.CONNECTING, now
+        self.due = now + min(PUSHED_CONNECT_S if self.pushed else CONNECT_S, self._patience(now))
+        return [Order.OPEN]
+
+    def _patience(self, now: float) -> float:
+        """How long a call may take to bring its list."""
+        return min(self.silence_s, MOVED_LIST_S if now < self._moving else LIST_S)
+
+    def _connected(self, now: float) -> None:
+        if self.state is State.CONNECTING:
+            self.state, self.due = State.ASKED, self._began + self._patience(now)
+
+    def _follow(self, now: float) -> None:
+        self.state, self._moving = State.FOLLOWING, float("-inf")
+        self._hear(now)
+
+    def _hear(self, now: float) -> None:
+        self._heard, self.due = now, now + self.silence_s
+
+    def _move(self, now: float) -> list[Order]:
+        close = [Order.CLOSE] if self.calling else []
+        self._failures, self._moving = 0, now + MOVED_S
+        return close + self._open(now)
+
+    def _overdue(self, now: float) -> list[Order]:
+        if self.state is State.WAITING:
+            return self._open(now)
+        return [Order.CLOSE, *self._failed(now)]
+
+    def _failed(self, now: float) -> list[Order]:
+        following = self.state is State.FOLLOWING
+        since = self._heard if following else self._began  # from when on nothing is known
+        lasted = following and now - self._began >= LASTING_S
+        self._failures = 1 if lasted else self._failures + 1
+        self.state, self.due = State.WAITING, now + self._wait(now, now - since)
+        return [] if now < self._moving else [Order.TELL]
+
+    def _wait(self, now: float, lost: float) -> float:
+        step = min(self._failures, len(WAITS_S)) - 1
+        if self.pushed:
+            longest = PUSHED_WAITS_S[step]
+        elif now < self._moving:
+            longest = MOVED_WAIT_S
+        else:
+            longest = min(WAITS_S[step], max(ASK_AGAIN_S - lost, WAITS_S[0]))
+        return longest * (LEAST + (1 - LEAST) * self._random.random())
--- a/limenotch/net/documents.py
+++ b/limenotch/net/documents.py
@@ -28,6 +28,7 @@
         self._rest = bytearray()  # a line whose end is yet to come
         self._lines: list[bytes] = []  # of a document whose end is yet to come
         self._depth = self._size = 0
+        self.lines = 0  # that have come, empty ones counted
 
     @property
     def begun(self) -> int:
@@ -39,6 +40,7 @@
         self._rest += data
         *lines, rest = self._rest.split(b"\n")
         self._rest, found = rest, list[bytes]()
+        self.lines += len(lines)
         for line in lines:
             self._add(bytes(line), found)
         # The last one's line need not end, or what it tells would wait for the next one.
@@ -66,7 +68,7 @@
     """The response: its head first, then the documents of its body."""
 
     def __init__(self) -> None:
-        self._parser = ResponseParser()
+        self._parser = ResponseParser(MOST)  # a list may come as one chunk, or with its length
         self._body: _Body | None = None
         self._documents = Documents()
         self.head: Message | None = None
@@ -75,11 +77,12 @@
         """The documents that `data` completes."""
         parser = self._parser
         parser.feed(data)
-        if self.head is None:
-            self.head = parser._head()
-            if self.head is None:
+        while self.head is None:
+            head = parser._head()
+            if head is None:
                 return []
-            self._body = parser._framing(self.head)
+            if head.status >= 200:  # else interim: the response is yet to come
+                self.head, self._body = head, parser._framing(head)
         assert self._body is not None
         self._body.size = 0  # a stream has no length to limit; its documents have
         self._body.take(parser.buffer)
@@ -92,6 +95,11 @@
         """Bytes of a document whose end is yet to come."""
         return self._documents.begun
 
+    @property
+    def lines(self) -> int:
+        """Lines that have come, empty ones counted."""
+        return self._documents.lines
+
     @property
     def done(self) -> bool:
         return self._body is not None and self._body.done
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -32,6 +32,10 @@
 
 log = logs.get(__name__)
 
+# Where lists are pushed, what the agent has counts as told from a new process's first moment: it is heard first, and an
+# earlier list is used if it is silent for so long. Long enough for a call's answer, and short against the start's 6 s.
+AGENT_S = 3.0
+
 
 async def serve(config: Config, settings: Settings = Settings()) -> None:  # noqa: B008 (frozen)
     """Serve until SIGTERM or SIGINT, then finish what was taken. Raises OSError if it can't listen."""
@@ -63,7 +67,7 @@
         if others is not None:
             others.silent()
 
-    directory = Directory(config.directory, heard, broken, settings.directory)
+    directory = Directory(config.directory, heard, broken, settings.directory, pushed(config))
     calls.invoker, calls.watch = providers, directory.watch
     if others is not None:
         calls.beside = others.beside
@@ -145,7 +149,10 @@
         together(successor.processes)
         take_over(inherited, directory, facade)
     if not listed.is_set() and config.known:
-        directory.known(config.known)
+        if pushed(config):
+            directory.known_unless_heard(config.known, AGENT_S)
+        else:
+            directory.known(config.known)
     bans.load()
     looking = PeriodicCallback(bans.look, LOOK_S * 1000.0)
     directory.watch()  # also where the module expects the list unasked: nobody else brings it here
@@ -168,6 +175,7 @@
     looking.stop()
     operators.close()
     successor.close()
+    directory.close()
     if others is not None:
         others.close()
 
@@ -203,6 +211,7 @@
         self._providers.tune(config.connect_ms, config.idle_ms)
         self._calls.max_open = config.max_open
         self._calls.carry_out(self._facade.retune(config.settings, config.zones, config.kinds))
+        self._directory.push(pushed(config))
         self._directory.move(config.directory)
 
     def counted(self) -> tuple[int, int]:
@@ -231,6 +240,11 @@
     return acting
 
 
+def pushed(config: Config) -> bool:
+    """Whether the settings say that an agent near by has the list, whoever asks it."""
+    return config.env.get("registry_mode") == "push"
+
+
 def buffered(memory_mb: float, processes: int) -> int:
     """Bytes of long bodies that one process may hold: an eighth, as much again is in connections' own buffers."""
     return int(memory_mb * 1e6 / 8 / processes)
--- /dev/null
+++ b/tests/test_discovery_states.py
@@ -0,0 +1,296 @@
+"""When discovery is asked, without sockets: drawn histories of failures against the terms, with a given clock."""
+
+from __future__ import annotations
+
+import heapq
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from limenotch.net import discovery
+from limenotch.net.discovery import (
+    Connected,
+    DiscoveryState,
+    Due,
+    Ended,
+    Event,
+    Heard,
+    Listed,
+    Moved,
+    Order,
+    State,
+    Wanted,
+)
+from switchthread import Balancer
+from switchthread import interface as face
+
+SILENCE_S = 3.0
+TOLD_S, MOVED_TOLD_S = 6.0, 4.0  # the terms: after discovery had it and could be reached; after a new configuration
+EPSILON = 1e-6
+
+# What becomes of a call, as (seconds after it began, event); what is not said never comes.
+Fate = tuple[tuple[float, Event], ...]
+DELAY = st.floats(0.0, 2.5)
+
+
+@st.composite
+def fates(draw: st.DrawFn) -> Fate:
+    """Refused, never up, up and silent, failed with an error, listed and then ended or silent or alive for a while."""
+    up = draw(st.floats(0.0, 1.2))
+    kind = draw(st.sampled_from(("refused", "never up", "silent", "error", "listed")))
+    if kind == "never up":
+        return ()
+    if kind == "refused":
+        return ((up, Ended()),)
+    if kind == "silent":
+        return ((up, Connected()),)
+    if kind == "error":
+        return ((up, Connected()), (up + draw(DELAY), Ended()))
+    at = up + draw(DELAY)
+    events: list[tuple[float, Event]] = [(up, Connected()), (at, Listed())]
+    for gap in draw(st.lists(st.floats(0.1, 2.9), max_size=4)):
+        at += gap
+        events.append((at, Listed() if draw(st.booleans()) else Heard()))
+    if draw(st.booleans()):
+        events.append((at + draw(DELAY), Ended()))
+    return tuple(events)
+
+
+class Play:
+    """One machine against calls whose fates are given; those that begin at `back` or later are answered `answer_s` on.
+
+    `lost` is the fate of the call that a move begins, if it is not to be answered.
+    """
+
+    def __init__(self, machine: DiscoveryState, fates: list[Fate], back: float, answer_s: float,
+                 lost: Fate | None = None) -> None:
+        self.machine, self.fates, self.back, self.answer_s, self.lost = machine, fates, back, answer_s, lost
+        self.now, self.count = 0.0, 0
+        self.call: int | None = None  # the one under way
+        self.opened: list[float] = []
+        self.held: float | None = None  # when a call that began at `back` or later brought its list
+        self.word = -1.0  # when a call that began before that last had something to tell
+        self.failed = self.told = 0
+        self.todo: list[tuple[float, int, int, Event]] = []  # time, order, call (0: of none), event
+
+    def put(self, at: float, event: Event, call: int = 0) -> None:
+        self.count += 1
+        heapq.heappush(self.todo, (at, self.count, call, event))
+
+    def run(self, end: float) -> None:
+        while True:
+            due, at = self.machine.due, self.todo[0][0] if self.todo else end
+            if min(at, end if due is None else due) >= end:
+                return
+            if due is not None and due <= at:
+                self.now = max(self.now, due)
+                self.feed(Due())
+                continue
+            self.now, _, call, event = heapq.heappop(self.todo)
+            if call and call != self.call:
+                continue  # of a call that was given up
+            if isinstance(event, (Listed, Heard)):
+                self.hear(event)
+            self.feed(event)
+
+    def hear(self, event: Event) -> None:
+        if self.opened[-1] < self.back:
+            self.word = self.now
+        elif self.held is None and isinstance(event, Listed):
+            self.held = self.now
+
+    def feed(self, event: Event) -> None:
+        if isinstance(event, Ended):
+            self.call, self.failed = None, self.failed + 1
+        for order in self.machine.handle(self.now, event):
+            if order is Order.TELL:
+                self.told += 1
+            elif order is Order.CLOSE:
+                assert self.call is not None, "closes what is not open"
+                self.call, self.failed = None, self.failed + 1
+            else:
+                assert self.call is None, "two calls at once"
+                self.open(isinstance(event, Moved))
+
+    def open(self, moved: bool) -> None:
+        self.opened.append(self.now)
+        self.call = len(self.opened)
+        fate: Fate = ((0.0, Connected()), (self.answer_s, Listed()))
+        fate += tuple((self.answer_s + 2.0 * beat, Heard()) for beat in range(1, 8))
+        if moved and self.lost is not None:
+            fate = self.lost
+        elif self.now < self.back:
+            fate = self.fates[(self.call - 1) % len(self.fates)]
+        for after, event in fate:
+            self.put(self.now + after, event, self.call)
+
+
+def played(fates: list[Fate], back: float, answer_s: float, seed: int, pushed: bool = False,
+           moves: tuple[float, ...] = (), lost: Fate | None = None) -> Play:
+    play = Play(DiscoveryState(SILENCE_S, Random(seed), pushed), fates, back, answer_s, lost)
+    play.put(0.0, Wanted())
+    for at in moves:
+        play.put(at, Moved())
+    play.run(back + 30.0)
+    return play
+
+
+FATES = st.lists(fates(), min_size=1, max_size=8)
+BACK = st.floats(0.0, 40.0)
+
+
+@given(FATES, BACK, st.floats(0.0, 2.5), st.integers(0, 99), st.booleans())
+def test_from_any_state_the_list_is_held_in_time(
+    fates: list[Fate], back: float, answer_s: float, seed: int, pushed: bool
+) -> None:
+    """Every call that began before `back` fails somehow, or is silent at last; from then on discovery answers.
+
+    A watch that lives on beyond `back` has nothing to tell that is late; it is held to the same from its last word on.
+    """
+    play = played(fates, back, answer_s, seed, pushed)
+    reach = max(back, play.word)
+    assert play.held is not None and play.held <= reach + discovery.ASK_AGAIN_S + answer_s + EPSILON
+    assert discovery.ASK_AGAIN_S + answer_s <= TOLD_S
+
+
+@given(FATES, st.floats(0.0, 40.0), st.floats(0.0, 1.5), st.integers(0, 99), st.booleans(), st.sampled_from((
+    (), ((0.1, Connected()),), ((0.0, Ended()),), ((0.1, Connected()), (2.0, Ended())),
+    ((0.1, Connected()), (1.0, Heard()), (2.0, Heard())))))
+def test_a_new_address_is_asked_at_once_and_again_in_time(
+    fates: list[Fate], moved: float, answer_s: float, seed: int, pushed: bool, lost: Fate
+) -> None:
+    """Whatever went on at the old one; also where the first call at the new one is lost, in any way at all."""
+    play = played(fates, moved, answer_s, seed, pushed, (moved,))
+    assert moved in play.opened and play.held is not None and play.held <= moved + answer_s + EPSILON
+    play = played(fates, moved, answer_s, seed, pushed, (moved,), lost)
+    assert play.held is not None and play.held <= moved + MOVED_TOLD_S + EPSILON
+
+
+@given(FATES, BACK, st.integers(0, 99), st.lists(st.floats(0.0, 40.0), max_size=6), st.booleans())
+def test_each_call_that_fails_is_told_once_but_for_a_moves_own(
+    fates: list[Fate], back: float, seed: int, moves: list[float], pushed: bool
+) -> None:
+    play = played(fates, back, 0.1, seed, pushed, tuple(moves))
+    assert play.told <= play.failed
+    if not moves:
+        assert play.told == play.failed
+
+
+def test_failures_of_a_move_are_told_only_when_its_time_is_over() -> None:
+    play = Play(DiscoveryState(SILENCE_S, Random(2)), [((0.0, Ended()),)], 100.0, 0.0)
+    play.put(0.0, Moved())
+    play.run(discovery.MOVED_S)
+    assert play.told == 0 and play.failed >= discovery.MOVED_S / discovery.MOVED_WAIT_S
+    play.run(discovery.MOVED_S + discovery.MOVED_WAIT_S)
+    assert play.told == 1
+
+
+@given(st.lists(st.tuples(st.floats(0.0, 5.0), st.sampled_from(
+    (Wanted(), Connected(), Listed(), Heard(), Ended(), Moved(), Due()))), max_size=60), st.integers(0, 9))
+def test_any_order_of_events_is_survived(events: list[tuple[float, Event]], seed: int) -> None:
+    """Late events of any kind never open a second call, and outside IDLE there is always a time to come back."""
+    machine, now, calling = DiscoveryState(SILENCE_S, Random(seed)), 0.0, False
+    for gap, event in events:
+        now += gap
+        was = machine.calling
+        orders = machine.handle(now, event)
+        calling = was and not isinstance(event, Ended)
+        for order in orders:
+            if order is Order.OPEN:
+                assert not calling
+                calling = True
+            elif order is Order.CLOSE:
+                assert calling
+                calling = False
+        assert machine.calling == calling
+        assert (machine.state is State.IDLE) == (machine.due is None)
+        assert machine.due is None or machine.due <= now + max(SILENCE_S, discovery.ASK_AGAIN_S)
+
+
+def test_a_watch_goes_from_state_to_state() -> None:
+    machine = DiscoveryState(SILENCE_S, Random(1))
+
+    def after(now: float, event: Event) -> tuple[list[Order], State, float | None]:
+        return machine.handle(now, event), machine.state, machine.due
+
+    assert after(0.0, Heard()) == ([], State.IDLE, None)
+    up, listed = 1.0 + discovery.CONNECT_S, 1.0 + discovery.LIST_S
+    assert after(1.0, Wanted()) == ([Order.OPEN], State.CONNECTING, up)
+    assert after(1.0, Wanted()) == ([], State.CONNECTING, up)
+    assert after(1.1, Connected()) == ([], State.ASKED, listed)
+    assert after(1.5, Heard()) == ([], State.ASKED, listed)  # an empty line is no list
+    assert after(2.0, Listed()) == ([], State.FOLLOWING, 5.0)
+    assert after(4.0, Heard()) == ([], State.FOLLOWING, 7.0)
+    assert after(6.9, Due()) == ([], State.FOLLOWING, 7.0)
+    orders, state, due = after(7.0, Due())
+    assert (orders, state) == ([Order.CLOSE, Order.TELL], State.WAITING) and due is not None and 7.0 < due <= 7.5
+    assert after(7.0, Wanted()) == ([], State.WAITING, due)
+    assert after(due, Due())[:2] == ([Order.OPEN], State.CONNECTING)
+
+
+def waits(failures: int, taken: float = 0.0, pushed: bool = False) -> list[float]:
+    """Of 200 sidecars: from the end of the last of so many calls in a row, each `taken` long, to the next call."""
+    found = []
+    for seed in range(200):
+        machine, now = DiscoveryState(SILENCE_S, Random(seed), pushed), 0.0
+        machine.handle(now, Wanted())
+        for _ in range(failures):
+            now += taken
+            machine.handle(now, Ended())
+            assert machine.due is not None
+            wait, now = machine.due - now, machine.due
+            machine.handle(now, Due())
+        found.append(wait)
+    return sorted(found)
+
+
+@pytest.mark.parametrize("failures", [1, 2, 3, 30])
+def test_two_hundred_sidecars_do_not_ask_in_step(failures: int) -> None:
+    """In no tenth of the span that their waits have there are more than twice their even part."""
+    found = waits(failures)
+    span = found[-1] - found[0]
+    assert len(set(found)) == 200 and span >= 0.7 * discovery.WAITS_S[min(failures, 3) - 1]
+    assert max(sum(at <= wait < at + span / 10 for wait in found) for at in found) <= 40
+
+
+def test_while_nothing_answers_the_pace_falls_and_no_call_is_late() -> None:
+    assert sum(waits(30)) / 200 >= 1.0 and waits(30)[-1] <= 2.0  # refused at once
+    jammed = waits(30, taken=2.0)
+    assert sum(jammed) / 200 >= 0.75 and jammed[-1] <= discovery.ASK_AGAIN_S - 2.0
+    assert waits(30, taken=3.0)[-1] <= 0.5  # as long as a call may hang
+
+
+def test_where_lists_are_pushed_the_agent_is_asked_again_within_the_least_grace() -> None:
+    """What the agent gets at discovery's return counts at once; a drain's grace is a quarter of a second or more."""
+    for failures in (1, 2, 3, 30):
+        assert waits(failures, pushed=True)[-1] <= 0.2
+    assert waits(1, pushed=True)[-1] <= 0.05
+    assert sum(waits(30, pushed=True)) / 200 >= 0.1
+
+
+def test_a_watch_that_ends_with_each_list_is_not_begun_again_without_pause() -> None:
+    """Each call that brings a list and ends at once counts as one more failure: a poll of every second or so."""
+    machine, now, gaps = DiscoveryState(SILENCE_S, Random(3)), 0.0, []
+    machine.handle(now, Wanted())
+    for _ in range(40):
+        machine.handle(now, Connected())
+        machine.handle(now + 0.01, Listed())
+        machine.handle(now + 0.02, Ended())
+        assert machine.due is not None
+        gaps.append(machine.due - now)
+        now = machine.due
+        machine.handle(now, Due())
+    assert sum(gaps[3:]) / len(gaps[3:]) >= 1.0 and max(gaps) <= 2.1
+
+
+@pytest.mark.parametrize("aim_ms", [20.0, 400.0, 2000.0, 8000.0, 60_000.0])
+def test_the_module_asks_again_in_time_whatever_the_aims(aim_ms: float) -> None:
+    # Guards against a wait of up to twice the mean aim (8 s for aims of 8 s), and against a number that overflowed at
+    # the 1025th failure in a row, after which nobody asked any more.
+    look = face.TrafficClass("look", face.Effect.IDEMPOTENT, aim_ms, 2 * aim_ms)
+    balancer = Balancer(face.Settings(classes=(look,), must_ask=True), 1)
+    for _ in range(1100):
+        (timer,) = balancer.handle(0.0, face.Membership(face.Listing.BROKEN))
+        assert isinstance(timer, face.SetTimer) and 0.0 < timer.at_ms <= 2000.0
