Force each crossing of the terms on discovery by a test over loopback sockets

Trickled bytes, lists not understood, answers of every form, errors with a body, a late line across a move, moves in a row, a dead address and back, connections that never come up, calls that hang, a process that stood still, a watch that ends at once, a listener of failures that fails, and no descriptor left.

--- /dev/null
+++ b/tests/test_discovery_terms.py
@@ -0,0 +1,374 @@
+"""The terms on discovery, each crossing forced on loopback: what ends, hangs, trickles or crosses, and descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import resource
+import socket
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from limenotch import settings
+from limenotch.facade import Provider
+from limenotch.net import discovery
+from limenotch.net.directory import Directory
+
+from .helpers.peers import Reader, Writer
+from .helpers.processes import run
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+SILENCE_S = 0.3  # far beyond what a call takes here, and short to wait for
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def listing(index: int, *names: str, whole: bool = True, status: str = "in_service") -> bytes:
+    entries = [{"name": name, "address": "127.0.0.1:1", "status": status} for name in names]
+    return json.dumps({"index": index, "snapshot": whole, "endpoints": entries}).encode() + b"\n"
+
+
+class Call:
+    """One call that has come to a discovery."""
+
+    def __init__(self, target: bytes, reader: Reader, writer: Writer) -> None:
+        self.target, self.reader, self.writer = target, reader, writer
+
+    def send(self, *pieces: bytes) -> None:
+        self.writer.write(b"".join(pieces))
+
+    def send_now(self, data: bytes) -> None:
+        """In the kernel when this returns."""
+        self.writer.get_extra_info("socket")._sock.send(data)
+
+    async def ended(self) -> None:
+        with contextlib.suppress(ConnectionResetError):  # it may be closed over bytes that nobody read
+            await self.reader.read()
+
+
+class Discovery:
+    """A peer that does with its calls what the test says."""
+
+    def __init__(self) -> None:
+        self.calls = asyncio.Queue[Call]()
+
+    async def begin(self) -> tuple[str, int]:
+        self._server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
+        at: tuple[str, int] = self._server.sockets[0].getsockname()
+        return at
+
+    async def _handle(self, reader: Reader, writer: Writer) -> None:
+        target = (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1]
+        await self.calls.put(Call(target, reader, writer))
+
+
+class Held:
+    """A Directory and what it told."""
+
+    def __init__(self, at: tuple[str, int], silence_s: float = SILENCE_S) -> None:
+        self.heard = asyncio.Queue[tuple[list[str], bool]]()
+        self.broken = asyncio.Queue[None]()
+        self.directory = Directory(at, self._hear, lambda: self.broken.put_nowait(None),
+                                   settings.Directory(silence_s=silence_s))
+
+    def _hear(self, providers: list[Provider], whole: bool) -> None:
+        self.heard.put_nowait(([p.name for p in providers], whole))
+
+
+def case(body: Callable[[Discovery, Held], Coroutine[Any, Any, None]], silence_s: float = SILENCE_S) -> None:
+    """One discovery and one Directory that watches it."""
+
+    async def whole() -> None:
+        peer = Discovery()
+        held = Held(await peer.begin(), silence_s)
+        held.directory.watch()
+        try:
+            await body(peer, held)
+        finally:
+            held.directory.close()
+
+    run(whole())
+
+
+@pytest.mark.parametrize("rest", [
+    b'{"index": 8, "endp',  # a list that never ends, on one line
+    b'{\n"index":\n8,\n',  # the same over several lines
+    None,  # the size line of a chunk
+], ids=["line", "lines", "size"])
+@pytest.mark.parametrize("listed", [True, False])
+def test_bytes_that_trickle_and_make_no_list_are_silence(rest: bytes | None, listed: bool) -> None:
+    # Guards against a watch that every single byte keeps alive while it tells nothing.
+    async def body(peer: Discovery, held: Held) -> None:
+        call = await peer.calls.get()
+        call.send(CHUNKED, chunk(listing(7, "a")) if listed else b"")
+        call.send(chunk(rest) if rest is not None else b"1;")
+
+        async def trickle() -> None:
+            while not call.writer.is_closing():
+                call.send(chunk(b"x") if rest is not None else b"x")
+                await asyncio.sleep(0.01)
+
+        trickling = asyncio.create_task(trickle())
+        await held.broken.get()
+        again = await peer.calls.get()
+        assert again.target == b"/discovery/hosts?follow=1" + (b"&since=7" if listed else b"")
+        trickling.cancel()
+
+    case(body)
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_a_list_that_is_not_understood_is_asked_for_again(listed: bool) -> None:
+    # Guards against skipping it: what it told would be missing for as long as the watch lives.
+    async def body(peer: Discovery, held: Held) -> None:
+        call = await peer.calls.get()
+        call.send(CHUNKED, chunk(listing(7, "a")))
+        assert await held.heard.get() == (["a"], True)
+        if not listed:
+            call.writer.close()
+            call = await peer.calls.get()
+            call.send(CHUNKED)
+        call.send(chunk(b'{"index":8,"endpoints":oops}\n'))
+        again = await peer.calls.get()
+        # By version where that has worked; what fails as a call's first word would fail as the next one's, too.
+        assert again.target == b"/discovery/hosts?follow=1" + (b"&since=7" if listed else b"")
+        again.send(CHUNKED, chunk(listing(5, "b")))  # whole and of an older index: it counts
+        assert await held.heard.get() == (["b"], True)
+
+    case(body, silence_s=30.0)
+
+
+MANY = [f"endpoint-{number:05}" for number in range(16_000)]  # over 1 MiB as a list
+
+
+@pytest.mark.parametrize(("names", "head", "framed"), [
+    (["a"], b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", lambda body: body),  # up to its end
+    (["a"], b"HTTP/1.0 200 OK\r\n\r\n", lambda body: body),
+    (["a"], b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", lambda body: body),
+    (["a"], b"HTTP/1.1 100 Continue\r\n\r\n" + CHUNKED, chunk),
+    (["a"], CHUNKED, lambda body: b"".join(chunk(body[at : at + 1]) for at in range(len(body)))),
+    (MANY, CHUNKED, chunk),  # in one chunk
+    (MANY, b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", lambda body: body),
+], ids=["close", "http10", "length", "interim", "bytes", "big chunk", "big length"])
+def test_an_answer_of_any_form_is_a_list(names: list[str], head: bytes, framed: Callable[[bytes], bytes]) -> None:
+    async def body(peer: Discovery, held: Held) -> None:
+        call = await peer.calls.get()
+        listed = listing(7, *names)
+        call.send(head % len(listed) if b"%d" in head else head, framed(listed))
+        assert await held.heard.get() == (names, True)
+        call.writer.close()
+        await held.broken.get()  # its end is told, and the list goes on from there
+        assert (await peer.calls.get()).target.endswith(b"since=7")
+
+    case(body, silence_s=3.0)
+
+
+@pytest.mark.parametrize("answer", [
+    b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 500 Oops\r\nContent-Length: 80\r\n\r\n" + listing(9, "x"),  # a list, even, under an error
+    b"HTTP/1.1 503 Service Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(listing(9, "x")),
+    b"nonsense\r\n\r\n",
+    b"",
+], ids=["empty", "list", "chunked", "nonsense", "nothing"])
+def test_an_error_with_a_body_tells_nothing_and_is_followed_by_another_call(answer: bytes) -> None:
+    async def body(peer: Discovery, held: Held) -> None:
+        call = await peer.calls.get()
+        call.send(answer)
+        if not answer:
+            call.writer.close()
+        again = await peer.calls.get()
+        assert again.target == b"/discovery/hosts?follow=1" and held.heard.empty()
+        assert held.broken.qsize() == 1
+
+    case(body, silence_s=3.0)
+
+
+@pytest.mark.parametrize("turns", range(6))
+def test_a_line_of_the_old_address_does_not_count_after_the_move(turns: int) -> None:
+    """The move comes so many turns of the loop after the line is in the kernel: unread, read, or just looked at."""
+    async def body(peer: Discovery, held: Held) -> None:
+        call = await peer.calls.get()
+        call.send(CHUNKED, chunk(listing(7, "a")))
+        assert await held.heard.get() == (["a"], True)
+        other = Discovery()
+        at = await other.begin()
+        call.send_now(chunk(listing(8, "late", whole=False)))
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        before = held.heard.qsize()
+        held.directory.move(at)
+        moved = await other.calls.get()
+        assert moved.target == b"/discovery/hosts?follow=1"  # versions may be numbered anew
+        moved.send(CHUNKED, chunk(listing(2, "new")))
+        told = [await held.heard.get() for _ in range(before + 1)]
+        assert told == [(["late"], False)] * before + [(["new"], True)]
+        await call.ended()
+        assert held.heard.empty() and held.broken.empty()
+
+    case(body, silence_s=3.0)
+
+
+def test_of_moves_in_a_row_only_the_last_address_counts() -> None:
+    async def body(peer: Discovery, held: Held) -> None:
+        first = await peer.calls.get()
+        first.send(CHUNKED, chunk(listing(7, "a")))
+        assert await held.heard.get() == (["a"], True)
+        second, third = Discovery(), Discovery()
+        old = peer_at = first.writer.get_extra_info("sockname")
+        at_second, at_third = await second.begin(), await third.begin()
+        held.directory.move(at_second)
+        held.directory.move(at_third)  # at once
+        call = await third.calls.get()
+        held.directory.move(at_second)  # and while the call is out
+        held.directory.move(peer_at)
+        await call.ended()
+        again = await peer.calls.get()
+        assert again.target == b"/discovery/hosts?follow=1" and held.directory.where()[0] == old
+        again.send(CHUNKED, chunk(listing(9, "b")))
+        assert await held.heard.get() == (["b"], True) and held.broken.empty()
+
+    case(body, silence_s=3.0)
+
+
+def test_a_move_to_a_dead_address_and_back_is_answered_at_once() -> None:
+    async def body(peer: Discovery, held: Held) -> None:
+        at = (await peer.calls.get()).writer.get_extra_info("sockname")
+        with socket.socket() as dead:
+            dead.bind(("127.0.0.1", 0))  # bound and not listening: refused
+            held.directory.move(dead.getsockname())
+            for _ in range(20):  # a refusal or more; how many does not matter
+                await asyncio.sleep(0)
+            begun = time.monotonic()
+            held.directory.move(at)
+            await peer.calls.get()
+            assert time.monotonic() - begun < 1.0 and held.broken.empty()
+
+    case(body, silence_s=3.0)
+
+
+def test_a_connection_that_never_comes_up_is_given_up_for_a_new_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "CONNECT_S", 0.1)
+
+    async def whole() -> None:
+        broken = asyncio.Queue[None]()
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen(0)
+            at = listener.getsockname()
+            with socket.create_connection(at):  # the queue is full: further ones are not answered at all
+                directory = Directory(at, lambda *_: None, lambda: broken.put_nowait(None))
+                directory.watch()
+                await broken.get()
+                await broken.get()
+            listener.accept()[0].close()
+            listener.setblocking(False)
+            loop = asyncio.get_running_loop()
+            for _ in range(3):  # those given up may have come up meanwhile
+                sock, _ = await loop.sock_accept(listener)
+                asked = await loop.sock_recv(sock, 1000)
+                sock.close()
+                if asked:
+                    break
+            assert asked.startswith(b"GET /discovery/hosts?follow=1 ")
+            directory.close()
+
+    run(whole())
+
+
+def test_a_call_that_hangs_is_given_up_and_made_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Discovery was down when it came, say, and has no memory of it."""
+    monkeypatch.setattr(discovery, "LIST_S", 0.1)
+
+    async def body(peer: Discovery, held: Held) -> None:
+        first = await peer.calls.get()
+        first.send(CHUNKED, chunk(b"\n"))  # an empty line is no list
+        await first.ended()
+        (await peer.calls.get()).send(CHUNKED, chunk(listing(1, "a")))
+        assert await held.heard.get() == (["a"], True) and held.broken.qsize() == 1
+
+    case(body, silence_s=30.0)
+
+
+def test_bytes_that_have_come_count_before_a_time_that_is_over() -> None:
+    """The process stood still for longer than the silence that ends a watch, and the line was there in time."""
+    async def body(peer: Discovery, held: Held) -> None:
+        call = await peer.calls.get()
+        call.send(CHUNKED, chunk(listing(7, "a")))
+        assert await held.heard.get() == (["a"], True)
+        call.send_now(chunk(listing(8, "b", whole=False)))
+        time.sleep(1.5 * SILENCE_S)
+        assert await held.heard.get() == (["b"], False)
+        assert held.broken.empty()
+
+    case(body)
+
+
+def test_a_watch_that_ends_at_once_is_no_second_call() -> None:
+    async def body(peer: Discovery, held: Held) -> None:
+        for index in range(1, 4):
+            call = await peer.calls.get()
+            held.directory.watch()  # the module asks in its own time, too
+            call.send(CHUNKED, chunk(listing(index, "a")), b"0\r\n\r\n")
+            await call.ended()
+            held.directory.watch()
+            assert await held.heard.get() == (["a"], True)
+            assert peer.calls.empty() and held.broken.qsize() == index
+
+    case(body, silence_s=3.0)
+
+
+def test_who_hears_of_a_failure_and_fails_does_not_end_the_asking() -> None:
+    # Guards against a fault in the module's wait: it ended the task that watches, and nobody asked again.
+    async def whole() -> None:
+        peer = Discovery()
+
+        def broken() -> None:
+            raise OverflowError
+
+        directory = Directory(await peer.begin(), lambda *_: None, broken)
+        directory.watch()
+        (await peer.calls.get()).writer.close()
+        await peer.calls.get()
+        directory.close()
+
+    run(whole())
+
+
+def test_a_descriptor_is_kept_for_discovery() -> None:
+    """All others are in use when a call is to begin; the listener's queue needs none."""
+    async def whole() -> None:
+        loop = asyncio.get_running_loop()
+        listener, fillers = socket.create_server(("127.0.0.1", 0)), list[int]()
+        directory = Directory(listener.getsockname(), lambda *_: None, lambda: None)
+        there = loop.create_future()
+        loop.add_reader(listener, lambda: None if there.done() else there.set_result(None))
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        probe = os.open(os.devnull, os.O_RDONLY)
+        fillers.append(probe)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (probe + 8, hard))
+        try:
+            with pytest.raises(OSError):
+                while True:
+                    fillers.append(os.open(os.devnull, os.O_RDONLY))
+            directory.watch()
+            await there
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            for filler in fillers:
+                os.close(filler)
+        loop.remove_reader(listener)
+        listener.setblocking(False)
+        sock, _ = await loop.sock_accept(listener)
+        assert (await loop.sock_recv(sock, 1000)).startswith(b"GET /discovery/hosts?follow=1 ")
+        sock.close()
+        listener.close()
+        directory.close()
+
+    run(whole())
