--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -17,6 +17,7 @@
 import pytest
 
 from limenotch import config, program
+from limenotch.net.directory import Directory
 from limenotch.net.discovery import ASK_AGAIN_S
 
 from .helpers.peers import LOOK, SETTINGS, Handler, Reader, Writer, answering, ask, whole
@@ -165,7 +166,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     said = list[bool]()
-    monkeypatch.setattr(program.Directory, "push", lambda _, pushed: said.append(pushed))
+    monkeypatch.setattr(Directory, "push", lambda _, pushed: said.append(pushed))
 
     async def case() -> None:
         first, second = Agent(), Agent()
