--- a/tests/test_discovery_terms.py
+++ b/tests/test_discovery_terms.py
@@ -15,12 +15,14 @@
 import pytest
 
 from limenotch import settings
-from limenotch.facade import Provider
+from limenotch.facade import Ending, Provider, Status
 from limenotch.net import discovery
 from limenotch.net.directory import Directory
+from limenotch.net.providers import Providers
 
 from .helpers.peers import Reader, Writer
 from .helpers.processes import run
+from .test_sidecar import Heard, invoker_call, unlimited
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 SILENCE_S = 0.3  # far beyond what a call takes here, and short to wait for
@@ -341,6 +343,26 @@
     run(whole())
 
 
+def test_what_a_whole_list_does_not_name_is_gone_while_an_attempt_connects() -> None:
+    """As if it were listed as terminated: nothing is written to it, though it still answers."""
+    async def whole() -> None:
+        calls, seen = Heard(), asyncio.Queue[bytes]()
+
+        async def handler(reader: Reader, writer: Writer) -> None:
+            seen.put_nowait(await reader.read())
+
+        server = await asyncio.start_server(handler, "127.0.0.1", 0)
+        pool = Providers(calls, unlimited(), 9000.0, 9000.0)
+        pool.listed([Provider("a", server.sockets[0].getsockname(), Status.IN_SERVICE)], True)
+        pool.make(invoker_call(time.monotonic() + 20))
+        await asyncio.sleep(0)  # the task runs up to its wait for the connection
+        pool.listed([Provider("b", ("127.0.0.1", 1), Status.IN_SERVICE)], True)
+        assert await calls.endings.get() is Ending.NOT_SENT and await seen.get() == b""
+        assert not pool.knows("a")
+
+    run(whole())
+
+
 def test_a_descriptor_is_kept_for_discovery() -> None:
     """All others are in use when a call is to begin; the listener's queue needs none."""
     async def whole() -> None:
