--- a/limenotch/net/discovery.py
+++ b/limenotch/net/discovery.py
@@ -20,6 +20,7 @@
 from typing import NamedTuple
 
 CONNECT_S = 1.25  # a SYN that is lost goes out again after 1 s; beyond, a new connection is likelier to come up
+LIST_PART = 1.25  # times the silence of a watch that a call may take: a list takes longer than a line
 LIST_S = 3.0  # a jammed discovery keeps a call for seconds: to leave it early is to lose the place in its queue
 ASK_AGAIN_S = 3.5  # from a call that failed to the next: what is left of 6 s is for the answer
 # The longest waits after a first, a second and any further failure in a row: many in step keep discovery jammed.
@@ -125,7 +126,7 @@
 
     def _patience(self, now: float) -> float:
         """How long a call may take to bring its list."""
-        return min(self.silence_s, MOVED_LIST_S if now < self._moving else LIST_S)
+        return min(self.silence_s * LIST_PART, MOVED_LIST_S if now < self._moving else LIST_S)
 
     def _connected(self, now: float) -> None:
         if self.state is State.CONNECTING:
