--- /dev/null
+++ b/tests/helpers/cold_fleet.py
@@ -0,0 +1,401 @@
+"""Seeded runs of many balancers over one tier with cold endpoints, without sockets: what each cold endpoint is sent.
+
+The checker is independent of the decisions: it knows each endpoint's true rate and start, and counts every attempt
+in mean work. Times in ms, rates a ms.
+"""
+
+from __future__ import annotations
+
+import heapq
+from bisect import bisect_left
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from itertools import accumulate
+from math import exp, sqrt
+from random import Random
+
+from switchthread import Balancer
+from switchthread import interface as face
+
+COLD_AT = 5000.0  # until then all is warm and the balancers learn
+REPORT_MS = 400.0  # between two reports of an endpoint
+LOOK = face.TrafficClass("look", face.Effect.IDEMPOTENT, 1500.0, 4000.0, 3.0, 0.2)
+FILE = face.TrafficClass("file", face.Effect.IDEMPOTENT, 2500.0, 6000.0, 1.0, 0.5)
+ZONAL = face.TrafficClass("zonal", face.Effect.DEDUPLICATED, 1500.0, 4000.0, 2.0, 0.5, face.Scope.ZONE, 4000.0)
+CELL = face.TrafficClass("cell", face.Effect.DEDUPLICATED, 1500.0, 4000.0, 2.0, 0.5, face.Scope.CELL, 4000.0)
+TIER = (0.06, 0.2)  # calls a ms that a whole tier can do warm; few large endpoints or many small ones
+
+
+@dataclass(frozen=True)
+class Circumstance:
+    """What is peculiar to a run; the rest is drawn by its seed."""
+
+    name: str
+    cold: float = 0.3  # part of the endpoints that start anew at COLD_AT
+    zone_back: bool = False  # they are those of zone 0
+    join: float = 0.0  # endpoints that come beside, as a part of those there
+    again_ms: float = 0.0  # until they start once more
+    burst: float = 1.0  # the rate's factor from COLD_AT + `burst_ms` on, for 3 s
+    burst_ms: float = 0.0
+    load: tuple[float, float] = (0.4, 0.7)
+    endpoints: tuple[int, int] = (3, 12)
+    sidecars: tuple[int, int] = (20, 30)
+    after_ms: float = 8000.0  # how long it is played from COLD_AT on
+    late_ms: float = 300.0  # within which sidecars hear of a change, each at its own time
+    restarts: float = 0.0  # part of the sidecars that start anew while endpoints are cold
+    fresh: bool = False  # all sidecars start as the endpoints do
+    pairs: bool = False  # a second process beside each, from COLD_AT + 1 s on
+    retune: bool = False  # a new configuration while endpoints are cold: more sidecars, and a colder start
+    reports: str = "all"  # "half" of the endpoints, "use" without the rate, or "none"
+    speeds: tuple[float, ...] = (1.0,)  # of the kinds
+    weights: bool = True  # listed truly
+    zones: int = 1
+    crossing: float = 0.0
+    classes: tuple[tuple[face.TrafficClass, float, float], ...] = ((LOOK, 1.0, 1.0),)  # part of calls, and work
+    spread: bool = False  # each call's work is drawn, exponentially
+    errors: float = 0.0
+    copies: bool = False
+    one_seed: bool = False  # all sidecars have the same seed
+
+
+TWO_WORKS = ((LOOK, 0.75, 1.0), (FILE, 0.25, 3.0))
+KEYED = ((LOOK, 0.5, 1.0), (ZONAL, 0.25, 1.0), (CELL, 0.25, 1.0))
+URGENT = ((replace(LOOK, late_worth=0.0), 1.0, 1.0),)
+CIRCUMSTANCES = (
+    Circumstance("some cold"),
+    Circumstance("burst", burst=1.8, burst_ms=400.0),
+    Circumstance("most cold, burst later", cold=0.7, burst=2.0, burst_ms=3500.0),
+    Circumstance("whole tier cold", cold=1.0),
+    Circumstance("whole tier cold, load of 1", cold=1.0, load=(0.9, 1.2)),
+    Circumstance("whole tier cold, light, rush later", cold=1.0, load=(0.02, 0.1), burst=12.0, burst_ms=7000.0,
+                 after_ms=11_000.0),
+    Circumstance("many join, burst", cold=0.0, join=1.0, burst=1.6, burst_ms=500.0),
+    Circumstance("cold twice", cold=0.5, again_ms=3500.0),
+    Circumstance("new configuration", cold=0.5, retune=True),
+    Circumstance("sidecars restart", cold=0.7, restarts=0.7),
+    Circumstance("sidecars and tier start", cold=1.0, fresh=True),
+    Circumstance("sidecars and tier start, load of 1", cold=1.0, fresh=True, load=(0.8, 1.1)),
+    Circumstance("second processes", cold=0.7, pairs=True, burst=1.5, burst_ms=1500.0),
+    Circumstance("retries and copies", cold=0.5, errors=0.1, copies=True, classes=URGENT),
+    Circumstance("keyed, zones", cold=0.5, zones=3, errors=0.1, classes=KEYED),
+    Circumstance("keyed, crossing priced", cold=0.5, zones=3, crossing=0.015, errors=0.1, classes=KEYED),
+    Circumstance("zone returns, crossing priced", zone_back=True, zones=3, crossing=0.015, endpoints=(9, 12)),
+    Circumstance("zone returns, crossing priced, burst", zone_back=True, zones=3, crossing=0.015, endpoints=(9, 12),
+                 load=(0.6, 0.8), burst=1.7, burst_ms=1000.0),
+    Circumstance("zone returns, no price", zone_back=True, zones=3, endpoints=(9, 12)),
+    Circumstance("classes of unlike work", cold=0.6, classes=TWO_WORKS),
+    Circumstance("spread work", cold=0.6, spread=True),
+    Circumstance("kinds of unlike speed", cold=0.6, speeds=(0.6, 1.0, 1.6)),
+    Circumstance("kinds, no weights", cold=0.6, speeds=(0.6, 1.0, 1.6), weights=False),
+    Circumstance("no reports", cold=0.6, reports="none", burst=1.6, burst_ms=1500.0),
+    Circumstance("no reports, zones", cold=0.6, reports="none", zones=3, crossing=0.015, burst=1.5, burst_ms=1500.0),
+    Circumstance("no reports, whole tier cold", cold=1.0, reports="none"),
+    Circumstance("no reports, overload", cold=0.6, reports="none", load=(1.0, 1.4)),
+    Circumstance("half report", cold=0.6, reports="half"),
+    Circumstance("use alone reported", cold=0.6, reports="use"),
+    Circumstance("late lists", cold=0.6, late_ms=3000.0, burst=1.6, burst_ms=1500.0),
+    Circumstance("overload", cold=0.6, load=(1.0, 1.4)),
+    Circumstance("large tier", cold=0.6, endpoints=(36, 40), load=(0.4, 0.5)),
+    Circumstance("one seed for all", cold=0.8, fresh=True, one_seed=True),
+    Circumstance("few sidecars", cold=0.6, sidecars=(3, 5)),
+)
+
+
+class Endpoint:
+    """A queue that works off its backlog at its present rate, and what came to it since it started."""
+
+    def __init__(self, at: face.Upstream, rate: float, reports: bool) -> None:
+        self.at, self.rate, self.reports = at, rate, reports
+        self.started = 0.0
+        self.free_at = self.came_at = self.told_at = 0.0
+        self.came = 0.0  # requests a ms, and work a ms, fading over a second
+        self.work = 0.0
+        self.report: tuple[float | None, float | None] = (None, None)
+        self.got: list[tuple[float, float, bool]] = []  # since its start: when, work, from one that was told
+
+    def capacity(self, now: float, cold: face.ColdStart) -> float:
+        age = now - self.started
+        if not self.started or age >= cold.warm_ms:
+            return 1.0
+        return cold.capacity + (1 - cold.capacity) * age / cold.warm_ms
+
+    def start(self, now: float) -> None:
+        self.started, self.free_at, self.came, self.work, self.got = now, now, 0.0, 0.0, []
+        self.at = self.at._replace(started_ms=now)
+
+    def take(self, now: float, work: float, cold: face.ColdStart) -> float | None:
+        """When it has answered, or None if it is full."""
+        rate = self.rate * self.capacity(now, cold)
+        fade = exp((self.came_at - now) / 1000)
+        self.came, self.work, self.came_at = self.came * fade + 0.001, self.work * fade + work / 1000, now
+        if self.free_at - now > 2000.0:
+            return None
+        self.free_at = max(self.free_at, now) + work / rate
+        return max(self.free_at, now + 0.8 * work / rate)
+
+    def tell(self, now: float, cold: face.ColdStart, noise: float) -> tuple[float | None, float | None]:
+        if self.reports and now - self.told_at > REPORT_MS:
+            fade, rate = exp((self.came_at - now) / 1000), self.rate * self.capacity(now, cold)
+            use = self.work * fade / rate
+            self.told_at = now
+            self.report = min(use, 1.0) * noise, self.came * fade / max(use, 1.0) * 1000
+        return self.report
+
+    def pressed(self, cold: face.ColdStart) -> float:
+        """The most that any span held since its start, as a part of what fells it, if those told sent most of it."""
+        worst, sums = 0.0, list(accumulate((work for _, work, _ in self.got), initial=0.0))
+        told = list(accumulate((work * knew for _, work, knew in self.got), initial=0.0))
+        times = [at for at, _, _ in self.got]
+        for end, now in enumerate(times):
+            if now - self.started < cold.warm_ms:
+                begin = bisect_left(times, now - cold.fall_ms)
+                count, known = sums[end + 1] - sums[begin], told[end + 1] - told[begin]
+                allowed = cold.fall_multiple * self.capacity(now, cold) * self.rate * cold.fall_ms
+                if known > count * 2 / 3:
+                    worst = max(worst, count / (allowed + 2 * sqrt(allowed) + 2))
+        return worst
+
+
+@dataclass(eq=False)
+class Sidecar:
+    rank: int
+    zone: int
+    weight: float
+    balancer: Balancer
+    told: dict[str, float] = field(default_factory=dict)  # the start that it knows of each endpoint
+
+
+@dataclass(eq=False)
+class Request:
+    sidecar: Sidecar
+    kind: int
+    work: float
+    born: float
+    ended: bool = False
+    attempts: list[bool] = field(default_factory=list)  # those that are open
+
+
+@dataclass
+class Result:
+    worst: float  # the most pressed cold endpoint, as a part of what fells it
+    served: float  # part of the calls after COLD_AT that were answered within their aim
+
+
+class Run:
+    """One tier, its sidecars and their clients."""
+
+    def __init__(self, case: Circumstance, seed: int) -> None:
+        self.case, self.random, self.end = case, Random(f"{case.name}/{seed}"), COLD_AT + case.after_ms
+        draw = self.random.uniform
+        self.cold = face.ColdStart(draw(0.05, 0.3), draw(8000.0, 24_000.0), draw(1.5, 4.0), draw(1000.0, 4000.0))
+        self.heap: list[tuple[float, int, Callable[..., None], tuple[object, ...]]] = []
+        self.now, self.count, self.born, self.served = 0.0, 0, 0, 0
+        self.worst = 0.0
+        self.requests: dict[str, Request] = {}
+        number = self.random.randint(*case.endpoints)
+        rate = draw(*TIER) / number
+        self.endpoints = {str(n): self._endpoint(n, rate) for n in range(number)}
+        self.rate = self.random.uniform(*case.load) * sum(e.rate for e in self.endpoints.values())
+        total = self.random.randint(*case.sidecars)
+        self.settings = face.Settings(
+            classes=tuple(cls for cls, _, _ in case.classes), balancers=total, cold=self.cold,
+            weights_listed=case.weights, crossing_cost=case.crossing, may_copy=case.copies, max_attempts=4, layer=1,
+        )
+        mean = sum(part * work for _, part, work in case.classes)
+        self.works = [work / mean for _, _, work in case.classes]
+        self.rate_of_calls = self.rate
+        begin = COLD_AT - 50.0 if case.fresh else 0.0
+        self.sidecars = [self._sidecar(rank) for rank in range(total)]
+        for sidecar in self.sidecars:
+            self.at(begin, self._list, sidecar)
+        self._next(begin)
+        self._schedule()
+
+    # The world as it is set up
+
+    def _endpoint(self, number: int, rate: float) -> Endpoint:
+        kind, case = number % len(self.case.speeds), self.case
+        speed = case.speeds[kind]
+        at = face.Upstream(f"{number}", weight=speed if case.weights else 1.0, kind=kind,
+                           zone=number % case.zones, cell=number // 4)
+        reports = case.reports in ("all", "use") or (case.reports == "half" and number % 2 == 0)
+        return Endpoint(at, rate * speed * self.random.uniform(0.9, 1.1), reports)
+
+    def _settings(self, sidecar: Sidecar) -> face.Settings:
+        return replace(self.settings, rank=sidecar.rank, zone=sidecar.zone)
+
+    def _sidecar(self, rank: int) -> Sidecar:
+        zone = self.random.randrange(self.case.zones)
+        given = replace(self.settings, rank=rank, zone=zone)
+        weight = self.random.lognormvariate(0.0, 1.0)
+        return Sidecar(rank, zone, weight, Balancer(given, 5 if self.case.one_seed else self.random.getrandbits(32)))
+
+    def _schedule(self) -> None:
+        case, names = self.case, list(self.endpoints)
+        if case.zone_back:
+            cold = [name for name in names if self.endpoints[name].at.zone == 0]
+        else:
+            cold = self.random.sample(names, round(case.cold * len(names)))
+        for name in cold:
+            self.at(COLD_AT + self.random.uniform(0.0, 200.0), self._start, name)
+            if case.again_ms:
+                self.at(COLD_AT + case.again_ms + self.random.uniform(0.0, 200.0), self._start, name)
+        for number in range(round(case.join * len(names))):
+            at = COLD_AT + self.random.uniform(0.0, 2000.0)
+            self.at(at, self._join, len(names) + number)
+        if case.burst != 1.0:
+            for step in range(1, 5):  # within a second
+                self.at(COLD_AT + case.burst_ms + 200.0 * step, self._pace, 1 + (case.burst - 1) * step / 4)
+            self.at(COLD_AT + case.burst_ms + 4000.0, self._pace, 1.0)
+        for rank in self.random.sample(range(len(self.sidecars)), round(case.restarts * len(self.sidecars))):
+            self.at(COLD_AT + self.random.uniform(1000.0, 3000.0), self._restart, self.sidecars[rank])
+        if case.pairs:
+            self.at(COLD_AT + 1000.0, self._pair)
+        if case.retune:
+            self.at(COLD_AT + 2000.0, self._retune)
+
+    # What happens
+
+    def at(self, time: float, act: Callable[..., None], *given: object) -> None:
+        self.count += 1
+        heapq.heappush(self.heap, (time, self.count, act, given))
+
+    def play(self) -> Result:
+        while self.heap:
+            self.now, _, act, given = heapq.heappop(self.heap)
+            if self.now > self.end:
+                break
+            act(*given)
+        for endpoint in self.endpoints.values():
+            self._judge(endpoint)
+        return Result(self.worst, self.served / max(self.born, 1))
+
+    def _judge(self, endpoint: Endpoint) -> None:
+        if endpoint.started:
+            self.worst = max(self.worst, endpoint.pressed(self.cold))
+
+    def _start(self, name: str) -> None:
+        self._judge(self.endpoints[name])
+        self.endpoints[name].start(self.now)
+        self._announce()
+
+    def _join(self, number: int) -> None:
+        base = self.endpoints["0"].rate / self.case.speeds[0]
+        new = self.endpoints[str(number)] = self._endpoint(number, base)
+        new.start(self.now)
+        self._announce()
+
+    def _announce(self) -> None:
+        for sidecar in self.sidecars:
+            self.at(self.now + self.random.uniform(0.0, self.case.late_ms), self._list, sidecar)
+
+    def _list(self, sidecar: Sidecar) -> None:
+        rows = tuple(endpoint.at for endpoint in self.endpoints.values())
+        sidecar.told = {row.name: row.started_ms for row in rows}
+        self._tell(sidecar, face.Membership(face.Listing.WHOLE, rows))
+
+    def _restart(self, sidecar: Sidecar) -> None:
+        """Its calls are lost; the new process has no memory of what was sent."""
+        sidecar.balancer = Balancer(self._settings(sidecar), self.random.getrandbits(32))
+        for request in self.requests.values():
+            request.ended = request.ended or request.sidecar is sidecar
+        self._list(sidecar)
+
+    def _pair(self) -> None:
+        self.settings = replace(self.settings, processes=2)
+        first = list(self.sidecars)
+        for sidecar in first:
+            second = Sidecar(sidecar.rank, sidecar.zone, sidecar.weight,
+                             Balancer(self._settings(sidecar), self.random.getrandbits(32)))
+            self.sidecars.append(second)
+            self._list(second)
+            self._tell(sidecar, face.Retuned(self._settings(sidecar)))
+
+    def _retune(self) -> None:
+        """From now on endpoints count as colder for longer: by true ramp too, so that the limit is the new one."""
+        self.cold = replace(self.cold, warm_ms=self.cold.warm_ms * 1.5, capacity=self.cold.capacity * 0.8)
+        self.settings = replace(self.settings, cold=self.cold, balancers=len(self.sidecars) + 4)
+        for sidecar in self.sidecars:
+            self._tell(sidecar, face.Retuned(self._settings(sidecar)))
+
+    # Clients
+
+    def _pace(self, factor: float) -> None:
+        self.rate_of_calls = self.rate * factor
+
+    def _next(self, now: float) -> None:
+        self.at(now + self.random.expovariate(self.rate_of_calls), self._arrive)
+
+    def _arrive(self) -> None:
+        self._next(self.now)
+        sidecar = self.random.choices(self.sidecars, [s.weight for s in self.sidecars])[0]
+        kind = self.random.choices(range(len(self.works)), [part for _, part, _ in self.case.classes])[0]
+        work = self.works[kind] * (self.random.expovariate(1.0) if self.case.spread else 1.0)
+        self.born += self.now >= COLD_AT
+        self._ask(Request(sidecar, kind, work, self.now))
+
+    def _ask(self, request: Request) -> None:
+        if request.sidecar not in self.sidecars:
+            return
+        self.count += 1
+        name, cls = f"c{self.count}", self.settings.classes[request.kind]
+        left = request.born + cls.deadline_ms - self.now
+        if left > 0:
+            self.requests[name] = request
+            self._tell(request.sidecar, face.Arrival(name, request.kind, left))
+
+    # Between sidecars and endpoints
+
+    def _tell(self, sidecar: Sidecar, event: face.Event, to: Balancer | None = None) -> None:
+        if to is not None and to is not sidecar.balancer:
+            return  # that process has ended
+        for action in sidecar.balancer.handle(self.now, event):
+            if isinstance(action, face.Send):
+                self._send(sidecar, action)
+            elif isinstance(action, face.SetTimer):
+                self.at(action.at_ms, self._tell, sidecar, face.TimerFired(action.token), sidecar.balancer)
+            elif isinstance(action, face.Cancel):
+                self.at(self.now + 0.1, self._answer, action.call, action.attempt, "", face.Outcome.CANCELLED, self.now)
+            elif isinstance(action, face.Refuse):
+                self._refused(action.call)
+
+    def _refused(self, name: str) -> None:
+        """Half of the clients come again."""
+        request = self.requests.pop(name)
+        if self.random.random() < 0.5:
+            again = Request(request.sidecar, request.kind, request.work, request.born)
+            self.at(self.now + 300.0, self._ask, again)
+
+    def _send(self, sidecar: Sidecar, send: face.Send) -> None:
+        request, endpoint = self.requests[send.call], self.endpoints[send.upstream]
+        request.attempts.append(True)
+        number, cold = len(request.attempts) - 1, self.cold
+        endpoint.got.append((self.now, request.work, sidecar.told[send.upstream] == endpoint.started))
+        done = endpoint.take(self.now, request.work, cold)
+        if done is None:
+            at, outcome = self.now + 1.0, face.Outcome.REFUSED
+        elif done - self.now > send.timeout_ms:
+            at, outcome = self.now + send.timeout_ms, face.Outcome.TIMEOUT
+        else:
+            at, outcome = done, face.Outcome.OK if self.random.random() >= self.case.errors else face.Outcome.ERROR
+        self.at(at, self._answer, send.call, number, send.upstream, outcome, self.now)
+
+    def _answer(self, name: str, number: int, upstream: str, outcome: face.Outcome, sent: float) -> None:
+        request = self.requests.get(name)
+        if request is None or not request.attempts[number] or (request.ended and outcome is not face.Outcome.CANCELLED):
+            return
+        request.attempts[number] = False
+        use: float | None = None
+        rate: float | None = None
+        if outcome is face.Outcome.OK:
+            use, rate = self.endpoints[upstream].tell(self.now, self.cold, self.random.uniform(0.9, 1.1))
+            aim = self.settings.classes[request.kind].aim_ms
+            self.served += request.born >= COLD_AT and self.now - request.born <= aim and not request.ended
+            request.ended = True
+        done = face.Finished(name, upstream, number, self.now - sent, outcome, False, use,
+                             None if self.case.reports == "use" else rate)
+        self._tell(request.sidecar, done, request.sidecar.balancer)
+
+
+def play(case: Circumstance, seed: int) -> Result:
+    return Run(case, seed).play()
