Let a sidecar that starts beside warm endpoints wait for their answers, not go by demand

At fault: books._pace took what is asked for until the first answer, also where warm ones were there and only jammed.

--- a/switchthread/books.py
+++ b/switchthread/books.py
@@ -108,7 +108,7 @@
         self.typical = sum(u.mean * u.answers for u in usual) / max(sum(u.answers for u in usual), 1)
 
     def _pace(self, span: float) -> None:
-        """What warm upstreams show that they can do, for where nothing is reported; until then what is asked for.
+        """What warm upstreams show that they can do, for where nothing is reported; with none yet, what is asked for.
 
         All balancers' figures add up to what the tier did answer, as each divides by the weight of all that are warm.
         It falls only as far as what is asked for does: a jam is not a lesser tier. With no warm one it stands.
@@ -121,7 +121,7 @@
             self.shown, self.proved = seen, True
         elif self.proved and warm:
             self.shown += (max(seen, min(self.shown, asked)) - self.shown) * 0.2
-        elif not self.proved:
+        elif not self.proved and not warm:
             self.shown += (asked - self.shown) * (0.2 if self.shown else 1.0)
         for s in ready:
             s.answers = 0
