--- a/benchmarks/cold_fleet.py
+++ b/benchmarks/cold_fleet.py
@@ -10,7 +10,8 @@
 from multiprocessing import Pool
 from statistics import mean, median
 
-from tests.helpers.cold_fleet import CIRCUMSTANCES, play
+from tests.helpers.cold_circumstances import CIRCUMSTANCES
+from tests.helpers.cold_fleet import play
 
 
 def main() -> None:
--- a/tests/test_cold_fleet.py
+++ b/tests/test_cold_fleet.py
@@ -9,7 +9,8 @@
 from switchthread import Balancer
 from switchthread import interface as face
 from switchthread.records import Mean, Server
-from tests.helpers.cold_fleet import CIRCUMSTANCES, LOOK, Circumstance, play
+from tests.helpers.cold_circumstances import CIRCUMSTANCES, LOOK, Circumstance
+from tests.helpers.cold_fleet import play
 
 BY_NAME = {case.name: case for case in CIRCUMSTANCES}
 # Each of these seeds went over before the rate shown took the place of demand.
