Send a keyed request without its key once, and turn off one that names itself twice

Seen by reading: a class that endpoints drop repeats of was repeated also where the request has no Idempotency-Key, by which they would know the repeat; such a call now counts as one that may run once (interface.TrafficClass.as_keyed, asked by the books and by the permits). A request with two X-Call-Id, X-Call-Class, X-Caller, X-Budget or Idempotency-Key was taken by the last and passed on with both: an endpoint may know it by the other. It gets 400 with the field named. Tests: without a key in tests/test_attempt_crossings.py, two ids and two keys in tests/test_sidecar.py, seen to fail before. tests/fleet/test_wallet_program.py gives each request its own id, as the protocol has it: one id was used for four.

--- a/limenotch/facade.py
+++ b/limenotch/facade.py
@@ -200,9 +200,9 @@
         """How long any consumer waits for a call of this class."""
         return self.classes[self._classes[class_name]].deadline_ms
 
-    def permits(self, class_name: str) -> Permits:
+    def permits(self, class_name: str, keyed: bool = True) -> Permits:
         """What the attempts of a call of this class that comes now may do, also once the settings have changed."""
-        return Permits(self.classes[self._classes[class_name]], self._settings.may_copy)
+        return Permits(self.classes[self._classes[class_name]].as_keyed(keyed), self._settings.may_copy)
 
     @property
     def most_advice_ms(self) -> float:
@@ -280,15 +280,17 @@
         return self._handle(face.Started())
 
     def pick(self, call: int, class_name: str, tenant: str, left_ms: float, resent: bool = False,
-             once: bool = False, hint: Hint | None = None) -> Orders:
-        """A call was taken: exactly one final answer is owed within `left_ms`. `once`: its message is still coming."""
+             once: bool = False, hint: Hint | None = None, keyed: bool = True) -> Orders:
+        """A call was taken: exactly one final answer is owed within `left_ms`. `once`: its message is still coming;
+        `keyed`: it has the key by which endpoints drop its repeats, where its class has them do so.
+        """
         party, prefer, bound = self._tenants.get(tenant, 0), "", None
         if hint is not None:
             prefer = hint.prefer
             if hint.ran:
                 bound = face.Bound(self._zones[hint.zone], hint.group, self._clock() - hint.ago_ms)
         cls = self._classes[class_name]
-        return self._handle(face.Arrival(str(call), cls, left_ms, party, resent, once, prefer, bound))
+        return self._handle(face.Arrival(str(call), cls, left_ms, party, resent, once, prefer, bound, keyed))
 
     def uploaded(self, call: int, left_ms: float) -> Orders:
         """The last byte of a message that goes out once was sent: its call has so much time from now."""
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -76,7 +76,7 @@
         self._count += 1
         end = math.inf if rest is not None else monotonic() + left / 1000.0
         call = Call(self._count, name, class_name, payload, end, left / 1000.0, answer, rest, tenant, about)
-        call.permits = self.facade.permits(class_name)
+        call.permits = self.facade.permits(class_name, bool(about.key))
         self.figures.took()
         if not room or len(self.open) >= self.max_open or self.facade.shut:
             self._close(call, Final(Verdict.REJECTED, retry_after_ms=min(FULL_MS, self.facade.most_advice_ms)))
@@ -113,7 +113,8 @@
             call.ran_elsewhere = Sent(call.hint.zone, call.hint.group, ran_at_ms)
         left = call.left_s if call.rest is not None else max(call.end - monotonic(), 0.0)
         self.carry_out(self.facade.pick(
-            call.number, call.kind, call.tenant, left * 1000.0, call.about.resent, call.rest is not None, call.hint))
+            call.number, call.kind, call.tenant, left * 1000.0, call.about.resent, call.rest is not None, call.hint,
+            bool(call.about.key)))
 
     def _admit_later(self, call: Call) -> None:
         if call.number in self.open:
--- a/limenotch/net/consumer.py
+++ b/limenotch/net/consumer.py
@@ -18,7 +18,7 @@
 from .answers import answer_of, passed_headers
 from .call import About, Call, Final, Verdict
 from .client_group import ClientGroup
-from .fields import budget_ms, name_in
+from .fields import budget_ms, check_once, name_in
 from .pipe import BrokenError, Pipe
 
 log = logs.get(__name__)
@@ -294,6 +294,7 @@
             raise http1.MalformedError(405, "GET or POST expected")
         if request.minor == 1 and b"host" not in fields:
             raise http1.MalformedError(400, "Host: missing")
+        check_once(request.headers)
         class_name = name_in(fields.get(b"x-call-class", b""))
         tenant = name_in(fields.get(b"x-caller", b""))
         name = fields.get(b"x-call-id")
--- a/limenotch/net/fields.py
+++ b/limenotch/net/fields.py
@@ -24,3 +24,17 @@
         return value.decode("utf-8")
     except UnicodeDecodeError:
         return value.decode("latin-1")
+
+
+# Not twice, even where both say the same: an endpoint may know the request by the other one of the two.
+ONCE = frozenset((b"x-call-id", b"x-call-class", b"x-caller", b"x-budget", b"idempotency-key"))
+
+
+def check_once(headers: http1.Headers) -> None:
+    """Raises MalformedError, which names the field, if one of those that identify a request is there twice."""
+    seen: set[bytes] = set()
+    for name, _ in headers:
+        key = name.lower()
+        if key in ONCE and key in seen:
+            raise http1.MalformedError(400, f"repeated {key.decode('latin-1')}")
+        seen.add(key)
--- a/switchthread/books.py
+++ b/switchthread/books.py
@@ -162,7 +162,7 @@
         """A record for a call that came. Raises ValueError if its class is none of the settings."""
         if not 0 <= event.traffic_class < len(self.set.classes):
             raise ValueError(f"traffic_class: {event.traffic_class} is no class of the settings")
-        cls = self.set.classes[event.traffic_class]
+        cls = self.set.classes[event.traffic_class].as_keyed(event.keyed)
         useful = min(event.budget_ms, cls.aim_ms) if cls.late_worth <= 0 else event.budget_ms
         usual, most, aim = self.usual[cls.name], self.set.max_attempts, now + cls.aim_ms
         call = Call(event.call, cls, usual, most, now + useful, aim,
--- a/switchthread/interface.py
+++ b/switchthread/interface.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Hashable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import inf
 from typing import NamedTuple, Union
@@ -83,6 +83,12 @@
         deduplicated = self.effect is Effect.DEDUPLICATED and self.scope is Scope.ALL
         return deduplicated or self.effect is Effect.IDEMPOTENT
 
+    def as_keyed(self, keyed: bool) -> TrafficClass:
+        """What holds for a call of it: without its key nobody can tell a repeat."""
+        if keyed or self.effect is not Effect.DEDUPLICATED:
+            return self
+        return replace(self, effect=Effect.AT_MOST_ONCE)
+
     def __post_init__(self) -> None:
         _need(self.aim_ms > 0, "classes.aim_ms", "a number above 0")
         _need(self.deadline_ms > 0, "classes.deadline_ms", "a number above 0")
@@ -226,6 +232,7 @@
     once: bool = False  # its message is long and still coming: it can't be sent twice, nor to two at once
     prefer: str = ""  # the upstream that it stays with while that one may take work
     bound: Bound | None = None
+    keyed: bool = True  # has a key, where its class is deduplicated by one
 
 
 class Uploaded(NamedTuple):
--- a/tests/fleet/test_wallet_program.py
+++ b/tests/fleet/test_wallet_program.py
@@ -20,7 +20,7 @@
 from limenotch.net import http1
 from limenotch.net.call import Final, Verdict
 from limenotch.settings import parse
-from tests.helpers.peers import DELIVER, LOOK, SETTINGS, Handler, answering, ask, whole
+from tests.helpers.peers import DELIVER, LOOK, SETTINGS, Handler, answering, ask, renamed, whole
 from tests.helpers.processes import free_port, run, with_sidecar
 
 from .test_fleet_off import serving
@@ -151,7 +151,7 @@
         assert not seen
         await program.add("i", 1000)
         await program.served(LOOK)
-        statuses = [(await program.call(wire)).status for wire in (LOOK, DELIVER, DELIVER, DELIVER)]
+        statuses = [(await program.call(renamed(wire))).status for wire in (LOOK, DELIVER, DELIVER, DELIVER)]
         assert (statuses, len(seen)) == ([200, 503, 502, 200], len(answers))
         assert (await program.call(OTHER)).status == 200
         wallet = await program.settled()
--- a/tests/helpers/scripted.py
+++ b/tests/helpers/scripted.py
@@ -23,11 +23,11 @@
     def longest_ms(self, class_name: str) -> float:
         return 20_000.0
 
-    def permits(self, class_name: str) -> Permits:
+    def permits(self, class_name: str, keyed: bool = True) -> Permits:
         return Permits()
 
     def pick(self, call: int, class_name: str, tenant: str, left_ms: float, resent: bool = False,
-             once: bool = False, hint: Hint | None = None) -> Orders:
+             once: bool = False, hint: Hint | None = None, keyed: bool = True) -> Orders:
         self.hints.append(hint)
         return self.picked
 
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -342,6 +342,7 @@
     "safe": ({}, LOOK, 2, 503),
     "once": (UNSAFE, DELIVER, 1, 502),
     "keyed, in its window": ({}, DELIVER, 2, 502),
+    "of a keyed class, without a key": ({}, DELIVER.replace(b"Idempotency-Key: k\r\n", b""), 1, 502),
     "keyed, after its window": (settings_with(window_ms=1.0), DELIVER, 1, 502),
     "keyed everywhere, in its window": (settings_with(dedup_scope="all", window_ms=40_000.0), DELIVER, 2, 503),
     "keyed everywhere, its window ends before its client does": (settings_with(dedup_scope="all"), DELIVER, 2, 502),
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -62,6 +62,8 @@
     (LOOK.replace(b"X-Call-Id", b"X-Other"), 400),
     (LOOK.replace(b"Host: s\r\n", b""), 400),
     (LOOK.replace(b"Host: s", b"Host: s\r\nHost: t"), 400),
+    (LOOK.replace(b"Host: s", b"Host: s\r\nX-Call-Id: 2"), 400),
+    (DELIVER.replace(b"Host: s", b"Host: s\r\nIdempotency-Key: l"), 400),
     (LOOK.replace(b"look", b"odd"), 400),
     (LOOK.replace(b"acme", b"odd"), 400),
     (LOOK.replace(b"20000m", b"nanm"), 400),
@@ -69,7 +71,8 @@
     (b"\x16\x03\x01 hello\r\n\r\n", 400),
     (b"GET /" + b"a" * 70_000, 431),
     (DELIVER.replace(b"Length: 3", b"Length: 70000000"), 413),
-], ids=["no id", "no host", "two hosts", "class", "tenant", "budget", "method", "garbage", "large head", "large body"])
+], ids=["no id", "no host", "two hosts", "two ids", "two keys", "class", "tenant", "budget", "method", "garbage",
+        "large head", "large body"])
 def test_bad_input_is_answered_and_reaches_no_provider(wire: bytes, status: int) -> None:
     handler, seen = answering(whole(200))
 
