--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -12,7 +12,7 @@
 from switchthread import interface as face
 from switchthread.entry import FEW, Entry
 from tests.referee import READ, Referee, fleet, settings
-from tests.test_rules import steady
+from tests.test_decisions import steady
 from tests.test_zones import Desk
 
 
