Force an endpoint that hangs up while the process ends, for every effect

A call is under way at SIGTERM and its endpoint resets: again for what may run twice, once for what may not, one answer each.

--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -265,3 +265,43 @@
         leaving.cancel()
 
     run(with_connections(use, PATIENT))
+
+
+@pytest.mark.parametrize(("effect", "status", "runs"), [
+    ("idempotent", 200, 2), ("deduplicated", 200, 2), ("at_most_once", 502, 1)])
+def test_what_is_under_way_at_sigterm_goes_again_only_as_its_class_allows(effect: str, status: int, runs: int) -> None:
+    # Guards once-only work in the one moment in which a process ends and an endpoint hangs up.
+    classes = [{**SETTINGS["classes"][1], "effect": effect}]  # type: ignore[index]
+
+    async def case() -> None:
+        first, told = asyncio.Event(), asyncio.Event()
+        seen = 0
+
+        async def handle(reader: Reader, writer: Writer) -> None:
+            nonlocal seen
+            await reader.readuntil(b"doc")
+            seen += 1
+            if seen == 1:
+                first.set()
+                await told.wait()
+                writer.transport.abort()
+            else:
+                writer.write(whole(200))
+                await reader.read()
+                writer.close()
+
+        async def use(port: int) -> None:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(DELIVER)
+            await first.wait()
+            os.kill(os.getpid(), signal.SIGTERM)
+            told.set()
+            parser = http1.ResponseParser()
+            assert (await answer_from(reader, parser)).status == status
+            assert await reader.read() == b""  # the one answer, and the end in order
+            writer.close()
+
+        await with_sidecar(handle, use, ends=True, more={"settings": {**SETTINGS, "classes": classes}})
+        assert seen == runs
+
+    run(case())
