Keep what a balancer has saved up for a cold endpoint, up to a bound

Cause: a request that was earned but not sent within overload_for_ms was given up whole; with some thirty sidecars each earns one in ten seconds, could use it for two and a half, and lost it before its draws fell on that endpoint.

--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-from math import ceil, exp
+from math import exp
 
 from . import interface as face
 
@@ -113,13 +113,13 @@
         return self.rests > 0
 
     def earn(self, now: float, keep_ms: float) -> float:
-        """Its credit as of now. A request that was earned but not sent within `keep_ms` is given up again.
+        """Its credit as of now: one request, and half of what it earns in `keep_ms`, are saved up at most.
 
-        Kept for longer, those of many balancers add up to more than a cold upstream stands, and a rush brings them
-        all at once. Whole requests are given up, so that the balancers stay out of step.
+        One that is given up instead when it is not sent in time leaves most of a cold upstream's room unused: with many
+        balancers each earns a request in ten seconds and would have to need it within the next two.
         """
-        self.credit, self.credit_at = self.credit + (now - self.credit_at) * self.room, now
-        self.credit -= max(ceil(self.credit - 1 - self.room * keep_ms), 0)
+        most = 1.0 + self.room * keep_ms / 2
+        self.credit, self.credit_at = min(self.credit + (now - self.credit_at) * self.room, most), now
         return self.credit
 
     def fade(self, now: float, memory: float) -> None:
