--- a/limenotch/net/discovery.py
+++ b/limenotch/net/discovery.py
@@ -37,7 +37,7 @@
 # A change counts as told so long after discovery had it and could be reached, arrived or not. A jammed discovery may
 # take longer to answer all its callers; what is sent on the list held then may go to endpoints that drain.
 TOLD_S = 6.0
-OVERDUE_S = 3.0  # nothing is sent for so long; beyond, discovery counts as broken and the held list is better than none
+OVERDUE_S = 3.0  # nothing is sent for so long; beyond, discovery counts as broken, and the list held as better than none
 PENDING_S = 0.5  # a call without an answer for so long waits in a queue: one that is down refuses at once
 
 
