--- a/limenotch/net/admission.py
+++ b/limenotch/net/admission.py
@@ -20,15 +20,12 @@
     ENDED = "the attempt has ended"
     NO_TIME = "its time is over"
     NOT_IN_SERVICE = "the endpoint takes nothing new"
-    LIST_OVERDUE = "the list held misses what counts as told"
     RESTARTED = "the endpoint is not the process that was chosen"  # the cold budget was charged for another one
     ANOTHER_OUT = "another attempt of the call is out"
     MAY_HAVE_RUN = "an earlier attempt may have run, and no repeat is allowed there or any more"
 
 
-def hindrance(
-    attempt: InvokerCall, endpoint: Provider | None, now: float, list_overdue: bool = False
-) -> Hindrance | None:
+def hindrance(attempt: InvokerCall, endpoint: Provider | None, now: float) -> Hindrance | None:
     """What stops the attempt now, by `time.monotonic`; None: it may begin.
 
     `endpoint` is the attempt's by the newest list; None if that takes nothing new.
@@ -42,8 +39,6 @@
         return Hindrance.ENDED
     if now >= attempt.end:
         return Hindrance.NO_TIME
-    if list_overdue:
-        return Hindrance.LIST_OVERDUE
     if endpoint is None or chosen is None:
         return Hindrance.NOT_IN_SERVICE
     if (endpoint.address, endpoint.since_ms) != (chosen.address, chosen.since_ms):
--- a/limenotch/net/calls.py
+++ b/limenotch/net/calls.py
@@ -38,7 +38,6 @@
         self.facade, self.max_open = facade, max_open
         self.figures = figures or Figures()
         self.last = math.inf  # while the program leaves: when calls still to come have to end, by time.monotonic
-        self.list_overdue: Callable[[], bool] = lambda: False  # nothing may be sent on the list that is held
         self.beside: tuple[Beside, ...] = ()
         self.open: dict[int, Call] = {}
         self.passing: dict[int, Call] = {}  # their answers are being passed on
@@ -79,7 +78,7 @@
         call = Call(self._count, name, class_name, payload, end, left / 1000.0, answer, rest, tenant, about)
         call.permits = self.facade.permits(class_name, bool(about.key))
         self.figures.took()
-        if not room or len(self.open) >= self.max_open or self.facade.shut or self.list_overdue():
+        if not room or len(self.open) >= self.max_open or self.facade.shut:
             self._close(call, Final(Verdict.REJECTED, retry_after_ms=min(FULL_MS, self.facade.most_advice_ms)))
             return call
         self.open[call.number] = call
--- a/limenotch/net/directory.py
+++ b/limenotch/net/directory.py
@@ -212,10 +212,6 @@
         self._at, self._version = at, 0
         self._feed(Moved())
 
-    def overdue(self) -> bool:
-        """Whether changes count as told that this process has not heard, as the directory keeps it waiting."""
-        return self._state.overdue(monotonic())
-
     def push(self, pushed: bool) -> None:
         """Whether the directory is an agent whose word counts unheard, from the next failure on."""
         self._state.pushed = pushed
--- a/limenotch/net/discovery.py
+++ b/limenotch/net/discovery.py
@@ -34,11 +34,6 @@
 # Where lists are pushed an agent is near, and what it has counts at once: a quarter of a second is the least grace.
 PUSHED_CONNECT_S = 0.5
 PUSHED_WAITS_S = (0.05, 0.1, 0.2)
-# A change counts as told so long after discovery had it and could be reached, arrived or not. A jammed discovery may
-# take longer to answer all its callers; what is sent on the list held then may go to endpoints that drain.
-TOLD_S = 6.0
-OVERDUE_S = 3.0  # nothing is sent for so long; beyond, discovery counts as broken, and the list held as better than none
-PENDING_S = 0.5  # a call without an answer for so long waits in a queue: one that is down refuses at once
 
 
 class State(Enum):
@@ -97,8 +92,6 @@
         self.due: float | None = None  # when to come with Due
         self._began = self._heard = 0.0  # the call under way, or the last one
         self._failures = 0  # in a row
-        self._current = float("-inf")  # up to when nothing can have been missed while discovery was in reach
-        self._queued = False  # whether the last call failed after a wait in discovery's queue
         self._moving = float("-inf")  # until when failures are the move's own
 
     @property
@@ -106,16 +99,6 @@
         """Whether a call is under way."""
         return self.state in (State.CONNECTING, State.ASKED, State.FOLLOWING)
 
-    def overdue(self, now: float) -> bool:
-        """Whether the list held may miss what counts as told: discovery is there and has not answered.
-
-        For a time only, and not while discovery is down: then nothing counts as told.
-        """
-        if self.state in (State.IDLE, State.FOLLOWING):
-            return False
-        pending = self.state is State.ASKED and now - self._began >= PENDING_S
-        return (pending or self._queued) and TOLD_S <= now - self._current < TOLD_S + OVERDUE_S
-
     def handle(self, now: float, event: Event) -> list[Order]:
         """What to do about an event; one that does not concern the present state does nothing."""
         if isinstance(event, Wanted):
@@ -150,7 +133,7 @@
             self.state, self.due = State.ASKED, self._began + self._patience(now)
 
     def _follow(self, now: float) -> None:
-        self.state, self._moving, self._queued = State.FOLLOWING, float("-inf"), False
+        self.state, self._moving = State.FOLLOWING, float("-inf")
         self._hear(now)
 
     def _hear(self, now: float) -> None:
@@ -158,22 +141,16 @@
 
     def _move(self, now: float) -> list[Order]:
         close = [Order.CLOSE] if self.calling else []
-        self._current, self._queued = now, False  # what the new address has counts from now on
         self._failures, self._moving = 0, now + MOVED_S
         return close + self._open(now)
 
     def _overdue(self, now: float) -> list[Order]:
         if self.state is State.WAITING:
             return self._open(now)
-        return [Order.CLOSE, *self._failed(now, silent=True)]
+        return [Order.CLOSE, *self._failed(now)]
 
-    def _failed(self, now: float, silent: bool = False) -> list[Order]:
+    def _failed(self, now: float) -> list[Order]:
         following = self.state is State.FOLLOWING
-        self._queued = self.state is State.ASKED and now - self._began >= PENDING_S
-        if following:
-            self._current = self._heard if silent else now
-        elif not self._queued:
-            self._current = now  # it was not in reach
         since = self._heard if following else self._began  # from when on nothing is known
         lasted = following and now - self._began >= LASTING_S
         self._failures = 1 if lasted else self._failures + 1
--- a/limenotch/net/providers.py
+++ b/limenotch/net/providers.py
@@ -227,7 +227,7 @@
         if invoker_call in self._cut:
             return False
         endpoint = self._usable(invoker_call.provider)
-        hindrance = admission.hindrance(invoker_call, endpoint, monotonic(), self._calls.list_overdue())
+        hindrance = admission.hindrance(invoker_call, endpoint, monotonic())
         if hindrance is not None and self._trace:
             log.debug("not sent", call=invoker_call.call.number, provider=invoker_call.provider,
                       reason=hindrance.value)
--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -69,7 +69,7 @@
             others.silent()
 
     directory = Directory(config.directory, heard, broken, settings.directory, pushed(config))
-    calls.invoker, calls.watch, calls.list_overdue = providers, directory.watch, directory.overdue
+    calls.invoker, calls.watch = providers, directory.watch
     if others is not None:
         calls.beside = others.beside
         others.lists(use, directory.where)
