Ask discovery at the pace it was asked before, in the state machine

So each of the shorter times costs: connects given up after 1.25 s lose their place, waits cut to end within 3.5 s keep the jam up.

--- a/limenotch/net/discovery.py
+++ b/limenotch/net/discovery.py
@@ -7,7 +7,7 @@
     the next call begins                                        ASK_AGAIN_S after that beginning at the latest
     its list is held                                            a later
 
-A change counts as told 6 s after discovery had it and could be reached, so `a` may be 2.5 s. A watch that falls silent
+A change counts as told 6 s after discovery had it and could be reached, so `a` may be 1 s. A watch that falls silent
 is the same sum from its last line on, with `silence_s` for LIST_S. At a new address a call that is lost costs
 MOVED_LIST_S + MOVED_WAIT_S of the 4 s that there are. Where lists are pushed, the next call begins within the last of
 PUSHED_WAITS_S after one has failed.
@@ -19,14 +19,13 @@
 from random import Random
 from typing import NamedTuple
 
-CONNECT_S = 1.25  # a SYN that is lost goes out again after 1 s; beyond, a new connection is likelier to come up
-LIST_PART = 1.25  # times the silence of a watch that a call may take: a list takes longer than a line
+CONNECT_S = 3.0  # a jammed discovery may keep callers at its door: to leave early is to lose the place there, too
 LIST_S = 3.0  # a jammed discovery keeps a call for seconds: to leave it early is to lose the place in its queue
-ASK_AGAIN_S = 3.5  # from a call that failed to the next: what is left of 6 s is for the answer
+ASK_AGAIN_S = 5.0  # from a call to the next, at the latest: sooner, all callers keep a jam up that is longer than this
 # The longest waits after a first, a second and any further failure in a row: many in step keep discovery jammed.
 WAITS_S = (0.5, 1.0, 2.0)
 LEAST = 0.2  # part of the longest wait that is always waited; the rest is drawn
-LASTING_S = 2.0  # a watch that ends sooner after its call counts as one more failure in a row
+LASTING_S = 0.5  # a watch that ends sooner after its call counts as one more failure in a row
 # At a new address the list must be had within 4 s, however many failures there were at the old one.
 MOVED_S = 3.0  # the failures of so long are the move's own, and told nobody
 MOVED_LIST_S = 2.25
@@ -126,7 +125,7 @@
 
     def _patience(self, now: float) -> float:
         """How long a call may take to bring its list."""
-        return min(self.silence_s * LIST_PART, MOVED_LIST_S if now < self._moving else LIST_S)
+        return min(self.silence_s, MOVED_LIST_S if now < self._moving else LIST_S)
 
     def _connected(self, now: float) -> None:
         if self.state is State.CONNECTING:
