Draw the waits for discovery by each process's own seed and name

Left as a difference: the state machine drew its waits from the system's random numbers, the module before it from the configuration's seed. Now: seed, name and address.

--- a/limenotch/program.py
+++ b/limenotch/program.py
@@ -7,6 +7,7 @@
 import os
 import signal
 from collections.abc import Callable
+from random import Random
 from time import monotonic
 from typing import TYPE_CHECKING, Any
 
@@ -68,7 +69,9 @@
         if others is not None:
             others.silent()
 
-    directory = Directory(config.directory, heard, broken, settings.directory, pushed(config))
+    # Of its own by seed and name: where the system's random numbers are alike everywhere, all would ask in step.
+    random = Random(f"{config.seed:x}/{config.name}/{host_port(config.listen)}")
+    directory = Directory(config.directory, heard, broken, settings.directory, pushed(config), random)
     calls.invoker, calls.watch = providers, directory.watch
     if others is not None:
         calls.beside = others.beside
