--- a/limenotch/settings.py
+++ b/limenotch/settings.py
@@ -41,7 +41,7 @@
 
 class Providers(Struct, frozen=True, forbid_unknown_fields=True):
     idle_part: Part = 0.4
-    settle_s: Seconds = 0.03
+    settle_s: Seconds = 0.01
     answer_s: Seconds = 0.5
     stall_s: Seconds = 10.0
 
