Show a fault of a drawing where it was begun, not where it took effect

Followed: the stage notes a start twice, when it is begun (2201 ms) and, over that, when the process is ready (2457 ms); rows are printed 300 ms late, so that whichever stood then was shown. Ruled out: the program's own order (members hear of c before its /up, which is right) and a busy machine (load under 1). Mend: the stage keeps both, 'begun' for what is shown and 'happened' for the windows of what is to follow. The old test is as it was.

--- a/limenotch/cli/lab/fleet.py
+++ b/limenotch/cli/lab/fleet.py
@@ -81,8 +81,8 @@
     def rows(self, stage: Stage, until: float) -> None:
         begun = stage.began_ms or 0.0
         rows = [(seen.at_ms - begun, seen.node, seen.text) for seen in stage.processes.seen()]
-        for came, (_, fault) in list(zip(stage.happened, stage.drawing.faults, strict=True))[self._faults:]:
-            if 0.0 < came <= until:  # once each, though a start is later said to have come when it is ready
+        for came, (_, fault) in list(zip(stage.begun, stage.drawing.faults, strict=True))[self._faults:]:
+            if 0.0 < came <= until:
                 rows.append((came, FAULTS, str(fault)))
                 self._faults += 1
         for row in sorted(rows):
--- a/limenotch/lab/fleet/stage.py
+++ b/limenotch/lab/fleet/stage.py
@@ -126,7 +126,8 @@
         self.keys_of = {name: (0, rank) for rank, name in enumerate(drawing.nodes)}
         self.ports = {name: free_port() for name in drawing.nodes}
         self.relay: network.Relay | None = None
-        self.happened = [0.0] * len(drawing.faults)
+        self.begun = [0.0] * len(drawing.faults)  # when each fault was applied; 0 while it has not been
+        self.happened = [0.0] * len(drawing.faults)  # when each took effect: a start when its nodes are ready
         self._last_pools: list[Pool] = []  # of nodes that are gone: their calls still hear of it
         self._wishes: dict[str, Wish] = {}
         self._playing = False
@@ -226,6 +227,7 @@
             wait = at - self.clock()
             if wait > 0:
                 await asyncio.sleep(wait / 1000.0)
+            self.begun[number] = self.clock()
             await self._happen(fault)
             self.happened[number] = self.clock()
             if str(fault).startswith("start"):
--- a/tests/fleet/test_lab_fleet.py
+++ b/tests/fleet/test_lab_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import os
 import signal
 import subprocess
@@ -9,9 +10,11 @@
 from pathlib import Path
 
 import pytest
+from rich.console import Console
 
 from limenotch.cli.lab import fleet
-from limenotch.lab.fleet import drills
+from limenotch.lab.fleet import drawing, drills
+from limenotch.lab.fleet.processes import Seen
 
 from ..helpers.processes import LIMIT_S, ROOT
 from .test_processes import children
@@ -32,6 +35,30 @@
     assert said.count("start c") == 1 and not children()
 
 
+class Played:
+    """A stage that has played a drawing of a death and a return: `c` was ready 250 ms after its start was begun."""
+
+    def __init__(self, drawn: drawing.Scenario) -> None:
+        self.drawing, self.began_ms = drawn, 0.0
+        self.begun, self.happened = [200.0, 2200.0], [200.0, 2450.0]
+        self.processes = self
+
+    def seen(self) -> list[Seen]:
+        return [Seen(1250.0, "a", "c dead", {}), Seen(2400.0, "c", "a alive", {}), Seen(2420.0, "a", "c alive", {})]
+
+
+@pytest.mark.parametrize("looked", [(5000.0,), (2210.0, 5000.0), (2410.0, 5000.0)])
+def test_a_start_is_shown_where_it_was_begun_whenever_its_process_was_ready(looked: tuple[float, ...]) -> None:
+    drawn = drawing.read(drills.death_and_return(3, 1), "fleet")
+    console = Console(highlight=False, file=io.StringIO(), width=200)
+    live = fleet.Live(drawn, console)
+    for until in looked:
+        live.rows(Played(drawn), until)  # type: ignore[arg-type]
+    assert isinstance(console.file, io.StringIO)
+    rows = [line.split(maxsplit=1) for line in console.file.getvalue().splitlines()]
+    assert rows == [["200", "kill c"], ["1250", "c dead"], ["2200", "start c"], ["2400", "a alive"], ["2420", "c alive"]]
+
+
 def test_drawings_in_simulated_time(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     assert fleet.command(["lab", "fleet", "--simulated"]) == 0
     assert "c dead" in capsys.readouterr().out
