--- a/limenotch/lab/emulate/host.py
+++ b/limenotch/lab/emulate/host.py
@@ -18,8 +18,9 @@
 from ..model.directory import Entry, Tell
 from ..model.faults import Deed, Script
 from ..model.fleet import Changed, Fleet, Site
+from ..model.jobs import Job
 from ..model.network import Network
-from ..model.provider import Job, Provider
+from ..model.provider import Provider
 from ..model.rules import Limits, Rules
 from ..planning import Plan, settings_of
 from ..record import Record, histogram, quantiles
--- a/limenotch/lab/emulate/providers.py
+++ b/limenotch/lab/emulate/providers.py
@@ -14,7 +14,8 @@
 
 from ...net import http1
 from ..model.fleet import Fleet, Site
-from ..model.provider import Below, Done, Effect, End, Job, Provider
+from ..model.jobs import Below, Done, Effect, End, Job
+from ..model.provider import Provider
 from ..model.rules import Rules
 from ..record import Record
 from .wire import Served, listener
--- a/limenotch/lab/model/fleet.py
+++ b/limenotch/lab/model/fleet.py
@@ -12,8 +12,10 @@
 from .clients import Clients, draw_size
 from .directory import Directory, Entry
 from .faults import Deed
+from .jobs import Job
+from .keys import Group
 from .network import Network
-from .provider import Group, Job, Provider
+from .provider import Provider
 
 if TYPE_CHECKING:
     from ..planning import Machine, Plan
--- a/limenotch/lab/model/provider.py
+++ b/limenotch/lab/model/provider.py
@@ -25,163 +25,18 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
-from enum import Enum
 from heapq import heappop, heappush
 from math import inf
-from typing import NamedTuple
 
 from .chance import Chance
+from .choking import Choking
+from .jobs import EPSILON, Below, Done, Effect, End, Job, Ledger, Report, State
+from .keys import Group
+from .provider_spec import ProviderSpec, Stops
 
-EPSILON = 1e-7  # ms of work within which a piece counts as done: rounding must not ask for one more wake
 COLD_STEP_MS = 100.0  # how often the speed of a warming provider is brought up to date while nothing else happens
 
 
-class Stops(Enum):
-    """Which jobs end when their caller drops them."""
-
-    ALL = "all"
-    QUEUED = "queued"
-    NONE = "none"
-
-
-@dataclass(frozen=True, slots=True)
-class ProviderSpec:
-    """One provider's nature; times in ms, work in ms of one yardstick core."""
-
-    cores: int = 1
-    speed: float = 1.0
-    slots: int = 1
-    queue: int = 1_000_000
-    crowd_at: float = inf
-    crowd_loss: float = 0.0
-    choke_at: float = inf  # runnable jobs a core
-    choke_over_ms: float = 2000.0
-    choke_slower: float = 1.0
-    choke_rest_ms: float = 3000.0
-    choke_below: float = 0.3
-    choke_most_ms: float = 20_000.0
-    cold_from: float = 1.0
-    cold_ms: float = 0.0
-    warm_work_ms: float = 0.0  # work after which it is warm, if that comes sooner; 0: by time alone
-    fall_multiple: float = 4.0
-    fall_ms: float = 3000.0
-    error_rate: float = 0.0
-    stops: Stops = Stops.ALL
-    drops_expired: bool = True
-    handshake_ms: float = 0.0  # work for each new connection
-    connections: int = 1_000_000
-    full_tax: float = 0.0
-    probe_ms: float = 0.0  # work for each probe
-    reports: bool = True  # answers carry its load
-    report_ms: float = 1000.0  # how often its load report is made anew
-    report_delay_ms: float = 0.0
-    report_noise: float = 0.0  # standard deviation, relative
-    repeat_ms: float = 0.5  # work for a keyed repeat that is recognised at once
-
-
-class State(Enum):
-    QUEUED = "queued"
-    RUNNING = "running"
-    BELOW = "below"  # in a slot, waiting for a call of the tier below
-    OVER = "over"
-
-
-class End(Enum):
-    """How a job ended, as its caller sees it."""
-
-    SERVED = "served"
-    ERROR = "error"
-    EXPIRED = "expired"  # its time was over before it began: it never ran
-
-
-@dataclass(slots=True, eq=False)
-class Job:
-    ticket: int
-    pieces: list[float]  # of work, those still to do
-    end: float = inf  # when its caller stops waiting
-    key: str = ""  # of a keyed call: a repeat in the same group is dropped
-    window_ms: float = 0.0
-    cls: int = 0
-    size: float = 1.0  # of its call, for those of the tier below
-    came: float = 0.0
-    whole: float = 0.0  # its work
-    left: float = 0.0  # of it, not yet done
-    state: State = State.QUEUED
-    finish: float = 0.0  # by the provider's virtual service
-    fails: bool = False
-    dropped: bool = False  # its caller is gone
-    repeat: bool = False  # known to the group when it began: only recognised, not run
-
-
-class Done(NamedTuple):
-    job: Job
-    end: End
-
-
-class Below(NamedTuple):
-    """The job needs an answer of the tier below: tell `resume`."""
-
-    job: Job
-
-
-Effect = Done | Below
-
-
-class Report(NamedTuple):
-    util: float
-    qps: float
-    latency_ms: float
-
-
-@dataclass(slots=True)
-class Ledger:
-    """Where the work went. `offered` is the sum of all others but `excess`, plus what is held now (`held_work`)."""
-
-    offered: float = 0.0
-    refused: float = 0.0
-    served: float = 0.0  # done for answers that were given to a caller still there
-    wasted: float = 0.0  # done for nobody: errors, callers gone, jobs cut off half way, falls
-    unspent: float = 0.0  # of jobs that ended before it was done
-    excess: float = 0.0  # handshakes and probes, beside the offered work
-    jobs: int = 0
-    turned_away: int = 0
-    sojourn_ms: float = 0.0  # summed over the jobs that ended
-    held_ms: float = 0.0  # integral of the number held, over time
-    busy_ms: float = 0.0  # integral of the cores busy
-    repeats: int = 0  # keyed repeats recognised
-    double: int = 0  # keyed work committed twice within its window, by two groups
-
-
-class Group:
-    """What the providers of one group know together of the keys they have served."""
-
-    def __init__(self, everyone: dict[str, tuple[float, Group]] | None = None) -> None:
-        self._done: dict[str, float] = {}
-        self._ages: deque[tuple[float, str]] = deque()
-        self._everyone = everyone if everyone is not None else {}
-
-    def knows(self, now: float, key: str) -> bool:
-        while self._ages and self._ages[0][0] <= now:
-            self._done.pop(self._ages[0][1], None)
-            held = self._everyone.get(self._ages[0][1])
-            if held is not None and held[0] <= now:
-                del self._everyone[self._ages[0][1]]
-            self._ages.popleft()
-        return key in self._done
-
-    def commit(self, now: float, key: str, window_ms: float) -> bool:
-        """Keep the key; False if another group has it too, so that the work has taken effect twice."""
-        other = self._everyone.get(key)
-        once = other is None or other[1] is self or other[0] <= now
-        if key not in self._done:
-            self._done[key] = now + window_ms
-            self._ages.append((now + window_ms, key))
-        if once:
-            self._everyone[key] = (now + window_ms, self)
-        return once
-
-
 class Provider:
     """One process on one machine. Told of times that never run back."""
 
@@ -197,7 +52,7 @@
         self.running = 0
         self.queue: deque[Job] = deque()
         self.queued = 0
-        self.choked = self.fallen = self.stopped = False
+        self.fallen = self.stopped = False
         self.slow, self.taken, self.stalled = 1.0, 0.0, False  # by faults
         self.error_burst = 0.0  # by faults: chance of an error beside the kind's
         self._busy_slots = 0
@@ -209,7 +64,7 @@
         self._sent: deque[tuple[float, float]] = deque()
         self._sent_work = 0.0
         self.pushed = 0.0  # while cold: the most it was sent, as a part of what makes it fall
-        self._over_since = self._rest_since = self._choked_at = inf
+        self._choking = Choking(spec)
         self._report = self._shown = Report(0.0, 0.0, 0.0)
         self._shown_at, self._report_due = -inf, now + spec.report_ms * chance.uniform()
         self._window = (now, 0.0, 0, 0.0)  # since, busy_ms, jobs, service_ms: of the report under way
@@ -233,6 +88,10 @@
             return 1.0
         return spec.cold_from + (1.0 - spec.cold_from) * max(part, 0.0)
 
+    @property
+    def choked(self) -> bool:
+        return self._choking.choked
+
     @property
     def runnable(self) -> int:
         return self.running + self.queued
@@ -271,11 +130,7 @@
             at = self._last + max(self._heap[0][0] - self._virtual, 0.0) / self._rate
             if self._cold:
                 at = min(at, self._last + COLD_STEP_MS)
-        if self.choked:
-            at = min(at, self._choked_at + self.spec.choke_most_ms, self._rest_since + self.spec.choke_rest_ms)
-        else:
-            at = min(at, self._over_since + self.spec.choke_over_ms)
-        return at
+        return min(at, self._choking.due())
 
     # What it is told
 
@@ -517,35 +372,17 @@
         """The speed anew, after any change."""
         spec = self.spec
         if spec.choke_slower > 1.0:
-            self._choke(now)
+            self._choking.look(now, self.runnable)
         if not self.running or self.stalled:
             self._rate = 0.0
             return
         speed = spec.speed / self.slow * (1.0 - self.taken)
         if self._cold:
             speed *= self.warmth(now)
-        if self.choked:
+        if self._choking.choked:
             speed /= spec.choke_slower
         if self._busy_slots > spec.crowd_at:
             speed /= 1.0 + spec.crowd_loss * (self._busy_slots - spec.crowd_at) / spec.crowd_at
         if spec.full_tax:
             speed *= 1.0 - spec.full_tax * min(self.connections / spec.connections, 1.0)
         self._rate = speed * min(1.0, spec.cores / self.running)
-
-    def _choke(self, now: float) -> None:
-        spec, runnable = self.spec, self.running + self.queued
-        if not self.choked:
-            if runnable <= spec.choke_at * spec.cores:
-                self._over_since = inf
-            elif self._over_since == inf:
-                self._over_since = now
-            elif now - self._over_since >= spec.choke_over_ms - EPSILON:
-                self.choked, self._choked_at, self._over_since = True, now, inf
-        if self.choked:
-            if runnable >= spec.choke_below * spec.cores:
-                self._rest_since = inf
-            elif self._rest_since == inf:
-                self._rest_since = now
-            rested = now - self._rest_since >= spec.choke_rest_ms - EPSILON
-            if rested or now - self._choked_at >= spec.choke_most_ms - EPSILON:
-                self.choked, self._choked_at, self._rest_since = False, inf, inf
--- a/limenotch/lab/planning.py
+++ b/limenotch/lab/planning.py
@@ -11,7 +11,7 @@
 from .model.clients import AccountSpec, ClassSpec, ClientSpec, TraceRow
 from .model.directory import DirectorySpec
 from .model.network import NetworkSpec
-from .model.provider import ProviderSpec, Stops
+from .model.provider_spec import ProviderSpec, Stops
 from .scenario import MOST_CALLS, Range, Scenario, read_trace
 
 
--- a/limenotch/lab/simulate/world.py
+++ b/limenotch/lab/simulate/world.py
@@ -14,8 +14,9 @@
 from ..model.directory import Tell
 from ..model.faults import Deed, Script
 from ..model.fleet import Changed, Fleet, Site
+from ..model.jobs import Below, Done, Effect, End, Job
 from ..model.network import Network
-from ..model.provider import Below, Done, Effect, End, Job, Provider
+from ..model.provider import Provider
 from ..model.rules import Limits, Rules
 from ..planning import Plan, settings_of
 from ..policy import Policy
--- a/tests/lab/test_provider.py
+++ b/tests/lab/test_provider.py
@@ -5,7 +5,10 @@
 import pytest
 
 from limenotch.lab.model.chance import Seeds
-from limenotch.lab.model.provider import Below, Done, End, Group, Job, Provider, ProviderSpec, Stops
+from limenotch.lab.model.jobs import Below, Done, End, Job
+from limenotch.lab.model.keys import Group
+from limenotch.lab.model.provider import Provider
+from limenotch.lab.model.provider_spec import ProviderSpec, Stops
 
 
 def make(spec: ProviderSpec, started: float = 0.0, group: Group | None = None, now: float = 0.0) -> Provider:
--- a/tests/lab/test_queueing.py
+++ b/tests/lab/test_queueing.py
@@ -13,7 +13,10 @@
 
 from limenotch.lab.model.chance import Chance, Seeds
 from limenotch.lab.model.clients import ClassSpec, draw_size
-from limenotch.lab.model.provider import Done, End, Group, Job, Provider, ProviderSpec
+from limenotch.lab.model.jobs import Done, End, Job
+from limenotch.lab.model.keys import Group
+from limenotch.lab.model.provider import Provider
+from limenotch.lab.model.provider_spec import ProviderSpec
 
 JOBS = 60_000
 
