--- a/limenotch/cli/lab/load.py
+++ b/limenotch/cli/lab/load.py
@@ -33,7 +33,8 @@
 from ...lab.model.clients import Clients, Request
 from ...lab.model.rules import Limits, Rules
 from ...lab.planning import Plan
-from ...lab.record import Record, histogram, quantiles
+from ...lab.record import Record
+from ...lab.tallies import histogram, quantiles
 from ...toml import FaultError
 from ..arguments import number, whole_number
 from .run import write_json
--- a/limenotch/lab/emulate/host.py
+++ b/limenotch/lab/emulate/host.py
@@ -23,8 +23,9 @@
 from ..model.provider import Provider
 from ..model.rules import Limits, Rules
 from ..planning import Plan, settings_of
-from ..record import Record, histogram, quantiles
+from ..record import Record
 from ..scenario import BY_HAND
+from ..tallies import histogram, quantiles
 from .directory import DirectoryHost, line_of
 from .load import SLACK_MS, Load, call_wire, verdict_of
 from .providers import ProviderHost
--- a/limenotch/lab/record.py
+++ b/limenotch/lab/record.py
@@ -11,10 +11,9 @@
 from dataclasses import asdict, dataclass, field
 from typing import TYPE_CHECKING, Any
 
-from hdrh.histogram import HdrHistogram
-
 from .model.faults import Band
 from .model.rules import RULES, Rules
+from .tallies import Sums, TierSums, Window, histogram, quantiles
 
 if TYPE_CHECKING:
     from .model.clients import Request
@@ -25,63 +24,10 @@
 WORST_WINDOWS = 10  # seconds in a row: the worst stretch is one figure of the score
 MOST_SERIES = 150  # providers with a series of their own; beyond that a tier's quantiles stand for them
 MOST_EVENTS = 2000
-HIGHEST_US = 600_000_000
 
 OUTCOMES = ("served", "rejected", "failed", "timed out", "unmade")
 
 
-def histogram() -> HdrHistogram:
-    return HdrHistogram(1, HIGHEST_US, 3)
-
-
-def quantiles(hist: HdrHistogram) -> dict[str, float]:
-    """In ms."""
-    count = hist.get_total_count()
-    if not count:
-        return {"count": 0}
-    result = {"count": count, "mean": round(hist.get_mean_value() / 1000.0, 3)}
-    for name, part in (("p50", 50.0), ("p90", 90.0), ("p95", 95.0), ("p99", 99.0), ("p99.9", 99.9), ("max", 100.0)):
-        result[name] = round(hist.get_value_at_percentile(part) / 1000.0, 3)
-    return result
-
-
-@dataclass(slots=True)
-class Window:
-    asked: int = 0
-    worth: float = 0.0
-    earned: float = 0.0
-    tries: int = 0
-    retries: int = 0
-    served: int = 0
-    rejected: int = 0
-    failed: int = 0
-    timed_out: int = 0
-    attempts: int = 0
-    copies: int = 0
-
-
-@dataclass(slots=True)
-class Sums:
-    """Of a class or an account."""
-
-    asked: int = 0
-    worth: float = 0.0
-    earned: float = 0.0
-    served: int = 0
-    in_time: int = 0
-
-    @property
-    def service(self) -> float:
-        return self.earned / self.worth if self.worth > 0 else 1.0
-
-
-@dataclass(slots=True)
-class TierSums:
-    attempts: int = 0
-    again: int = 0  # second and later attempts of a call, copies included
-    crossings: int = 0
-
-
 def _rounded(values: Iterable[float], digits: int = 4) -> list[float]:
     return [round(value, digits) for value in values]
 
