--- a/limenotch/lab/simulate/world.py
+++ b/limenotch/lab/simulate/world.py
@@ -22,11 +22,11 @@
 from ..policy import Policy
 from ..record import Record
 from ..scenario import BY_HAND
+from . import by_hand
 from .kernel import Kernel
 from .sidecar import Attempt, Call, Sidecar
 
 SAMPLE_MS = 1000.0
-KILL_MOST_MS = 3000.0  # after an upgrade the old process has the longest deadline, counted as so much at most
 MOST_OPEN = 500_000  # tries under way: a scenario that holds more is cut, and says so
 
 
@@ -324,7 +324,7 @@
 
     def _deed(self, deed: Deed) -> None:
         if deed.kind in BY_HAND:
-            self._by_hand(deed)
+            by_hand.carry_out(self, deed)
             return
         self._see_to(self.fleet.carry_out(self.kernel.now, deed))
         if deed.kind not in ("directory", "surge", "hot", "cut"):
@@ -332,37 +332,6 @@
             self.wake(site)
         self._tend(range(len(self.plan.tiers)))
 
-    def _by_hand(self, deed: Deed) -> None:
-        """What operators do, at every sidecar that it is for."""
-        if deed.kind == "ban":
-            site = self.fleet.sites[deed.tier][deed.target]
-            self.record.event(self.kernel.now, "taken out" if deed.value else "let back", site.name)
-            (self.banned.add if deed.value else self.banned.discard)((deed.tier, site.name))
-            for sidecar in [*self.sidecars.values(), *self.leaving]:
-                if sidecar.tier == deed.tier and sidecar.alive:
-                    sidecar.ban(site.name, deed.value > 0)
-        elif deed.kind == "retune":
-            for sidecar in [*self.sidecars.values(), *self.leaving]:
-                if sidecar.alive:
-                    sidecar.retune(int(deed.value))
-        else:
-            old = self.sidecars[(0, deed.target)]
-            self.leaving.append(old)
-            self.record.event(self.kernel.now, "upgraded", f"entry {deed.target}")
-            new = self.sidecars[old.key] = Sidecar(
-                self, old.key, old.zone, 0, old.told, self.fleet.sidecar_seed(old.key) + len(self.leaving))
-            new.take_over(old)
-            old.together(2)
-            new.together(2)
-            wait = min(max(cls.deadline_ms for cls in self.plan.classes), KILL_MOST_MS)
-            self.kernel.at(self.kernel.now + wait, self._alone, old, new)
-
-    def _alone(self, old: Sidecar, new: Sidecar) -> None:
-        """The old process has ended; what it still has open is answered, as its calls end before that."""
-        self.leaving.remove(old)
-        if new.alive:
-            new.together(1)
-
     def _see_to(self, changes: list[Changed]) -> None:
         now = self.kernel.now
         for changed in changes:
