--- a/switchthread/copies.py
+++ b/switchthread/copies.py
@@ -54,8 +54,8 @@
     return (1 - raised[0] * raised[1]) * lax > 1 - plain[0]
 
 
-def allowed(books: Books, now: float, call: Call, server: Server) -> bool:
-    if call.once or not books.set.may_copy or len(call.tries) >= call.most or books.budget < BURST / 2:
+def allowed(books: Books, now: float, call: Call, server: Server, free: bool = False) -> bool:
+    if call.once or not books.set.may_copy or len(call.tries) >= call.most or books.budget < BURST / 2 and not free:
         return False
     # A drawn second may lie outside the group that drops the call's repeats, also in a large group.
     return server in reach(books, now, call)[0]
@@ -65,14 +65,12 @@
     """A lone attempt is out for longer than expected: it is worth asking the gate again."""
     lone = next(t for t in call.tries if t.open)
     two = draw(books, now, call, lone.server)
-    if quiet(books, now, lone.server) and two is not None and books.set.may_copy and not call.once:
-        if len(call.tries) < call.most and two in reach(books, now, call)[0]:
-            books.send(now, call, two, acts)
+    if quiet(books, now, lone.server) and two is not None and allowed(books, now, call, two, free=True):
+        books.send(now, call, two, acts)
         return
-    usual = call.usual.mean
     if now < call.end:
         books.wake(now + patience(books, call, lone.server), call, acts)
-    urgent = call.cls.late_worth < LAX and call.end - now <= usual * lone.server.like.low * URGENT
+    urgent = call.cls.late_worth < LAX and call.end - now <= call.usual.mean * lone.server.like.low * URGENT
     if two is None or not urgent or not allowed(books, now, call, two):
         return
     # A call may be late because it is costly, and a copy as costly: only its server's other calls tell.
--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from . import interface as face
 from .books import BURST, Books
 from .copies import RETRIES, at_once, overdue, patience
@@ -16,7 +18,7 @@
 from .records import Call
 from .repeats import may_repeat
 from .shares import reshare
-from .verdicts import tired
+from .verdicts import rest, tired
 
 ASK_MS = 1000.0  # window by which asking again is timed at most: of 6 s, all that there is, a third is waited
 
@@ -111,6 +113,8 @@
         self.reported(now, attempt.server, event)
         if event.outcome in (Outcome.OK, Outcome.TIMEOUT) and not attempt.server.quiet:
             tired(self, now, attempt.server, event.outcome is Outcome.OK and now <= call.aim)
+        elif event.outcome is Outcome.REFUSED and self.failures:  # the list may lack that it drains
+            rest(self, now, attempt.server, inf)
         self.learn(now, call, attempt.server, event)
         if event.closed or event.outcome is Outcome.OK:
             self._close(call, acts)
@@ -130,10 +134,9 @@
         """Final answer without success: a refusal where a repeat is harmless, else a failure."""
         begun = call.begun()
         last = call.aim - call.cls.aim_ms + call.cls.deadline_ms  # until then its client may come again
-        if may_repeat(call.cls, begun, last) and not (begun and self.set.narrow):
-            acts.append(face.Refuse(call.name, min(self.set.max_retry_after_ms, self.window)))
-        else:
-            acts.append(face.Fail(call.name))
+        harmless = may_repeat(call.cls, begun, last) and not (begun and self.set.narrow)
+        wait = min(self.set.max_retry_after_ms, self.window)
+        acts.append(face.Refuse(call.name, wait) if harmless else face.Fail(call.name))
         self._close(call, acts)
 
     def _close(self, call: Call, acts: list[Action]) -> None:
--- a/switchthread/placement.py
+++ b/switchthread/placement.py
@@ -83,9 +83,7 @@
     """A cold upstream gets no more than this balancer's part of what all may send it."""
     if server.capacity(now, books.set.cold) >= 1.0:
         return True
-    if books.set.shares_cold == inf:
-        return False
-    return server.earn(now, books.set.cold.fall_ms) >= 1.0
+    return books.set.shares_cold != inf and server.earn(now, books.set.cold.fall_ms) >= 1.0
 
 
 def load_at(books: Books, server: Server) -> float:
