--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from math import inf
-
 from . import interface as face
 from .books import BURST, Books
 from .copies import RETRIES, at_once, overdue, patience
@@ -114,7 +112,7 @@
         if event.outcome in (Outcome.OK, Outcome.TIMEOUT) and not attempt.server.quiet:
             tired(self, now, attempt.server, event.outcome is Outcome.OK and now <= call.aim)
         elif event.outcome is Outcome.REFUSED and self.failures:  # the list may lack that it drains
-            rest(self, now, attempt.server, inf)
+            rest(self, now, attempt.server)
         self.learn(now, call, attempt.server, event)
         if event.closed or event.outcome is Outcome.OK:
             self._close(call, acts)
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -94,7 +94,7 @@
     busy: float = 0.0
     told_at: float = 0.0
     row: int = 0  # misses since its last answer in time
-    rests: float = 0.0  # until when it is sent nothing, to become idle; inf: until the next list
+    rests: float = 0.0  # until when it is sent nothing, to become idle
     since: float = 0.0  # when it last started, by the list or by its return from a ban; 0: long ago
     able: float = 1.0  # requests a second that it can do now, from all balancers; its weight where none are reported
     sure: float = 1.0  # the same, but no more than the settings' ramp makes of what its kind can do
--- a/switchthread/roster.py
+++ b/switchthread/roster.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from math import inf
 from random import Random
 from zlib import crc32
 
@@ -30,8 +29,6 @@
                 old = self._new(at, now)
             held[at.name], old.at = old, at
             old.weight = at.weight if weights else 1.0
-        for server in held.values():
-            server.rests = 0.0 if server.rests == inf else server.rests
         self.servers = {name: s for name, s in held.items() if s.at.stage is not face.Stage.GONE}
 
     def ban(self, now: float, event: face.Ban) -> None:
--- a/switchthread/verdicts.py
+++ b/switchthread/verdicts.py
@@ -35,11 +35,11 @@
     """One that misses call after call is choked or worse: it gets idle time, the entry less meanwhile."""
     server.row = 0 if in_time else server.row + 1
     if server.row >= ROW and not server.at_rest(now) and not books.set.layer:  # it alone refuses
-        rest(books, now, server, now + REST)
+        rest(books, now, server)
 
 
-def rest(books: Books, now: float, server: Server, until: float) -> None:
-    """Nothing is sent to it until then, or until the next list if that is never."""
+def rest(books: Books, now: float, server: Server) -> None:
+    """It is sent nothing for a while, unless too many are."""
     if server.at_rest(now) or sum(s.at_rest(now) for s in books.table[0]) < RESTING * len(books.table[0]):
-        server.rests, server.row = until, 0
+        server.rests, server.row = now + REST, 0
         reshare(books, now)
