--- a/switchthread/copies.py
+++ b/switchthread/copies.py
@@ -55,7 +55,8 @@
 
 
 def allowed(books: Books, now: float, call: Call, server: Server, free: bool = False) -> bool:
-    if call.once or not books.set.may_copy or len(call.tries) >= call.most or books.budget < BURST / 2 and not free:
+    spent = books.budget < BURST / 2 and not free
+    if call.once or not books.set.may_copy or len(call.tries) >= call.most or spent:
         return False
     # A drawn second may lie outside the group that drops the call's repeats, also in a large group.
     return server in reach(books, now, call)[0]
