Try an endpoint again that rested for an untold drain once a list is heard

A watch that fell silent is broken for less than a second there, and small endpoints are full for a moment: they then rested for 6 s though a list had come. Now a list that is heard ends such a rest (Server.doubted, roster.heard).

--- a/switchthread/decide.py
+++ b/switchthread/decide.py
@@ -112,7 +112,7 @@
         if event.outcome in (Outcome.OK, Outcome.TIMEOUT) and not attempt.server.quiet:
             tired(self, now, attempt.server, event.outcome is Outcome.OK and now <= call.aim)
         elif event.outcome is Outcome.REFUSED and self.failures:  # the list may lack that it drains
-            rest(self, now, attempt.server)
+            rest(self, now, attempt.server, doubted=True)
         self.learn(now, call, attempt.server, event)
         if event.closed or event.outcome is Outcome.OK:
             self._close(call, acts)
--- a/switchthread/records.py
+++ b/switchthread/records.py
@@ -95,6 +95,7 @@
     told_at: float = 0.0
     row: int = 0  # misses since its last answer in time
     rests: float = 0.0  # until when it is sent nothing, to become idle
+    doubted: bool = False  # it does so since the list may lack its drain: up to the next list
     since: float = 0.0  # when it last started, by the list or by its return from a ban; 0: long ago
     able: float = 1.0  # requests a second that it can do now, from all balancers; its weight where none are reported
     sure: float = 1.0  # the same, but no more than the settings' ramp makes of what its kind can do
--- a/switchthread/roster.py
+++ b/switchthread/roster.py
@@ -29,6 +29,9 @@
                 old = self._new(at, now)
             held[at.name], old.at = old, at
             old.weight = at.weight if weights else 1.0
+        for server in held.values():
+            if server.doubted:
+                server.rests, server.doubted = 0.0, False
         self.servers = {name: s for name, s in held.items() if s.at.stage is not face.Stage.GONE}
 
     def ban(self, now: float, event: face.Ban) -> None:
--- a/switchthread/verdicts.py
+++ b/switchthread/verdicts.py
@@ -38,8 +38,8 @@
         rest(books, now, server)
 
 
-def rest(books: Books, now: float, server: Server) -> None:
-    """It is sent nothing for a while, unless too many are."""
+def rest(books: Books, now: float, server: Server, doubted: bool = False) -> None:
+    """It is sent nothing for a while, unless too many are; up to the next list if its drain may be untold."""
     if server.at_rest(now) or sum(s.at_rest(now) for s in books.table[0]) < RESTING * len(books.table[0]):
-        server.rests, server.row = now + REST, 0
+        server.rests, server.row, server.doubted = now + REST, 0, doubted
         reshare(books, now)
--- a/tests/test_stale_list.py
+++ b/tests/test_stale_list.py
@@ -86,6 +86,19 @@
     assert tier.sent_until(REST).count("a") > 1
 
 
+def test_a_list_that_is_heard_again_lets_it_be_tried() -> None:
+    # Guards tiers that are full for a moment while a watch is broken for less: seen to cost a tenth of a day's score.
+    tier = Tier()
+    tier.watch_breaks()
+    tier.rejecting = {"a"}
+    while not tier.balancer.roster.servers["a"].at_rest(tier.now):
+        tier.call()
+    tier.rejecting = set()
+    rested = tier.now
+    tier.listed(NAMES)
+    assert "a" in tier.sent_until(rested + REST)
+
+
 def test_when_all_reject_no_more_than_half_are_left_alone() -> None:
     tier = Tier()
     tier.watch_breaks()
