Plant the fault of no final answer where the module's text stands now

The same fault is planted in the new line: a failure gives no answer, and the checker has to find it.

--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -195,7 +195,8 @@
 PLANTED = {
     # The module's text, with a fault planted in one place each: file, what stands there, what shall.
     ONE_ANSWER: (
-        "decide.py", "        else:\n            acts.append(face.Fail(call.name))", "        else:\n            pass"),
+        "decide.py", "acts.append(face.Refuse(call.name, wait) if harmless else face.Fail(call.name))",
+        "acts += [face.Refuse(call.name, wait)] if harmless else []"),
     REPEATS: ("placement.py", "    if not earlier or call.cls.effect is Effect.IDEMPOTENT and not books.set.narrow:",
               "    if True:"),
     COLD: ("records.py", "        if self.since <= 0 or age >= cold.warm_ms:", "        if True:"),
