--- a/limenotch/lab/emulate/host.py
+++ b/limenotch/lab/emulate/host.py
@@ -18,12 +18,14 @@
 from ..model.directory import Entry, Tell
 from ..model.faults import Deed, Script
 from ..model.fleet import Changed, Fleet, Site
+from ..model.jobs import Job
 from ..model.network import Network
-from ..model.provider import Job, Provider
+from ..model.provider import Provider
 from ..model.rules import Limits, Rules
 from ..planning import Plan, settings_of
-from ..record import Record, histogram, quantiles
+from ..record import Record
 from ..scenario import BY_HAND
+from ..tallies import histogram, quantiles
 from .directory import DirectoryHost, line_of
 from .load import SLACK_MS, Load, call_wire, verdict_of
 from .providers import ProviderHost
