--- a/switchthread/copies.py
+++ b/switchthread/copies.py
@@ -54,8 +54,8 @@
     return (1 - raised[0] * raised[1]) * lax > 1 - plain[0]
 
 
-def allowed(books: Books, now: float, call: Call, server: Server, free: bool = False) -> bool:
-    spent = books.budget < BURST / 2 and not free
+def allowed(books: Books, now: float, call: Call, server: Server, unbudgeted: bool = False) -> bool:
+    spent = books.budget < BURST / 2 and not unbudgeted
     if call.once or not books.set.may_copy or len(call.tries) >= call.most or spent:
         return False
     # A drawn second may lie outside the group that drops the call's repeats, also in a large group.
@@ -66,7 +66,7 @@
     """A lone attempt is out for longer than expected: it is worth asking the gate again."""
     lone = next(t for t in call.tries if t.open)
     two = draw(books, now, call, lone.server)
-    if quiet(books, now, lone.server) and two is not None and allowed(books, now, call, two, free=True):
+    if quiet(books, now, lone.server) and two is not None and allowed(books, now, call, two, unbudgeted=True):
         books.send(now, call, two, acts)
         return
     if now < call.end:
