--- a/tests/test_stale_list.py
+++ b/tests/test_stale_list.py
@@ -87,7 +87,7 @@
 
 
 def test_a_list_that_is_heard_again_lets_it_be_tried() -> None:
-    # Guards tiers that are full for a moment while a watch is broken for less: seen to cost a tenth of a day's score.
+    # Guards tiers that are full for a moment while a watch is broken for less.
     tier = Tier()
     tier.watch_breaks()
     tier.rejecting = {"a"}
