Take load reports of no utilisation at a rate above 0

Callers saw: with all endpoints idle (util=0.00, qps=10), 7 and 8 of some 5,500 requests of a real process closed unanswered; others got 502. Cause: weights.profile_rate divides reported rates by reported utilisations, whose sum is 0 while all reports so far round to 0.00; the renewal at a window's end then raised ZeroDivisionError and took the event with it. The same for endpoints of weight 0 and for what a predecessor hands over. Why it works: a utilisation at a rate above 0 is at least 0.005 in both sums, so the divisor is above 0 wherever the dividend is; weight 0 adds to neither; a handed-over rate without utilisation is dropped.

--- a/limenotch/balancing/balancer_state.py
+++ b/limenotch/balancing/balancer_state.py
@@ -16,6 +16,7 @@
 from .available_endpoints import AvailableEndpoints, EndpointsByLocality
 from .endpoint_registry import EndpointRegistry, RegistryChanges
 from .endpoint_statistics import (
+    MIN_REPORTED_UTILISATION,
     WINDOW_DECAY,
     Attempt,
     ClassLatency,
@@ -361,11 +362,12 @@
         endpoint.utilisation_at = now
         if requests_per_s is None or (utilisation, requests_per_s) == endpoint.last_report:
             return
-        endpoint.add_report(now, self.report_memory_ms, utilisation, requests_per_s)
+        endpoint.last_report = (utilisation, requests_per_s)
+        use = max(utilisation, MIN_REPORTED_UTILISATION) if requests_per_s else utilisation
+        endpoint.add_report(now, self.report_memory_ms, use, requests_per_s)
         if endpoint.warm_fraction(now, self.settings.slow_start) >= 1.0:
             for profile in (endpoint.profile, self.tier_profile):
-                profile.reported_rate += requests_per_s
-                profile.reported_use += utilisation * endpoint.listed_weight
+                profile.add_report(requests_per_s, use, endpoint.listed_weight)
 
     def record_outcome(
         self, now: float, request: Request, endpoint: EndpointStatistics, event: AttemptFinished
--- a/limenotch/balancing/endpoint_statistics.py
+++ b/limenotch/balancing/endpoint_statistics.py
@@ -15,6 +15,7 @@
 RATE_SPAN_MS = 1000.0  # time constant of an arrival rate; a shorter one takes chance for a burst
 CLASS_SAMPLES = 100  # responses over which the mean latency of a class is taken
 WINDOW_DECAY = 0.9  # factor on sums at each window's end
+MIN_REPORTED_UTILISATION = 0.005  # of an endpoint that serves requests: reports may be rounded to 0.00
 
 
 @dataclass(slots=True, eq=False)
@@ -50,6 +51,13 @@
         self.total += ratio
         self.count += 1
 
+    def add_report(self, requests_per_s: float, utilisation: float, listed_weight: float) -> None:
+        """Add the load report of a warm endpoint; one of weight 0 says nothing about those of weight 1."""
+        if listed_weight <= 0:
+            return
+        self.reported_rate += requests_per_s
+        self.reported_use += utilisation * listed_weight
+
     def end_window(self, min_samples: int, max_windows: int) -> None:
         """Decay the reported sums; with `min_samples` or more, take a new mean of the ratios.
 
@@ -179,9 +187,8 @@
         return now - max(self.updated_at, self.last_report_at, self.last_heard_at) > max_age_ms
 
     def add_report(self, now: float, memory_ms: float, utilisation: float, requests_per_s: float) -> None:
-        """Add one load report to the sums of reports, which decay with the time constant `memory_ms`."""
+        """Add a load report to the sums of reports, which decay with the time constant `memory_ms`."""
         decay = exp((self.last_report_at - now) / memory_ms)
-        self.last_report = (utilisation, requests_per_s)
         self.last_report_at = now
         self.reported_rate_sum = self.reported_rate_sum * decay + requests_per_s
         self.reported_use_sum = self.reported_use_sum * decay + utilisation
--- a/limenotch/balancing/learned_state.py
+++ b/limenotch/balancing/learned_state.py
@@ -129,6 +129,8 @@
 
 def _import_profile(profile: LatencyProfile, imported: ImportedProfile) -> None:
     _set_fields(profile, PROFILE_FIELDS, imported.fields)
+    if not profile.reported_use:  # an earlier version took reports of no utilisation at some rate
+        profile.reported_rate = 0.0
     profile.window_means = list(imported.window_means)
 
 
