Renew the weights also while no zone has any capacity

Callers saw: 502 or a closed connection for every request while all endpoints drained, were ejected, had weight 0 or had left the list, where crossing zones has a cost and endpoints report; a 503 to repeat is what they should get. Cause: weights.prefer_own_zone divides by the capacity of all zones and of each zone, which are 0 then. Why it works: without capacity there is no zone to prefer and the step is left out; a zone without capacity has none to spare.

--- a/limenotch/balancing/weights.py
+++ b/limenotch/balancing/weights.py
@@ -211,13 +211,15 @@
     remote_factor = REMOTE_ZONE_FLOOR / max(_own_zone_health(state, observed), REMOTE_ZONE_FLOOR)
     capacities = zone_capacities(state, observed, now)
     total_capacity = sum(capacities.values())
-    if zone in capacities:
+    # Without capacity, while all endpoints drain or have weight 0, there is no zone to prefer.
+    if zone in capacities and total_capacity > 0:
         zone_demand = state.demand * state.settings.balancers / len(capacities)  # requests per s of each zone
         utilisation = max(MAX_LOCAL_UTILISATION, zone_demand * len(capacities) / total_capacity)
         local_fraction = min(utilisation * capacities[zone] / max(zone_demand, 1e-9), 1.0)
         if local_fraction < 1:
             for endpoint in remote:
-                spare = 1 - zone_demand / (utilisation * capacities[endpoint.endpoint.zone])
+                usable = utilisation * capacities[endpoint.endpoint.zone]
+                spare = 1 - zone_demand / usable if usable > 0 else 0.0
                 endpoint.selection_weight *= max(spare, REMOTE_ZONE_FLOOR)
             local = [endpoint for endpoint in candidates if endpoint.endpoint.zone == zone]
             local_weight = sum(endpoint.selection_weight for endpoint in local)
--- a/tests/test_unusual_lists.py
+++ b/tests/test_unusual_lists.py
@@ -1,11 +1,19 @@
-"""Endpoint lists that no healthy discovery sends: empty, or with one name twice."""
+"""Endpoint lists that no healthy discovery sends: empty, all draining, of weight 0, or with one name twice."""
 
 from __future__ import annotations
 
+import pytest
+
 from limenotch.balancing import Balancer
 from limenotch.balancing.actions import SendAttempt
-from limenotch.balancing.events import AttemptFinished, MembershipKind, MembershipUpdate, RequestArrived
-from limenotch.balancing.types import BalancerSettings, Effect, Endpoint, Outcome, TrafficClass
+from limenotch.balancing.events import (
+    AttemptFinished,
+    MembershipKind,
+    MembershipUpdate,
+    OperatorEjection,
+    RequestArrived,
+)
+from limenotch.balancing.types import BalancerSettings, Effect, Endpoint, EndpointState, Outcome, TrafficClass
 
 CLASSES = (TrafficClass("look", Effect.IDEMPOTENT, 400.0, 900.0),)
 
@@ -27,3 +35,56 @@
     twice = (Endpoint("y", zone=2, weight=2.0), Endpoint("y", zone=2, started_ms=500.0))
     balancer.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, (Endpoint("x"), *twice)))
     assert len(balancer.available) == len(balancer.registry.endpoints) == 2
+
+
+ACROSS_ZONES = tuple(Endpoint(f"e{number}", zone=number % 3) for number in range(6))
+
+
+def balancer_with_reports(endpoints: tuple[Endpoint, ...]) -> Balancer:
+    """One that served requests, with a report in each answer, where crossing zones has a cost; then this list."""
+    balancer = Balancer(BalancerSettings(CLASSES, cross_zone_cost=0.05), 1)
+    balancer.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, ACROSS_ZONES))
+    serve(balancer)
+    balancer.handle(balancer.now, MembershipUpdate(MembershipKind.COMPLETE, endpoints))
+    return balancer
+
+
+def serve(balancer: Balancer) -> list[str]:
+    """50 requests 10 ms apart, each answered 5 ms later; the endpoints that they were sent to."""
+    sent = list[str]()
+    start = max(balancer.now, 0.0)
+    for number in range(50):
+        at, name = start + 10.0 * number, f"{start}-{number}"
+        for action in balancer.handle(at, RequestArrived(name, 0, 900.0)):
+            if isinstance(action, SendAttempt):
+                sent.append(action.endpoint)
+                ended = AttemptFinished(name, action.endpoint, 0, 5.0, Outcome.OK, True, 0.5, 40.0 + number)
+                balancer.handle(at + 5.0, ended)
+    return sent
+
+
+def test_no_event_fails_while_all_endpoints_drain_where_crossing_zones_has_a_cost() -> None:
+    # The capacity of all zones together is 0 then: the division failed at every event until the list changed.
+    draining = tuple(each._replace(state=EndpointState.DRAINING) for each in ACROSS_ZONES)
+    balancer = balancer_with_reports(draining)
+    assert serve(balancer) == []
+    balancer.handle(balancer.now, MembershipUpdate(MembershipKind.COMPLETE, ACROSS_ZONES))
+    assert len(serve(balancer)) == 50
+
+
+def test_no_event_fails_while_operators_eject_all_endpoints_where_crossing_zones_has_a_cost() -> None:
+    balancer = balancer_with_reports(ACROSS_ZONES)
+    for each in ACROSS_ZONES:
+        balancer.handle(balancer.now, OperatorEjection(each.name, True))
+    assert serve(balancer) == []
+    balancer.handle(balancer.now, OperatorEjection("e3", False, balancer.now))
+    assert set(serve(balancer)) == {"e3"}
+
+
+@pytest.mark.parametrize("weightless", [(0,), (1,), (1, 2), (0, 1, 2)])
+def test_requests_are_served_where_all_endpoints_of_a_zone_have_weight_0(weightless: tuple[int, ...]) -> None:
+    # Discovery may send a weight of 0: without reports of its endpoints the capacity of such a zone is 0.
+    endpoints = tuple(
+        each._replace(weight=0.0, started_ms=100.0) if each.zone in weightless else each for each in ACROSS_ZONES
+    )
+    assert len(serve(balancer_with_reports(endpoints))) == 50
