Keep only the last process of a name that an update lists twice

Callers saw: attempts under the name of a process that had been replaced within one update, for good; the weights counted one endpoint too many. Cause: the registry collected changes entry by entry, so that the first process was both changed and removed, and what changed is marked last. Why it works: changes are taken when the whole update is applied, and only a process that is listed then is among them.

--- a/limenotch/balancing/endpoint_registry.py
+++ b/limenotch/balancing/endpoint_registry.py
@@ -40,7 +40,12 @@
         for entry in event.endpoints:
             self._apply_entry(now, entry, entry.weight if use_weights else 1.0, changes)
         self._clear_suspicions()
-        return changes
+        # An update may have several entries of one name: only the process of the last one is listed.
+        listed_changes = [each for each in changes.changed if self._is_listed(each)]
+        return RegistryChanges(listed_changes, changes.removed)
+
+    def _is_listed(self, endpoint: EndpointStatistics) -> bool:
+        return self.endpoints.get(endpoint.endpoint.name) is endpoint
 
     def _apply_entry(self, now: float, entry: Endpoint, weight: float, changes: RegistryChanges) -> None:
         old = self.endpoints.get(entry.name)
--- a/tests/test_unusual_lists.py
+++ b/tests/test_unusual_lists.py
@@ -88,3 +88,23 @@
         each._replace(weight=0.0, started_ms=100.0) if each.zone in weightless else each for each in ACROSS_ZONES
     )
     assert len(serve(balancer_with_reports(endpoints))) == 50
+
+
+def test_the_same_process_twice_in_one_update_counts_once() -> None:
+    balancer = Balancer(BalancerSettings(CLASSES), 1)
+    twice = (Endpoint("y"), Endpoint("y", weight=2.0), Endpoint("x"), Endpoint("y", state=EndpointState.DRAINING))
+    balancer.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, twice))
+    assert (len(balancer.available), len(balancer.registry.endpoints)) == (1, 2)
+    assert set(serve(balancer)) == {"x"}
+
+
+@pytest.mark.parametrize("kind", [MembershipKind.COMPLETE, MembershipKind.INCREMENTAL])
+def test_a_process_that_is_replaced_and_gone_within_one_update_is_sent_nothing(kind: MembershipKind) -> None:
+    # The replaced process stayed available for good, in lists of both kinds.
+    balancer = Balancer(BalancerSettings(CLASSES), 1)
+    balancer.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, (Endpoint("x"), Endpoint("y"))))
+    gone = Endpoint("y", state=EndpointState.GONE, started_ms=500.0)
+    update = (Endpoint("x"), Endpoint("y", weight=2.0), Endpoint("y", started_ms=500.0), gone)
+    balancer.handle(0.0, MembershipUpdate(kind, update))
+    assert (len(balancer.available), len(balancer.registry.endpoints)) == (1, 1)
+    assert set(serve(balancer)) == {"x"}
