Learn no rate per weight from a window without weight

Callers saw (endpoints that report no load): after requests had arrived while the list was empty, or all weights were 0, cold endpoints got all requests at once and would break down under them. Cause: the shown rate divided by max(weight, 1e-9), some 1e10 requests a second, of which slow start allows its part. Why it works: such a window leaves the rate as it is.

--- a/limenotch/balancing/balancer_state.py
+++ b/limenotch/balancing/balancer_state.py
@@ -27,6 +27,7 @@
 )
 from .events import AttemptFinished, OperatorEjection, RequestArrived, SettingsChanged, UploadFinished
 from .quota_bucket import QuotaBucket
+from .served_rate import RATE_SMOOTHING, ServedRate
 from .types import NEVER_RAN, BalancerSettings, DedupScope, Outcome, Tenant
 
 MEMORY_OBJECTIVES = 4.0  # time constant of observations, in the longest latency objectives
@@ -38,7 +39,6 @@
 LOCAL_SLOW_START_SHARE = 0.75  # of a warming endpoint's capacity, for the balancers of its zone
 BURST = 10.0  # requests: maximum of the retry budget, and minimum burst of a tenant's quota
 FORGET_MEMORIES = 10.0  # memories without a response after which observations are dropped
-RATE_SMOOTHING = 0.2  # weight of a new window in a mean over windows
 IN_FLIGHT_SMOOTHING = 20  # arrivals over which the mean in flight is taken
 INVERSE_GOLDEN_RATIO = (sqrt(5) - 1) / 2  # its multiples modulo 1 spread any number of balancers evenly
 
@@ -103,8 +103,7 @@
         self.hedged = 0.0  # decaying number of hedged requests
         self.demand = 0.0  # smoothed arrivals per second
         self.slow_start_rate = 0.0  # slow-start credit per ms for a capacity of 1
-        self.shown_rate = 0.0  # responses per second and unit of weight from warm endpoints
-        self.rate_proved = False  # a warm endpoint has responded
+        self.served_rate = ServedRate()
         self.mean_success_rate = 1.0
         self.best_success_rate = 1.0
         self.live_fraction = 1.0  # of the capacity, not ejected
@@ -208,7 +207,8 @@
             return False
         arrival_rate = self.window_arrivals / span_ms * 1000
         self.demand += (arrival_rate - self.demand) * (RATE_SMOOTHING if self.demand else 1.0)
-        self._update_shown_rate(span_ms)
+        self.available.warm_up(now)
+        self.served_rate.end_window(self.available, self.observed, arrival_rate, span_ms)
         self.admission.end_window(span_ms, self.total_successes, self.total_failures)
         self.window_arrivals = 0
         self.total_successes *= WINDOW_DECAY
@@ -223,28 +223,10 @@
         self.typical_latency_ms = latency_sum / max(sum(latency.samples for latency in latencies), 1)
         return True
 
-    def _update_shown_rate(self, span_ms: float) -> None:
-        """Update the rate per unit of weight that warm endpoints have shown; used where none report load.
-
-        Before a warm endpoint has responded it is the arrival rate. The rates of all balancers add up to the
-        tier's, as each divides by the weight of all warm endpoints. It falls no lower than the arrival rate,
-        since overload does not lessen capacity, and stays as it is while no endpoint is warm.
-        """
-        self.available.warm_up(self.now)
-        available = self.available
-        arrival_rate = self.window_arrivals / span_ms * 1000 / max(available.total_weight, 1e-9)
-        responses = sum(each.window_answers for each in self.observed if available.is_warm(each))
-        response_rate = responses / span_ms * 1000 / max(available.warm_weight, 1e-9)
-        if response_rate and not self.rate_proved:
-            self.shown_rate = response_rate
-            self.rate_proved = True
-        elif self.rate_proved and available.warm_count:
-            target = max(response_rate, min(self.shown_rate, arrival_rate))
-            self.shown_rate += (target - self.shown_rate) * RATE_SMOOTHING
-        elif not self.rate_proved and not available.warm_count:
-            self.shown_rate += (arrival_rate - self.shown_rate) * (RATE_SMOOTHING if self.shown_rate else 1.0)
-        for endpoint in self.observed:
-            endpoint.window_answers = 0
+    @property
+    def shown_rate(self) -> float:
+        """Responses per second and unit of weight that warm endpoints have shown."""
+        return self.served_rate.per_weight
 
     def schedule_timer(self, at: float, request: Request | None, actions: list[Action]) -> None:
         """Set a timer for a request, or with None for another subscription to the endpoint list."""
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -4,6 +4,8 @@
 
 import heapq
 
+import pytest
+
 from limenotch.balancing import Balancer
 from limenotch.balancing.actions import FailRequest, RejectRequest, SendAttempt, SetTimer
 from limenotch.balancing.events import (
@@ -86,3 +88,17 @@
     """Such calls were held until the very end of their time, and then refused."""
     ages = [age for age, refused in cold_day().ended.values() if refused]
     assert ages and max(ages) <= AIM < 0.5 * END
+
+
+@pytest.mark.parametrize("weight", [None, 0.0])
+def test_requests_while_no_weight_is_listed_say_nothing_of_what_cold_endpoints_can_do(weight: float | None) -> None:
+    # The arrival rate per unit of no weight was taken for the tier's: cold endpoints got all requests at once.
+    day = Day()
+    warm = () if weight is None else tuple(Endpoint(f"w{number}", weight=weight) for number in range(2))
+    day.at(0.0, MembershipUpdate(MembershipKind.COMPLETE, warm))
+    day.calls(1.0, 10_000.0)
+    cold = tuple(Endpoint(f"c{number}", started_ms=6000.0) for number in range(4))
+    day.at(6000.0, MembershipUpdate(MembershipKind.INCREMENTAL, cold))
+    day.run()
+    # A warm tier serves the 300 arrivals of 3 s, and a cold one may be sent four times its 0.12 of that.
+    assert 0 < sum(6000.0 <= at < 9000.0 for at in day.sent) <= 4.0 * 0.12 * 300 + 4
