End a request with one answer when a decision about it fails

Callers saw: after an error inside a decision the request stayed open, or its connection was closed; the attempt stayed counted in flight for good. Cause: Balancer.handle lost the actions decided before the error, undid nothing, and a failed renewal of weights took the event with it. Why it works: the error ends the event's request, takes its attempts from the counts and answers once; a renewal falls back on listed weights. Errors are counted (lb.internal_errors) and logged once a second at most; without a receiver, in tests and the simulator, they are raised as before.

--- a/limenotch/balancing/balancer.py
+++ b/limenotch/balancing/balancer.py
@@ -14,6 +14,7 @@
 from .endpoint_selection import choose_endpoints
 from .endpoint_statistics import Request
 from .events import (
+    REQUEST_EVENTS,
     AttemptFinished,
     BalancerStarted,
     ClientDisconnected,
@@ -22,11 +23,13 @@
     MembershipUpdate,
     OperatorEjection,
     RequestArrived,
+    RequestEvent,
     ResponseStarted,
     SettingsChanged,
     TimerFired,
     UploadFinished,
 )
+from .failed_events import end_failed_request
 from .hedging import RETRIES, handle_overdue_attempt, hedge_delay, should_hedge_at_once
 from .outlier_detection import eject, record_answer
 from .retry_policy import may_repeat
@@ -47,31 +50,47 @@
         """Apply one event and return the actions that follow from it.
 
         Raises ValueError if `now_ms` is before the previous event's, or for an unknown traffic class.
-        Raises TypeError for an object that is no event.
+        Raises TypeError for an object that is no event. With `on_error` an error in an event of a request is told
+        to it instead: the request gets its answer and is forgotten.
         """
         actions: list[Action] = []
         if self.advance_clock(now_ms):
             self._start_window(now_ms)
+        try:
+            self._apply(now_ms, event, actions)
+        except Exception as error:
+            if not isinstance(event, REQUEST_EVENTS):
+                raise
+            self.report_error(error)
+            actions = end_failed_request(self, event, self._request_of(event), actions)
+        if weights_due(self, now_ms):
+            update_weights(self, now_ms)
+        return actions
+
+    def _apply(self, now: float, event: Event, actions: list[Action]) -> None:
         if isinstance(event, RequestArrived):
-            self._handle_arrival(now_ms, event, actions)
+            self._handle_arrival(now, event, actions)
         elif isinstance(event, AttemptFinished):
-            self._handle_attempt_finished(now_ms, event, actions)
+            self._handle_attempt_finished(now, event, actions)
         elif isinstance(event, TimerFired):
-            self._handle_timer(now_ms, event.token, actions)
+            self._handle_timer(now, event.token, actions)
         elif isinstance(event, MembershipUpdate):
-            self._handle_membership_update(now_ms, event, actions)
+            self._handle_membership_update(now, event, actions)
         elif isinstance(event, (ClientDisconnected, ResponseStarted, UploadFinished)):
-            self._handle_client_progress(now_ms, event, actions)
+            self._handle_client_progress(now, event, actions)
         elif isinstance(event, (OperatorEjection, SettingsChanged)):
-            self.apply_operator_event(now_ms, event)
-            update_weights(self, now_ms)
+            self.apply_operator_event(now, event)
+            update_weights(self, now)
         elif isinstance(event, BalancerStarted):
             actions += [Subscribe()] if self.settings.must_subscribe else []
         else:
             raise TypeError(f"not an event of events.py: {event!r}")
-        if weights_due(self, now_ms):
-            update_weights(self, now_ms)
-        return actions
+
+    def _request_of(self, event: RequestEvent) -> Request | None:
+        """The request of an event that failed, if it is still held; its timer is done."""
+        if isinstance(event, TimerFired):
+            return self.timers.pop(event.token, None)
+        return self.requests.get(event.request)
 
     # Endpoint list and windows
 
@@ -93,8 +112,11 @@
         self.schedule_timer(now + delay, None, actions)
 
     def _start_window(self, now: float) -> None:
-        if self.end_window(now):
-            update_admission_limit(self)
+        try:
+            if self.end_window(now):
+                update_admission_limit(self)
+        except Exception as error:
+            self.report_error(error)
         update_weights(self, now)
 
     # Requests
@@ -206,12 +228,13 @@
     def _handle_timer(self, now: float, token: int, actions: list[Action]) -> None:
         if token not in self.timers:
             return
-        request = self.timers.pop(token)
+        request = self.timers[token]
         if request is None:
             actions.append(Subscribe())
         elif request.answered:
-            return
+            pass
         elif not request.attempts:
             self._send_attempt(now, request, actions)
         elif not request.streaming and sum(attempt.open for attempt in request.attempts) == 1:
             handle_overdue_attempt(self, now, request, actions)
+        del self.timers[token]  # not before: after an error it tells the request
--- a/limenotch/balancing/balancer_state.py
+++ b/limenotch/balancing/balancer_state.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from itertools import accumulate
 from math import inf, sqrt
 from random import Random
@@ -58,8 +58,17 @@
 class BalancerState:
     """State that events write and every decision reads."""
 
-    def __init__(self, settings: BalancerSettings, seed: int) -> None:
-        """State before the first event; all random choices follow from `seed`."""
+    def __init__(
+        self,
+        settings: BalancerSettings,
+        seed: int,
+        on_error: Callable[[Exception], None] | None = None,
+    ) -> None:
+        """State before the first event; all random choices follow from `seed`.
+
+        `on_error` is told of internal errors, which are contained then; without it they are raised.
+        """
+        self._on_error = on_error
         self.random = Random(seed)
         self.now = -inf  # time of the latest event
         self.admission = AdmissionControl()
@@ -68,6 +77,12 @@
         self._init_window_sums()
         self.apply_settings(settings)
 
+    def report_error(self, error: Exception) -> None:
+        """Report an error that is contained; raises it where nobody is to be told of errors."""
+        if self._on_error is None:
+            raise error
+        self._on_error(error)
+
     def _init_endpoints(self, settings: BalancerSettings) -> None:
         self.registry = EndpointRegistry(self.random)
         self.available = AvailableEndpoints(settings)
--- a/limenotch/balancing/weights.py
+++ b/limenotch/balancing/weights.py
@@ -36,15 +36,36 @@
 MAX_IMMEDIATE_CANDIDATES = 64
 # Ms per candidate between two renewals after changes of a longer list.
 RENEWAL_INTERVAL_MS = 0.1
+# Lowest estimated capacity: every endpoint that is not ejected can be chosen.
+MIN_CAPACITY = 1e-9
 # Reported use of cores that counts as much as what the endpoint's kind has shown.
 PRIOR_USE = 0.5
 
 
 def update_weights(state: BalancerState, now: float) -> None:
-    """Renew the weights of all candidates.
+    """Renew the weights of all candidates; after an internal error the listed weights are used.
 
     Done at the end of each window, when an endpoint is ejected or unresponsive, and if `weights_due`.
     """
+    try:
+        _renew_weights(state, now)
+    except Exception as error:
+        state.report_error(error)
+        _use_listed_weights(state, now)
+    state.weights_at = now
+    state.weights_stale = False
+
+
+def _use_listed_weights(state: BalancerState, now: float) -> None:
+    """Weights that need no observations. Slow start goes on as before."""
+    candidates = [endpoint for members in state.by_locality for endpoint in members]
+    for endpoint in candidates:
+        endpoint.estimated_capacity = max(endpoint.listed_weight, MIN_CAPACITY)
+        endpoint.selection_weight = 0.0 if endpoint.is_ejected(now) else endpoint.estimated_capacity
+    _update_selection_tables(state, candidates)
+
+
+def _renew_weights(state: BalancerState, now: float) -> None:
     observed, settings = state.prune_observed(now), state.settings
     subsets = subset(state.by_locality, state.mean_in_flight, settings.balancer_index, settings.balancers)
     candidates = [endpoint for members in subsets for endpoint in members]
@@ -57,8 +78,6 @@
         prefer_own_zone(state, candidates, observed, now)
     _update_slow_start_rates(state, candidates, subsets)
     _update_selection_tables(state, candidates)
-    state.weights_at = now
-    state.weights_stale = False
 
 
 def _update_success_rates(state: BalancerState, candidates: Endpoints, now: float) -> None:
@@ -135,7 +154,7 @@
     shown = rate / (endpoint.reported_use_sum * fade + PRIOR_USE)
     endpoint.assured_capacity = min(shown, prior)
     present = shown * (FLOOR if endpoint.unresponsive else 1.0)
-    endpoint.estimated_capacity = max(present, FLOOR * prior, 1e-9)
+    endpoint.estimated_capacity = max(present, FLOOR * prior, MIN_CAPACITY)
 
 
 def update_weight(state: BalancerState, endpoint: EndpointStatistics, now: float) -> None:
@@ -184,7 +203,7 @@
         if endpoint.started_at > 0:
             capacity *= endpoint.warm_fraction(now, slow_start)
         endpoint.assured_capacity = capacity
-        endpoint.estimated_capacity = max(capacity, 1e-9)
+        endpoint.estimated_capacity = max(capacity, MIN_CAPACITY)
         endpoint.selection_weight = endpoint.estimated_capacity * factor
 
 
--- a/limenotch/load_balancer.py
+++ b/limenotch/load_balancer.py
@@ -31,6 +31,7 @@
 from .balancing.types import BalancerSettings, Endpoint, EndpointState, Outcome, PriorExecution
 from .clocks import MonotonicUnixClock, wall_clock_ms
 from .endpoint_ages import EndpointAges
+from .internal_errors import InternalErrors
 from .load_balancer_types import (
     AttemptEnding,
     CancelAttempt,
@@ -98,9 +99,11 @@
         kinds: Iterable[str] = (),
         clock: Callable[[], float] | None = None,
         wall: Callable[[], float] | None = None,
+        internal_errors: InternalErrors | None = None,
     ) -> None:
         """`clock` and `wall` in ms of Unix time: one that never runs back, and one that may be set."""
-        self._balancer = Balancer(settings, seed)
+        self.internal_errors = internal_errors or InternalErrors()
+        self._balancer = Balancer(settings, seed, self._report_error)
         self._clock = clock or MonotonicUnixClock()
         self._endpoint_ages = EndpointAges(self._clock, wall or clock or wall_clock_ms)
         self._process_count = 1
@@ -357,6 +360,9 @@
         """A watch on discovery failed or ended."""
         return self._handle(MembershipUpdate(MembershipKind.UNAVAILABLE))
 
+    def _report_error(self, error: Exception) -> None:
+        self.internal_errors.report(error, "a decision")
+
     def _handle(self, event: Event) -> Commands:
         now_ms = self._clock()
         resulting = []
--- a/limenotch/metrics.py
+++ b/limenotch/metrics.py
@@ -5,6 +5,7 @@
 import re
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 
 # All metric names begin with it.
 PREFIX = "lb"
@@ -57,13 +58,13 @@
             return sum(counters[name] for counters in self._by_class.values())
         return self._process[name]
 
-    def render(self, gauges: Mapping[str, float]) -> bytes:
-        """One `name:value|type` a line: c for counters, g for gauges."""
+    def render(self, gauges: Mapping[str, float], counters: Mapping[str, int] = MappingProxyType({})) -> bytes:
+        """One `name:value|type` a line: c for counters, g for gauges. `counters`: those that other parts own."""
         lines = [
             f"{PREFIX}.transactions.{RESERVED.sub('_', class_name)}.{name}:{value}|c"
             for class_name, counters in self._by_class.items()
             for name, value in counters.items()
         ]
-        lines += [f"{PREFIX}.{name}:{value}|c" for name, value in self._process.items()]
+        lines += [f"{PREFIX}.{name}:{value}|c" for name, value in {**self._process, **counters}.items()]
         lines += [f"{PREFIX}.{name}:{value:g}|g" for name, value in gauges.items()]
         return ("\n".join(lines) + "\n").encode()
--- /dev/null
+++ b/limenotch/net/request_trace.py
@@ -0,0 +1,51 @@
+"""Log lines of single requests, at level `debug`: lab/timeline.py reads them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from .. import logs
+from ..load_balancer_types import AttemptEnding
+from .request import Attempt, FinalResponse, Request
+
+log = logs.get(__name__)
+
+
+def trace_accepted(request: Request, usable_ms: float) -> None:
+    """A request was accepted, and may stay open for so long."""
+    log.debug(
+        "taken",
+        call=request.number,
+        id=request.request_id.decode("latin-1"),
+        kind=request.class_name,
+        account=request.tenant,
+        left_ms=round(usable_ms),
+        resent=request.details.is_retry,
+    )
+
+
+def trace_attempt(
+    attempt: Attempt, ending: AttemptEnding, spent_ms: float, utilisation: float | None, per_s: float | None
+) -> None:
+    """An attempt ended after `spent_ms`; `utilisation` and `per_s` (requests per second) are its load report."""
+    log.debug(
+        "invoked",
+        call=attempt.request.number,
+        number=attempt.number,
+        provider=attempt.endpoint_name,
+        ending=ending.value,
+        spent_ms=round(spent_ms, 1),
+        util=utilisation,
+        per_s=per_s,
+    )
+
+
+def trace_final(request: Request, final: FinalResponse, decision_metrics: Mapping[str, float]) -> None:
+    """A request has its final response; with what the decisions are based on at that time."""
+    log.debug(
+        "final",
+        call=request.number,
+        verdict=final.verdict.value,
+        invoked=len(request.attempts),
+        **decision_metrics,
+    )
--- a/limenotch/net/requests.py
+++ b/limenotch/net/requests.py
@@ -43,8 +43,7 @@
     Verdict,
 )
 from .request_ids import RequestIds
-
-log = logs.get(__name__)
+from .request_trace import trace_accepted, trace_attempt, trace_final
 
 NO_CAPACITY_RETRY_AFTER_MS = 1000.0  # the settings may allow less
 METRIC_ENDINGS = {Verdict.SERVED: "answered", Verdict.REJECTED: "deferred", Verdict.FAILED: "errored"}
@@ -125,25 +124,14 @@
     def _open_request(self, request: Request, usable_ms: float) -> None:
         self.open[request.number] = request
         self._request_ids.add(request.request_id)
-        self._trace_accepted(request, usable_ms)
+        if self._trace:
+            trace_accepted(request, usable_ms)
         try:
             self._admit(request)
         except Exception:
             self.client_disconnected(request)  # the caller never received it, so nobody else would end it
             raise
 
-    def _trace_accepted(self, request: Request, usable_ms: float) -> None:
-        if self._trace:
-            log.debug(
-                "taken",
-                call=request.number,
-                id=request.request_id.decode("latin-1"),
-                kind=request.class_name,
-                account=request.tenant,
-                left_ms=round(usable_ms),
-                resent=request.details.is_retry,
-            )
-
     def _admit(self, request: Request) -> None:
         """Ask the interceptors that have not admitted the request yet, then the load balancer."""
         for interceptor in self.interceptors[len(request.interceptors) :]:
@@ -163,8 +151,13 @@
         self._pass_to_load_balancer(request)
 
     def _resume_admission(self, request: Request) -> None:
-        if request.number in self.open:
+        if request.number not in self.open:
+            return
+        try:
             self._admit(request)
+        except Exception as error:  # nobody waits for this call: without an answer the client would have none
+            self.load_balancer.internal_errors.report(error, "an admission")
+            self._abandon(request)
 
     def _pass_to_load_balancer(self, request: Request) -> None:
         hint = request.placement_hint
@@ -195,15 +188,18 @@
 
     def _end_all(self) -> None:
         for request in list(self.open.values()):
-            if request.deadline <= self.last_deadline:
-                continue  # its own timer ends it
-            if any(attempt.may_have_run for attempt in request.attempts):
-                final = FinalResponse(Verdict.FAILED, timed_out=True)
-            else:
-                final = FinalResponse(Verdict.REJECTED)
-            self._close(request, final)
-            self.execute(self.load_balancer.client_disconnected(request.number))
-            self._cancel_attempts(request)
+            if request.deadline > self.last_deadline:  # otherwise its own timer ends it
+                self._abandon(request)
+
+    def _abandon(self, request: Request) -> None:
+        """Answer a request that the load balancer has not decided to end, and cancel its attempts."""
+        if any(attempt.may_have_run for attempt in request.attempts):
+            final = FinalResponse(Verdict.FAILED, timed_out=True)
+        else:
+            final = FinalResponse(Verdict.REJECTED)
+        self._close(request, final)
+        self.execute(self.load_balancer.client_disconnected(request.number))
+        self._cancel_attempts(request)
 
     def client_disconnected(self, request: Request) -> None:
         """The client is gone: no response is owed, and the attempts of the request are cancelled."""
@@ -290,16 +286,7 @@
         spent_ms = (monotonic() - attempt.started_at) * 1000.0
         body_consumed = request.body_pipe is not None and request.body_pipe.begun
         if self._trace:
-            log.debug(
-                "invoked",
-                call=request.number,
-                number=attempt.number,
-                provider=attempt.endpoint_name,
-                ending=ending.value,
-                spent_ms=round(spent_ms, 1),
-                util=utilisation,
-                per_s=per_s,
-            )
+            trace_attempt(attempt, ending, spent_ms, utilisation, per_s)
         closed = request.final is not None or request.client_gone
         self.execute(
             self.load_balancer.attempt_finished(
@@ -375,13 +362,7 @@
         if request.number not in self.streaming:
             self.metrics.count_ended(request.class_name, METRIC_ENDINGS[final.verdict])
         if self._trace:
-            log.debug(
-                "final",
-                call=request.number,
-                verdict=final.verdict.value,
-                invoked=len(request.attempts),
-                **self.load_balancer.decision_metrics(),
-            )
+            trace_final(request, final, self.load_balancer.decision_metrics())
         self._forget(request)
         self._notify_closed(request)
         request.respond(final)
--- a/limenotch/wiring.py
+++ b/limenotch/wiring.py
@@ -167,7 +167,7 @@
             "cluster_size": len(self.endpoint_pool),
             "cluster_unhealthy": self.load_balancer.excluded_count(),
         }
-        return self.metrics.render(gauges)
+        return self.metrics.render(gauges, {"internal_errors": self.load_balancer.internal_errors.count})
 
     # The other processes of this sidecar
 
