--- a/limenotch/balancing/balancer.py
+++ b/limenotch/balancing/balancer.py
@@ -14,7 +14,6 @@
 from .endpoint_selection import choose_endpoints
 from .endpoint_statistics import Request
 from .events import (
-    REQUEST_EVENTS,
     AttemptFinished,
     BalancerStarted,
     ClientDisconnected,
@@ -23,13 +22,11 @@
     MembershipUpdate,
     OperatorEjection,
     RequestArrived,
-    RequestEvent,
     ResponseStarted,
     SettingsChanged,
     TimerFired,
     UploadFinished,
 )
-from .failed_events import end_failed_request
 from .hedging import RETRIES, handle_overdue_attempt, hedge_delay, should_hedge_at_once
 from .outlier_detection import eject, record_answer
 from .retry_policy import may_repeat
@@ -50,19 +47,12 @@
         """Apply one event and return the actions that follow from it.
 
         Raises ValueError if `now_ms` is before the previous event's, or for an unknown traffic class.
-        Raises TypeError for an object that is no event. With `on_error` an error in an event of a request is told
-        to it instead: the request gets its answer and is forgotten.
+        Raises TypeError for an object that is no event.
         """
         actions: list[Action] = []
         if self.advance_clock(now_ms):
             self._start_window(now_ms)
-        try:
-            self._apply(now_ms, event, actions)
-        except Exception as error:
-            if not isinstance(event, REQUEST_EVENTS):
-                raise
-            self.report_error(error)
-            actions = end_failed_request(self, event, self._request_of(event), actions)
+        self._apply(now_ms, event, actions)
         if weights_due(self, now_ms):
             update_weights(self, now_ms)
         return actions
@@ -86,12 +76,6 @@
         else:
             raise TypeError(f"not an event of events.py: {event!r}")
 
-    def _request_of(self, event: RequestEvent) -> Request | None:
-        """The request of an event that failed, if it is still held; its timer is done."""
-        if isinstance(event, TimerFired):
-            return self.timers.pop(event.token, None)
-        return self.requests.get(event.request)
-
     # Endpoint list and windows
 
     def _handle_membership_update(self, now: float, event: MembershipUpdate, actions: list[Action]) -> None:
@@ -112,11 +96,8 @@
         self.schedule_timer(now + delay, None, actions)
 
     def _start_window(self, now: float) -> None:
-        try:
-            if self.end_window(now):
-                update_admission_limit(self)
-        except Exception as error:
-            self.report_error(error)
+        if self.end_window(now):
+            update_admission_limit(self)
         update_weights(self, now)
 
     # Requests
--- a/limenotch/balancing/balancer_state.py
+++ b/limenotch/balancing/balancer_state.py
@@ -6,8 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Hashable
-from itertools import accumulate
+from collections.abc import Hashable
 from math import inf, sqrt
 from random import Random
 
@@ -27,6 +26,7 @@
 )
 from .events import AttemptFinished, OperatorEjection, RequestArrived, SettingsChanged, UploadFinished
 from .quota_bucket import QuotaBucket
+from .selection_tables import SelectionTable, selection_table
 from .served_rate import RATE_SMOOTHING, ServedRate
 from .types import NEVER_RAN, BalancerSettings, DedupScope, Outcome, Tenant
 
@@ -46,14 +46,6 @@
 INCONCLUSIVE = (Outcome.NOT_SENT, Outcome.CANCELLED)  # neither success nor failure of the endpoint
 WITH_LATENCY = (Outcome.OK, Outcome.TIMEOUT, Outcome.CANCELLED)  # a fast failure is no low latency
 
-SelectionTable = tuple[list[EndpointStatistics], list[float]]
-"""Endpoints, and the running sums of their selection weights."""
-
-
-def selection_table(endpoints: list[EndpointStatistics]) -> SelectionTable:
-    """Table for a random choice in proportion to the selection weights."""
-    return endpoints, list(accumulate(endpoint.selection_weight for endpoint in endpoints))
-
 
 class BalancerState:
     """State that events write and every decision reads."""
@@ -62,13 +54,8 @@
         self,
         settings: BalancerSettings,
         seed: int,
-        on_error: Callable[[Exception], None] | None = None,
     ) -> None:
-        """State before the first event; all random choices follow from `seed`.
-
-        `on_error` is told of internal errors, which are contained then; without it they are raised.
-        """
-        self._on_error = on_error
+        """State before the first event; all random choices follow from `seed`."""
         self.random = Random(seed)
         self.now = -inf  # time of the latest event
         self.admission = AdmissionControl()
@@ -78,10 +65,8 @@
         self.apply_settings(settings)
 
     def report_error(self, error: Exception) -> None:
-        """Report an error that is contained; raises it where nobody is to be told of errors."""
-        if self._on_error is None:
-            raise error
-        self._on_error(error)
+        """Report an internal error, after which the caller goes on; it is raised where errors are not contained."""
+        raise error
 
     def _init_endpoints(self, settings: BalancerSettings) -> None:
         self.registry = EndpointRegistry(self.random)
--- a/limenotch/balancing/endpoint_selection.py
+++ b/limenotch/balancing/endpoint_selection.py
@@ -9,10 +9,11 @@
 from bisect import bisect
 from math import exp, inf
 
-from .balancer_state import BalancerState, SelectionTable, selection_table
+from .balancer_state import BalancerState
 from .endpoint_statistics import EndpointStatistics, Request
 from .outlier_detection import check_unresponsive, is_overfull
 from .retry_policy import dedup_group, may_repeat
+from .selection_tables import SelectionTable, selection_table
 from .types import DedupScope, Effect
 from .weights import update_all_weights, update_weights
 
--- a/limenotch/balancing/weights.py
+++ b/limenotch/balancing/weights.py
@@ -10,8 +10,9 @@
 from collections.abc import Iterable
 from math import exp
 
-from .balancer_state import BalancerState, selection_table
+from .balancer_state import BalancerState
 from .endpoint_statistics import EndpointStatistics, LatencyProfile
+from .selection_tables import MIN_CAPACITY, update_selection_tables, use_listed_weights
 from .subsetting import subset
 
 Endpoints = list[EndpointStatistics]
@@ -36,8 +37,6 @@
 MAX_IMMEDIATE_CANDIDATES = 64
 # Ms per candidate between two renewals after changes of a longer list.
 RENEWAL_INTERVAL_MS = 0.1
-# Lowest estimated capacity: every endpoint that is not ejected can be chosen.
-MIN_CAPACITY = 1e-9
 # Reported use of cores that counts as much as what the endpoint's kind has shown.
 PRIOR_USE = 0.5
 
@@ -51,20 +50,11 @@
         _renew_weights(state, now)
     except Exception as error:
         state.report_error(error)
-        _use_listed_weights(state, now)
+        use_listed_weights(state, now)
     state.weights_at = now
     state.weights_stale = False
 
 
-def _use_listed_weights(state: BalancerState, now: float) -> None:
-    """Weights that need no observations. Slow start goes on as before."""
-    candidates = [endpoint for members in state.by_locality for endpoint in members]
-    for endpoint in candidates:
-        endpoint.estimated_capacity = max(endpoint.listed_weight, MIN_CAPACITY)
-        endpoint.selection_weight = 0.0 if endpoint.is_ejected(now) else endpoint.estimated_capacity
-    _update_selection_tables(state, candidates)
-
-
 def _renew_weights(state: BalancerState, now: float) -> None:
     observed, settings = state.prune_observed(now), state.settings
     subsets = subset(state.by_locality, state.mean_in_flight, settings.balancer_index, settings.balancers)
@@ -77,7 +67,7 @@
     if settings.cross_zone_cost and state.tier_profile.reported_rate:
         prefer_own_zone(state, candidates, observed, now)
     _update_slow_start_rates(state, candidates, subsets)
-    _update_selection_tables(state, candidates)
+    update_selection_tables(state, candidates)
 
 
 def _update_success_rates(state: BalancerState, candidates: Endpoints, now: float) -> None:
@@ -106,18 +96,6 @@
                 endpoint.slow_start_rate = share * state.locality_factor(endpoint)
 
 
-def _update_selection_tables(state: BalancerState, candidates: Endpoints) -> None:
-    state.candidates = selection_table(candidates)
-    live_capacity = sum(endpoint.estimated_capacity for endpoint in candidates if endpoint.selection_weight)
-    capacity = sum(endpoint.estimated_capacity for endpoint in candidates)
-    state.live_fraction = live_capacity / max(capacity, 1e-9)
-    all_local = not state.settings.cross_zone_cost
-    state.local_candidates = selection_table(
-        [endpoint for endpoint in candidates if all_local or endpoint.endpoint.zone == state.settings.zone]
-    )
-    state.dedup_candidates.clear()
-
-
 def weights_due(state: BalancerState, now: float) -> bool:
     """Whether the weights are to be renewed after a change of the endpoint list.
 
--- a/limenotch/load_balancer.py
+++ b/limenotch/load_balancer.py
@@ -13,7 +13,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from .balancing import Balancer, actions
+from .balancing import actions
+from .balancing.contained_balancer import ContainedBalancer
 from .balancing.events import (
     AttemptFinished,
     BalancerStarted,
@@ -103,7 +104,7 @@
     ) -> None:
         """`clock` and `wall` in ms of Unix time: one that never runs back, and one that may be set."""
         self.internal_errors = internal_errors or InternalErrors()
-        self._balancer = Balancer(settings, seed, self._report_error)
+        self._balancer = ContainedBalancer(settings, seed, self._report_error)
         self._clock = clock or MonotonicUnixClock()
         self._endpoint_ages = EndpointAges(self._clock, wall or clock or wall_clock_ms)
         self._process_count = 1
--- a/tests/test_decision_modules.py
+++ b/tests/test_decision_modules.py
@@ -13,7 +13,7 @@
 # What they may read of the package, besides one another.
 BESIDE = {
     "actions", "available_endpoints", "balancer_state", "endpoint_registry", "endpoint_statistics", "events", "rates",
-    "types",
+    "selection_tables", "types",
 }  # fmt: skip
 STANDARD = {"__future__", "bisect", "collections.abc", "math", "typing"}
 
--- a/tests/test_internal_errors.py
+++ b/tests/test_internal_errors.py
@@ -11,8 +11,9 @@
 
 import pytest
 
-from limenotch.balancing import Balancer, balancer, balancer_state, weights
+from limenotch.balancing import Balancer, balancer, balancer_state, endpoint_selection, weights
 from limenotch.balancing.actions import Action, CancelAttempt, FailRequest, RejectRequest, SendAttempt, SetTimer
+from limenotch.balancing.contained_balancer import ContainedBalancer
 from limenotch.balancing.events import (
     AttemptFinished,
     Event,
@@ -80,7 +81,7 @@
 
     def __init__(self) -> None:
         self.errors: list[Exception] = []
-        self.balancer = Balancer(BalancerSettings(CLASSES), 1, self.errors.append)
+        self.balancer = ContainedBalancer(BalancerSettings(CLASSES), 1, self.errors.append)
         self.answers = Counter[str]()
         self._random = Random(1)
         self._due: list[tuple[float, int, Event]] = []
@@ -96,16 +97,14 @@
         while self._due:
             now, _, event = heapq.heappop(self._due)
             if isinstance(event, AttemptFinished):
-                event = self._end(event)
-                if event is None:
+                if (event.request, event.attempt) in self._ended:
                     continue
+                event = self._end(event)
             for action in self.balancer.handle(now, event):
                 self._execute(now, action)
 
-    def _end(self, event: AttemptFinished) -> AttemptFinished | None:
-        """The end of an attempt that has not ended yet; a served one answers its request."""
-        if (event.request, event.attempt) in self._ended:
-            return None
+    def _end(self, event: AttemptFinished) -> AttemptFinished:
+        """The end of an attempt; a served one answers its request."""
         self._ended.add((event.request, event.attempt))
         if event.outcome is Outcome.OK and not self.answers[event.request]:
             self.answers[event.request] += 1
@@ -151,7 +150,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     errors: list[Exception] = []
-    balancing = Balancer(BalancerSettings(CLASSES), 1, errors.append)
+    balancing = ContainedBalancer(BalancerSettings(CLASSES), 1, errors.append)
     balancing.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, ENDPOINTS))
     balancing.handle(1.0, RequestArrived("sent", 1, 300.0))
     monkeypatch.setattr(balancer, "choose_endpoints", failing(lambda *_: (None, None)))
@@ -166,7 +165,7 @@
 
 def test_a_renewal_that_fails_takes_no_event_with_it(monkeypatch: pytest.MonkeyPatch) -> None:
     errors: list[Exception] = []
-    balancing = Balancer(BalancerSettings(CLASSES), 1, errors.append)
+    balancing = ContainedBalancer(BalancerSettings(CLASSES), 1, errors.append)
     monkeypatch.setattr(weights, "_renew_weights", lambda *_: 1 / 0)
     balancing.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, ENDPOINTS))
     sent = list[str]()
@@ -200,7 +199,7 @@
         now = MIN_LOG_INTERVAL_S
         errors.report(InjectedError("another cause"), "a decision")
     assert errors.count == 101
-    logged = [record.msg for record in caplog.records]
+    logged: list[Any] = [record.msg for record in caplog.records]
     assert [(each["event"], each["not_logged_before"]) for each in logged] == [
         ("internal error", 0),
         ("internal error", 99),
@@ -231,7 +230,7 @@
 def test_a_client_is_answered_and_operators_see_the_count(monkeypatch: pytest.MonkeyPatch) -> None:
     handler, _ = answering(whole(200))
     admin = free_port()
-    monkeypatch.setattr(balancer, "choose_endpoints", failing(balancer.choose_endpoints))
+    monkeypatch.setattr(balancer, "choose_endpoints", failing(endpoint_selection.choose_endpoints))
 
     async def use(port: int) -> None:
         statuses = [(await ask(port, renamed(LOOK))).status for _ in range(3 * EVERY)]
