Keep a request's permissions from its arrival over a reload

Callers saw: after SIGHUP had allowed parallel_tries, requests that were open were given a second attempt (held back on sockets before its first byte, at the price of a connection); cancel and retry_after changed for them too. Cause: may_hedge, may_cancel and max_retry_after_ms were read from the settings in force; only max_attempts and the class were the request's own. Why it works: the request has them from its arrival. Restricted mode, which is no permission, still binds open requests at once, and a test says so.

--- a/limenotch/balancing/balancer.py
+++ b/limenotch/balancing/balancer.py
@@ -173,7 +173,7 @@
         last_retry_at = request.objective - traffic_class.latency_objective_ms + traffic_class.deadline_ms
         is_safe = may_repeat(traffic_class, executions, last_retry_at)
         if is_safe and not (executions and self.settings.restricted):
-            retry_after_ms = min(self.settings.max_retry_after_ms, self.window_ms)
+            retry_after_ms = min(request.max_retry_after_ms, self.window_ms)
             actions.append(RejectRequest(request.name, retry_after_ms))
         else:
             actions.append(FailRequest(request.name))
@@ -200,8 +200,8 @@
         self.forget_request(request)
 
     def _cancel_attempts(self, request: Request, actions: list[Action], keep: int = -1) -> None:
-        """Cancel the open attempts except number `keep`, where the settings allow cancellation."""
-        if self.settings.may_cancel:
+        """Cancel the open attempts except number `keep`, where the request permits it."""
+        if request.may_cancel:
             for number, attempt in enumerate(request.attempts):
                 if attempt.open and number != keep:
                     actions.append(CancelAttempt(request.name, number))
--- a/limenotch/balancing/balancer_state.py
+++ b/limenotch/balancing/balancer_state.py
@@ -254,6 +254,9 @@
             single_use_body=event.single_use_body,
             preferred_endpoint=event.preferred_endpoint,
             prior_execution=event.prior_execution,
+            may_hedge=self.settings.may_hedge,
+            may_cancel=self.settings.may_cancel,
+            max_retry_after_ms=self.settings.max_retry_after_ms,
         )
         self.requests[request.name] = request
         self.arrivals += 1
--- a/limenotch/balancing/contained_balancer.py
+++ b/limenotch/balancing/contained_balancer.py
@@ -84,7 +84,7 @@
             if attempt.in_flight:
                 self.in_flight -= 1
             attempt.end(may_have_run=number < sent)
-            if number < sent and self.settings.may_cancel:
+            if number < sent and request.may_cancel:
                 actions.append(CancelAttempt(request.name, number))
 
 
--- a/limenotch/balancing/endpoint_statistics.py
+++ b/limenotch/balancing/endpoint_statistics.py
@@ -228,7 +228,8 @@
 class Request:
     """A request from its arrival until it is answered and all its attempts have ended.
 
-    Class and maximum of attempts are those of the settings at its arrival.
+    Its class and what it permits are those of the settings at its arrival, up to its end. Restricted mode is none of
+    them: it applies to open requests at once.
     """
 
     name: str
@@ -243,6 +244,9 @@
     single_use_body: bool = False
     preferred_endpoint: str = ""
     prior_execution: PriorExecution | None = None
+    may_hedge: bool = True
+    may_cancel: bool = True
+    max_retry_after_ms: float = 0.0
 
     def possible_executions(self) -> list[PriorAttempt]:
         """This balancer's attempts that may have run."""
--- a/limenotch/balancing/hedging.py
+++ b/limenotch/balancing/hedging.py
@@ -37,7 +37,7 @@
     second: EndpointStatistics | None,
 ) -> bool:
     """Whether a request that has just been sent to `first` is also sent to `second` at the same time."""
-    repeatable = request.traffic_class.effect is not Effect.AT_MOST_ONCE and state.settings.may_hedge
+    repeatable = request.traffic_class.effect is not Effect.AT_MOST_ONCE and request.may_hedge
     hedgeable = repeatable and _is_short_of_time(now, request, first)
     state.hedgeable += hedgeable and second is not None
     return (
@@ -110,7 +110,7 @@
     budget_spent = state.retry_budget < BURST / 2 and not unbudgeted
     if (
         request.single_use_body
-        or not state.settings.may_hedge
+        or not request.may_hedge
         or len(request.attempts) >= request.max_attempts
         or budget_spent
     ):
--- a/tests/test_operator_changes.py
+++ b/tests/test_operator_changes.py
@@ -12,15 +12,17 @@
 import pytest
 
 from limenotch.balancing import Balancer
-from limenotch.balancing.actions import FailRequest, SendAttempt
+from limenotch.balancing.actions import CancelAttempt, FailRequest, RejectRequest, SendAttempt, SetTimer
 from limenotch.balancing.endpoint_statistics import EndpointStatistics
 from limenotch.balancing.events import (
     AttemptFinished,
+    ClientDisconnected,
     MembershipKind,
     MembershipUpdate,
     OperatorEjection,
     RequestArrived,
     SettingsChanged,
+    TimerFired,
 )
 from limenotch.balancing.types import (
     BalancerSettings,
@@ -105,6 +107,73 @@
     assert acts == [FailRequest("new")]
 
 
+def urgent_pair(may_hedge: bool, retuned_to: bool) -> int:
+    """Attempts of requests that arrived before new settings, and are overdue after them."""
+    classes = (TrafficClass("look", Effect.IDEMPOTENT, 400.0, 900.0),)
+    balancer = Balancer(BalancerSettings(classes, may_hedge=may_hedge), 1)
+    balancer.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, tuple(Endpoint(f"e{n}") for n in range(6))))
+    attempts = 0
+    for turn in range(300):
+        at, name = 1000.0 * turn, f"r{turn}"
+        balancer.handle(at, SettingsChanged(BalancerSettings(classes, may_hedge=may_hedge)))
+        actions = balancer.handle(at, RequestArrived(name, 0, 900.0))
+        balancer.handle(at, SettingsChanged(BalancerSettings(classes, may_hedge=retuned_to)))
+        taken_ms = 100.0 if turn % 8 else 500.0  # one in eight is overdue while its endpoint's others are not
+        timers = [action for action in actions if isinstance(action, SetTimer)]
+        while timers and timers[0].at_ms < at + taken_ms:
+            timer = timers.pop(0)
+            more = balancer.handle(timer.at_ms, TimerFired(timer.token))
+            timers += [action for action in more if isinstance(action, SetTimer)]
+            actions += more
+        sends = [action for action in actions if isinstance(action, SendAttempt)]
+        attempts += len(sends) - 1
+        for number, send in enumerate(sends):
+            ended = AttemptFinished(name, send.endpoint, number, taken_ms, Outcome.OK, bool(number))
+            balancer.handle(at + taken_ms, ended)
+    return attempts
+
+
+def test_a_request_that_was_open_at_a_reload_is_hedged_only_as_on_its_arrival() -> None:
+    # A second attempt was decided beside the first after `parallel_tries` had become true.
+    assert urgent_pair(may_hedge=True, retuned_to=True) > 0
+    assert urgent_pair(may_hedge=False, retuned_to=True) == 0
+    assert urgent_pair(may_hedge=True, retuned_to=False) > 0
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_a_request_that_was_open_at_a_reload_is_cancelled_only_as_on_its_arrival(may_cancel: bool) -> None:
+    classes = (TrafficClass("look", Effect.IDEMPOTENT, 400.0, 900.0),)
+    balancer = Balancer(BalancerSettings(classes, may_cancel=may_cancel), 1)
+    balancer.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, (Endpoint("a"),)))
+    balancer.handle(1.0, RequestArrived("r", 0, 900.0))
+    balancer.handle(2.0, SettingsChanged(BalancerSettings(classes, may_cancel=not may_cancel)))
+    actions = balancer.handle(3.0, ClientDisconnected("r"))
+    assert actions == ([CancelAttempt("r", 0)] if may_cancel else [])
+
+
+@pytest.mark.parametrize(("arrived", "later", "expected"), [(50.0, 0.0, 50.0), (0.0, 50.0, 0.0)])
+def test_a_rejection_gives_the_advice_that_was_allowed_on_arrival(
+    arrived: float, later: float, expected: float
+) -> None:
+    classes = (TrafficClass("look", Effect.IDEMPOTENT, 400.0, 900.0),)
+    balancer = Balancer(BalancerSettings(classes, max_retry_after_ms=arrived, max_attempts=1), 1)
+    balancer.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, (Endpoint("a"),)))
+    balancer.handle(1.0, RequestArrived("r", 0, 900.0))
+    balancer.handle(2.0, SettingsChanged(BalancerSettings(classes, max_retry_after_ms=later)))
+    actions = balancer.handle(3.0, AttemptFinished("r", "a", 0, 2.0, Outcome.REJECTED))
+    assert actions == [RejectRequest("r", expected)]
+
+
+def test_restricted_mode_applies_to_open_requests_at_once() -> None:
+    # It is no permission of the operators: who is out of touch with the peers may not send again what may have run.
+    classes = (TrafficClass("look", Effect.IDEMPOTENT, 400.0, 900.0),)
+    balancer = Balancer(BalancerSettings(classes), 1)
+    balancer.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, (Endpoint("a"), Endpoint("b"))))
+    balancer.handle(1.0, RequestArrived("r", 0, 900.0))
+    balancer.handle(2.0, SettingsChanged(BalancerSettings(classes, restricted=True)))
+    assert balancer.handle(3.0, AttemptFinished("r", "a", 0, 2.0, Outcome.ERROR)) == [FailRequest("r")]
+
+
 def test_what_was_learnt_stays_with_its_name_and_goes_with_it() -> None:
     balancer = balancer_of("a")
     sent(balancer, 0.0, "1")
