--- a/limenotch/balancing/endpoint_statistics.py
+++ b/limenotch/balancing/endpoint_statistics.py
@@ -15,7 +15,7 @@
 RATE_SPAN_MS = 1000.0  # time constant of an arrival rate; a shorter one takes chance for a burst
 CLASS_SAMPLES = 100  # responses over which the mean latency of a class is taken
 WINDOW_DECAY = 0.9  # factor on sums at each window's end
-MIN_REPORTED_UTILISATION = 0.005  # of an endpoint that serves requests: reports may be rounded to 0.00
+MIN_REPORTED_UTILISATION = 0.0005  # of an endpoint that serves requests: reports may be rounded to 0
 
 
 @dataclass(slots=True, eq=False)
