Choose a repeat by the group that its first attempt's endpoint had at the send

Callers saw: where a list moved an endpoint to another zone or group under a keyed request, its repeat was decided in the new group and then held back before its first byte; the request failed. Cause: an attempt read its endpoint's group from the newest list. Why it works: an attempt keeps the entry with which it was sent. The referee looked the group up in the newest list as well; it notes the one at the send now, and asks for permissions by request, in both as strict as before, and checks cancellations too.

--- a/limenotch/balancing/balancer_state.py
+++ b/limenotch/balancing/balancer_state.py
@@ -285,7 +285,7 @@
     ) -> None:
         """Send an attempt; `copy` is 1 if it hedges another one, which the retry budget pays for."""
         mean_ms = request.class_latency.mean_ms
-        attempt = Attempt(endpoint, now, expected_rate=1 / mean_ms if mean_ms else 0.0)
+        attempt = Attempt(endpoint, endpoint.endpoint, now, expected_rate=1 / mean_ms if mean_ms else 0.0)
         self.observed[endpoint] = None
         request.attempts.append(attempt)
         if not request.single_use_body:
--- a/limenotch/balancing/endpoint_statistics.py
+++ b/limenotch/balancing/endpoint_statistics.py
@@ -199,6 +199,7 @@
     """One attempt of a request at an endpoint."""
 
     target: EndpointStatistics
+    listed: Endpoint  # the target's entry when it was sent: a later list may give another zone or cell
     sent_at: float
     open: bool = True  # not ended yet
     may_have_run: bool = True  # the endpoint may have executed the request
@@ -251,7 +252,7 @@
     def possible_executions(self) -> list[PriorAttempt]:
         """This balancer's attempts that may have run."""
         return [
-            PriorAttempt(attempt.target.endpoint.zone, attempt.target.endpoint.cell, attempt.sent_at)
+            PriorAttempt(attempt.listed.zone, attempt.listed.cell, attempt.sent_at)
             for attempt in self.attempts
             if attempt.may_have_run
         ]
--- a/tests/referee.py
+++ b/tests/referee.py
@@ -52,10 +52,13 @@
     arrival: RequestArrived
     deadline: float
     sent: list[tuple[float, str]] = field(default_factory=list)
+    sent_to: list[Endpoint] = field(default_factory=list)  # as listed at each send
     ended: dict[int, Outcome] = field(default_factory=dict)
     over: bool = False
     most: int = 0  # attempts, by the settings in force when it came
     cls: TrafficClass = READ  # likewise
+    may_hedge: bool = True  # likewise
+    may_cancel: bool = True  # likewise
 
 
 class Referee:
@@ -65,7 +68,6 @@
         self.given, self.now = given, 1000.0
         self.balancer = Balancer(given, seed)
         self.rows: dict[str, Endpoint] = {}
-        self.known: dict[str, Endpoint] = {}
         self.banned: set[str] = set()
         self.calls: dict[str, Held] = {}
         self.timers: list[tuple[float, int]] = []
@@ -85,7 +87,6 @@
         if listing is MembershipKind.COMPLETE:
             self.rows = {}
         self.rows |= {row.name: row for row in rows}
-        self.known |= self.rows
         return self.tell(MembershipUpdate(listing, rows))
 
     def ban(self, name: str, out: bool) -> list[Action]:
@@ -106,18 +107,31 @@
         name = f"call-{self.count}"
         arrival = RequestArrived(name, index, budget, tenant, single_use_body=once)
         cls = self.given.classes[index]
-        self.calls[name] = Held(arrival, self.now + budget, most=self.given.max_attempts, cls=cls)
+        given = self.given
+        self.calls[name] = Held(
+            arrival,
+            self.now + budget,
+            most=given.max_attempts,
+            cls=cls,
+            may_hedge=given.may_hedge,
+            may_cancel=given.may_cancel,
+        )
         return name, self.tell(arrival)
 
     def finish(
-        self, name: str, attempt: int = 0, outcome: Outcome = Outcome.OK, util: float | None = None
+        self,
+        name: str,
+        attempt: int = 0,
+        outcome: Outcome = Outcome.OK,
+        util: float | None = None,
+        per_s: float | None = None,
     ) -> list[Action]:
         held = self.calls[name]
         sent, upstream = held.sent[attempt]
         held.ended[attempt] = outcome
         held.over = held.over or outcome is Outcome.OK
         spent = self.now - sent
-        return self.tell(AttemptFinished(name, upstream, attempt, spent, outcome, held.over, util))
+        return self.tell(AttemptFinished(name, upstream, attempt, spent, outcome, held.over, util, per_s))
 
     def leave(self, name: str) -> list[Action]:
         self.calls[name].over = True
@@ -153,6 +167,7 @@
             self.timers.append((max(action.at_ms, self.now), action.token))
         elif isinstance(action, CancelAttempt):
             assert action.attempt < len(self.calls[action.request].sent), "cancels what was never sent"
+            assert self.calls[action.request].may_cancel, "cancels where the settings forbid it"
         elif isinstance(action, SendAttempt):
             self.check_send(action)
         elif isinstance(action, (FailRequest, RejectRequest)):
@@ -185,16 +200,17 @@
         if ran and cls.effect is Effect.AT_MOST_ONCE:
             raise AssertionError("sends an unsafe call again")
         if ran and cls.effect is Effect.DEDUPLICATED:
-            first = self.known[ran[0][1]]
+            first = held.sent_to[held.sent.index(ran[0])]
             same = first.zone == row.zone if cls.dedup_scope is DedupScope.ZONE else first.cell == row.cell
             assert same or cls.dedup_scope is DedupScope.ALL, "repeats a keyed call outside its group"
             assert self.now - ran[0][0] <= cls.dedup_window_ms, "repeats a keyed call after its window"
         assert len(held.sent) < held.most, "more attempts than allowed"
         copies = [i for i in range(len(held.sent)) if i not in held.ended]
         assert not (held.arrival.single_use_body and copies), "sends to two what can go out once"
-        assert self.given.may_hedge or not copies, "sends a copy where the settings forbid any"
+        assert held.may_hedge or not copies, "sends a copy where the settings forbid any"
         assert action.timeout_ms > 0
         held.sent.append((self.now, action.endpoint))
+        held.sent_to.append(row)
 
 
 def sends(actions: list[Action]) -> list[SendAttempt]:
--- a/tests/test_unusual_lists.py
+++ b/tests/test_unusual_lists.py
@@ -13,7 +13,15 @@
     OperatorEjection,
     RequestArrived,
 )
-from limenotch.balancing.types import BalancerSettings, Effect, Endpoint, EndpointState, Outcome, TrafficClass
+from limenotch.balancing.types import (
+    BalancerSettings,
+    DedupScope,
+    Effect,
+    Endpoint,
+    EndpointState,
+    Outcome,
+    TrafficClass,
+)
 
 CLASSES = (TrafficClass("look", Effect.IDEMPOTENT, 400.0, 900.0),)
 
@@ -108,3 +116,20 @@
     balancer.handle(0.0, MembershipUpdate(kind, update))
     assert (len(balancer.available), len(balancer.registry.endpoints)) == (1, 1)
     assert set(serve(balancer)) == {"x"}
+
+
+def test_a_keyed_request_stays_in_the_group_that_its_endpoint_had_when_it_was_sent() -> None:
+    # Its duplicates are dropped there; a list that moved the endpoint to another cell meanwhile moved the repeat too.
+    keyed = TrafficClass("keyed", Effect.DEDUPLICATED, 400.0, 900.0, dedup_scope=DedupScope.CELL, dedup_window_ms=9e3)
+    for seed in range(20):
+        balancer = Balancer(BalancerSettings((keyed,)), seed)
+        old = tuple(Endpoint(f"e{number}", cell=number % 2) for number in range(6))
+        balancer.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, old))
+        first = next(a for a in balancer.handle(1.0, RequestArrived("r", 0, 900.0)) if isinstance(a, SendAttempt))
+        cell = next(each.cell for each in old if each.name == first.endpoint)
+        moved = Endpoint(first.endpoint, cell=1 - cell)
+        balancer.handle(2.0, MembershipUpdate(MembershipKind.INCREMENTAL, (moved,)))
+        actions = balancer.handle(3.0, AttemptFinished("r", first.endpoint, 0, 2.0, Outcome.ERROR))
+        again = [action.endpoint for action in actions if isinstance(action, SendAttempt)]
+        same_cell = {each.name for each in old if each.cell == cell} - {first.endpoint}
+        assert len(again) == 1 and set(again) <= same_cell
