Hold the times of a predecessor whose clock was ahead to the present

Callers saw: after an upgrade beside a wall clock that had been set back, 502 at each renewal of the weights until the clock had caught up. Cause: what is handed over decays by exp of its age; an age of minus an hour overflows. Evidence: OverflowError in EndpointStatistics.fade in a new test on the code before (a clock one hour behind, decisions alone); it passes now. Why it works: a time ahead of the clock here counts as now. The form of what is handed over is as it was (tests/frozen).

--- a/limenotch/balancing/learned_state.py
+++ b/limenotch/balancing/learned_state.py
@@ -94,6 +94,9 @@
         endpoint = balancer.registry.endpoints.get(name)
         if endpoint is not None and endpoint.endpoint.started_ms == started_ms:  # the same process
             _set_fields(endpoint, ENDPOINT_FIELDS, values)
+            # The other process's clock may be ahead of this one's.
+            endpoint.updated_at = min(endpoint.updated_at, balancer.now)
+            endpoint.last_report_at = min(endpoint.last_report_at, balancer.now)
             balancer.observed[endpoint] = None
     for endpoint in balancer.registry.endpoints.values():
         endpoint.slow_start_credit = 0.0
--- a/tests/test_unusual_reports.py
+++ b/tests/test_unusual_reports.py
@@ -82,3 +82,13 @@
             await asyncio.sleep(0.005)
 
     run(with_sidecar(handler, use, more={"settings": {**SETTINGS, "classes": classes}}))
+
+
+def test_a_process_whose_clock_is_behind_its_predecessors_takes_what_that_one_learnt() -> None:
+    # The wall clock was set back between the two starts: observations from the future overflowed at each renewal.
+    earlier = Balancer(BalancerSettings(CLASSES), 1)
+    earlier.handle(3_600_000.0, MembershipUpdate(MembershipKind.COMPLETE, ENDPOINTS))
+    report_from_each(earlier, 0.3, 10.0, requests=100)
+    successor = balancer_of(ENDPOINTS)
+    import_state(successor, export_state(earlier))
+    assert sum(report_from_each(successor, 0.3, 20.0, requests=200).values()) == 200
