Use or ignore the listed weights as soon as new settings say so

Callers saw: after SIGHUP had changed weights, requests went out by the weights of the old settings until an endpoint's entry changed. Cause: the choice was made when an entry of the list was taken. Why it works: a reload, which passes over all endpoints, chooses again.

--- a/limenotch/balancing/balancer_state.py
+++ b/limenotch/balancing/balancer_state.py
@@ -134,6 +134,7 @@
             self.apply_registry_changes(now, self.registry.apply_ejection(now, event))
             return
         self.apply_settings(event.settings)
+        self.registry.apply_weights(event.settings.weights_listed)
         self.available = AvailableEndpoints(event.settings)
         self.apply_registry_changes(now, RegistryChanges(list(self.registry.endpoints.values()), []))
 
--- a/limenotch/balancing/endpoint_registry.py
+++ b/limenotch/balancing/endpoint_registry.py
@@ -47,6 +47,11 @@
     def _is_listed(self, endpoint: EndpointStatistics) -> bool:
         return self.endpoints.get(endpoint.endpoint.name) is endpoint
 
+    def apply_weights(self, use_weights: bool) -> None:
+        """Use the weights of the list from now on, or 1 for all endpoints."""
+        for endpoint in self.endpoints.values():
+            endpoint.listed_weight = endpoint.endpoint.weight if use_weights else 1.0
+
     def _apply_entry(self, now: float, entry: Endpoint, weight: float, changes: RegistryChanges) -> None:
         old = self.endpoints.get(entry.name)
         if old is None or old.endpoint.started_ms != entry.started_ms:
--- a/tests/test_operator_changes.py
+++ b/tests/test_operator_changes.py
@@ -174,6 +174,19 @@
     assert balancer.handle(3.0, AttemptFinished("r", "a", 0, 2.0, Outcome.ERROR)) == [FailRequest("r")]
 
 
+@pytest.mark.parametrize("used_later", [True, False])
+def test_new_settings_use_or_ignore_the_listed_weights_at_once(used_later: bool) -> None:
+    # The list is not sent again after a reload: the weights of the old settings stayed until an entry changed.
+    classes = (TrafficClass("look", Effect.IDEMPOTENT, 400.0, 900.0),)
+    balancer = Balancer(BalancerSettings(classes, weights_listed=not used_later), 1)
+    listed = (Endpoint("a", weight=9.0), Endpoint("b"))
+    balancer.handle(0.0, MembershipUpdate(MembershipKind.COMPLETE, listed))
+    balancer.handle(1.0, SettingsChanged(BalancerSettings(classes, weights_listed=used_later)))
+    weights = {each.endpoint.name: each.selection_weight for each in balancer.candidates[0]}
+    assert weights == ({"a": 9.0, "b": 1.0} if used_later else {"a": 1.0, "b": 1.0})
+    assert balancer.available.total_weight == sum(weights.values())
+
+
 def test_what_was_learnt_stays_with_its_name_and_goes_with_it() -> None:
     balancer = balancer_of("a")
     sent(balancer, 0.0, "1")
