Draw load reports and unusual lists in the soak, and look for internal errors

Need: idle reports, empty or draining lists, weights of 0 and names twice on real processes, as the decisions have them in generated tests. The soak had before: clients that use their open connections until the kill, the kill at the earliest moment, SIGHUP in series, SIGTERM twice, and a crowd in some runs. Change: reports, a cost of crossing zones and lists that are unusual for 1 s are drawn; 'internal fault' as an answer and lb.internal_errors above 0 are faults of a run.

--- a/tests/helpers/discovery_service.py
+++ b/tests/helpers/discovery_service.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import json
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from time import monotonic
 from typing import Any
@@ -20,6 +21,8 @@
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 REFUSED = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 RETIRED_S = 1.5
+
+Entries = list[dict[str, Any]]
 EMPTY_LINE_S = 1.0
 
 
@@ -57,6 +60,7 @@
         self._list_s, self._patience_s = list_s, patience_s
         self._free_at = 0.0  # when the calls that wait are handled
         self._addresses: list[Address] = []
+        self._disguise: Callable[[Entries], Entries] = list  # what whole lists say of the endpoints
 
     async def listen(self, refuses: bool = False) -> Address:
         """One more address."""
@@ -87,7 +91,15 @@
         """This endpoint is new, or listed in another way; a line at once, on every watch that stands."""
         self.version += 1
         self._endpoints[entry["name"]] = entry
-        line = self._document([entry], whole=False)
+        self._send(self._document([entry], whole=False))
+
+    def disguise(self, disguise: Callable[[Entries], Entries] = list) -> None:
+        """Whole lists say something else of the endpoints from now on; one goes to every watch that stands, at once."""
+        self.version += 1
+        self._disguise = disguise
+        self._send(self._whole_list())
+
+    def _send(self, line: bytes) -> None:
         for address in self._addresses:
             for writer in address.watches - self._silent:
                 if self._ends:
@@ -95,6 +107,10 @@
                 else:
                     writer.write(chunk(line))
 
+    def _whole_list(self) -> bytes:
+        listed = [entry for entry in self._endpoints.values() if entry["status"] != "terminated"]
+        return self._document(self._disguise(listed), whole=True)
+
     def silence(self) -> None:
         """All watches that stand fall silent, and stay open."""
         for address in self._addresses:
@@ -128,8 +144,7 @@
             return
         self._free_at = max(self._free_at, now) + self._list_s
         await asyncio.sleep(self._free_at - now)
-        listed = [entry for entry in self._endpoints.values() if entry["status"] != "terminated"]
-        writer.write(CHUNKED + chunk(self._document(listed, whole=True)))
+        writer.write(CHUNKED + chunk(self._whole_list()))
         self.answered.append(monotonic())
         address.watches.add(writer)
         try:
--- a/tests/helpers/soak.py
+++ b/tests/helpers/soak.py
@@ -1,7 +1,8 @@
 """Real processes under drawn faults of discovery and series of signals; what peers saw is checked, not what is logged.
 
 A run is drawn from its seed: endpoints, processes, deadlines, moves of discovery in a row, drains, calls that hang,
-watches that fall silent or end in place of telling, and at the end a process that is told to leave and killed at the
+watches that fall silent or end in place of telling, load reports of idle endpoints, lists that are empty, all draining,
+of weight 0 or with names twice for a second, and at the end a process that is told to leave and killed at the
 earliest moment allowed, while clients go on sending on their open connections.
 """
 
@@ -12,7 +13,9 @@
 import json
 import signal
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from random import Random
 from time import monotonic
@@ -20,8 +23,8 @@
 
 from limenotch.net import http1
 
-from .discovery_service import Address, DiscoveryService
-from .http_peers import Reader, Writer
+from .discovery_service import Address, DiscoveryService, Entries
+from .http_peers import Reader, Writer, ask
 from .processes import Processes, free_port
 
 GRACE_S = 0.3  # of a drain, on real sockets
@@ -32,6 +35,27 @@
 RUN_S = 9.0
 CALL_GAP_S = 0.02
 CROWD = 60
+DISGUISE_S = 1.0
+# Load reports, of which each answer carries one.
+REPORTS = {
+    "none": (b"",),
+    "idle": (b"TEXT util=0.00, qps=10, latency_ms=1",),
+    "mixed": (
+        b"",
+        b"TEXT util=0.00, qps=10",
+        b"TEXT util=0.30, qps=0",
+        b"TEXT util=0.50",
+        b"TEXT qps=20",
+        b"TEXT util=0.40, qps=30",
+    ),
+}
+# What whole lists may say of the endpoints for a while.
+DISGUISES: dict[str, Callable[[Entries], Entries]] = {
+    "empty": lambda entries: [],
+    "draining": lambda entries: [{**entry, "status": "terminating"} for entry in entries],
+    "weight 0": lambda entries: [{**entry, "weight": 0.0} for entry in entries],
+    "names twice": lambda entries: [*({**entry, "since_ms": 1.0} for entry in entries), *entries],
+}
 
 
 @dataclass
@@ -48,6 +72,9 @@
     silent: list[float]
     hang: list[float]
     ends: bool  # a watch ends in place of telling
+    reports: str  # load reports that answers carry, by name
+    cross_zone_cost: float
+    disguises: list[tuple[float, str]]  # times from which whole lists are unusual for DISGUISE_S, and how
 
 
 def drawn(seed: int) -> Plan:
@@ -67,6 +94,9 @@
         silent=[random.uniform(0.5, 2.0)] if random.random() < 0.4 else [],
         hang=[random.uniform(0.5, 2.0)] if random.random() < 0.4 else [],
         ends=random.random() < 0.4,
+        reports=random.choice(tuple(REPORTS)),
+        cross_zone_cost=random.choice((0.0, 0.05)),
+        disguises=[(at, random.choice(tuple(DISGUISES))) for at in (2.0, 4.0, 6.0) if random.random() < 0.5],
     )
 
 
@@ -82,8 +112,8 @@
     cut: int = 0  # connections whose end crossed a request
 
 
-def settings(deadline_s: float) -> dict[str, Any]:
-    hard = 1000.0 * deadline_s
+def settings(plan: Plan) -> dict[str, Any]:
+    hard = 1000.0 * plan.deadline_s
     return {
         "classes": [
             {"name": "look", "effect": "idempotent", "target_ms": hard / 2, "hard_limit_ms": hard},
@@ -91,13 +121,17 @@
         ],
         "permissions": {"cancel": True, "parallel_tries": True, "max_attempts": 3, "connect_timeout_ms": 1000.0},
         "registry_mode": "ask",
+        "weights": "nominal",
+        "zones": ["a", "b"],
+        "costs": {"cross_zone": plan.cross_zone_cost},
     }
 
 
 class Endpoints:
     """Servers behind the names of the list; each knows since when its names drain."""
 
-    def __init__(self, seen: Seen, random: Random) -> None:
+    def __init__(self, seen: Seen, random: Random, reports: tuple[bytes, ...]) -> None:
+        self._reports = reports
         self.entries: list[dict[str, Any]] = []
         self._seen, self._random = seen, random
         self._servers: list[asyncio.Server] = []
@@ -139,7 +173,9 @@
                 if request.fields[b"x-call-class"] == b"once":
                     self._seen.arrivals[name] += 1
                 await asyncio.sleep(self._random.choice((0.002, 0.01, 0.05)))
-                writer.write(http1.write_response(200, [], name.encode()))
+                report = self._random.choice(self._reports)
+                headers = [(b"X-Load-Report", report)] if report else []
+                writer.write(http1.write_response(200, headers, name.encode()))
         writer.close()
 
     def close(self) -> None:
@@ -197,6 +233,8 @@
             return None
         if answer.status == 200 and answer.body != name.encode():
             self._seen.lost.append(f"{name}: served with what was made for {answer.body!r}")
+        if answer.body == b"internal fault\n":
+            self._seen.lost.append(f"{name}: an internal error")
         self._seen.answered += 1
         if not answer.keep_alive:
             writer.close()
@@ -211,7 +249,7 @@
         self.plan, self.seen = drawn(seed), Seen()
         self._random = Random(seed + 1)
         self._folder, self._processes = folder, Processes(folder)
-        self._endpoints = Endpoints(self.seen, self._random)
+        self._endpoints = Endpoints(self.seen, self._random, REPORTS[self.plan.reports])
         self._started: list[tuple[asyncio.subprocess.Process, Path, dict[str, Any]]] = []
         self._at: Address
         self._service: DiscoveryService
@@ -224,17 +262,20 @@
         self._at = await self._service.listen()
         try:
             clients = await self._begin(done)
-            jobs = [
+            jobs: list[tuple[float, Callable[[], None]]] = [
                 *((at, self._move) for at in plan.moves),
                 *((at, self._drain) for at in plan.drains),
                 *((at, self._service.silence) for at in plan.silent),
                 *((at, self._service.hang_next) for at in plan.hang),
+                *((at, partial(self._service.disguise, DISGUISES[name])) for at, name in plan.disguises),
+                *((at + DISGUISE_S, self._service.disguise) for at, _ in plan.disguises),
             ]
             began = monotonic()
             for at, job in sorted(jobs, key=lambda one: one[0]):
                 await asyncio.sleep(max(began + at - monotonic(), 0.0))
                 job()
             await asyncio.sleep(max(began + RUN_S - monotonic(), 0.0))
+            await self._check_internal_errors()
             await self._leave(clients)
             done.set()
             await asyncio.gather(*self._tasks)
@@ -255,7 +296,7 @@
                 "listen": f"127.0.0.1:{port}",
                 "discovery": self._at.name,
                 "seed": f"{number + 1:x}",
-                "settings": settings(self.plan.deadline_s),
+                "settings": settings(self.plan),
                 "limits": {"sockets": 256},
                 "known": {"index": 1, "snapshot": True, "endpoints": self._endpoints.entries},
             }
@@ -269,6 +310,13 @@
                     await asyncio.open_connection("127.0.0.1", port)
         return clients
 
+    async def _check_internal_errors(self) -> None:
+        for process, path, _ in self._started:
+            if process.returncode is None:
+                stats = await ask(int(path.stem), b"GET /stats HTTP/1.1\r\nHost: o\r\n\r\n")
+                if b"lb.internal_errors:0|c" not in stats.body:
+                    self.seen.lost.append("a process had internal errors")
+
     def _move(self) -> None:
         self._tasks.append(asyncio.create_task(self._moved()))
 
