Open the operators' address before clients are accepted

Callers saw: connections reset by a process that ended at its start, as another one held its admin_addr. Cause: the clients' address was opened first. Evidence: a new test of tests/test_readiness.py, which fails on the code before, passes now. Why it works: a process that can't have both addresses accepts nobody.

--- a/limenotch/app.py
+++ b/limenotch/app.py
@@ -77,12 +77,12 @@
 
 
 def start_listening(components: Components, inherited: InheritedState | None, ejections_poll: PeriodicCallback) -> None:
-    """Open the client listener, the operators' address and the fleet's sockets. Raises OSError."""
+    """Open the operators' address, the client listener and the fleet's sockets. Raises OSError."""
     config = components.config
-    listener = components.clients.listen(config.listen, inherited.listener if inherited is not None else None)
-    if config.admin is not None:
+    if config.admin is not None:  # before clients are accepted, whom a process that can't start would lose
         components.admin.listen(config.admin)
         ejections_poll.start()
+    listener = components.clients.listen(config.listen, inherited.listener if inherited is not None else None)
     components.successor.offer_listener(listener)
     log.info(
         "listening",
--- a/tests/test_readiness.py
+++ b/tests/test_readiness.py
@@ -17,6 +17,7 @@
 import pytest
 
 from limenotch import app, config, wiring
+from limenotch.net.client_listener import ClientListener
 from limenotch.net.discovery.client import DiscoveryClient
 from limenotch.net.discovery.schedule import MAX_QUERY_INTERVAL_S
 
@@ -261,3 +262,27 @@
                 await process.wait()
 
     run(case())
+
+
+def test_no_client_is_accepted_by_a_process_whose_operators_address_is_taken() -> None:
+    # It ended with the clients whose connections it had accepted by then.
+    async def case() -> None:
+        port = free_port()
+        accepted = list[bool]()
+
+        def listen(self: Any, *arguments: Any) -> None:
+            accepted.append(True)
+
+        with socket.create_server(("127.0.0.1", 0)) as taken, pytest.MonkeyPatch.context() as patch:
+            patch.setattr(ClientListener, "listen", listen)
+            raw = {
+                "listen": f"127.0.0.1:{port}",
+                "discovery": f"127.0.0.1:{free_port()}",
+                "admin_addr": "127.0.0.1:%d" % taken.getsockname()[1],  # noqa: UP031
+                "settings": SETTINGS,
+            }
+            with pytest.raises(OSError, match="in use"):
+                await app.serve(config.parse(raw, {}))
+        assert accepted == []
+
+    run(case())
