List the events of a request once, and drop a parameter that nobody passes

Cause: reading the change again: the six events of a request stood three times in events.py (a tuple, a union, and in Event), LoadBalancer took an internal_errors that no caller gave, and one signature was left on four lines. Change: one union, which isinstance and Event use. Behaviour is as it was. The whole suite was not run after it.

--- a/limenotch/balancing/balancer_state.py
+++ b/limenotch/balancing/balancer_state.py
@@ -50,11 +50,7 @@
 class BalancerState:
     """State that events write and every decision reads."""
 
-    def __init__(
-        self,
-        settings: BalancerSettings,
-        seed: int,
-    ) -> None:
+    def __init__(self, settings: BalancerSettings, seed: int) -> None:
         """State before the first event; all random choices follow from `seed`."""
         self.random = Random(seed)
         self.now = -inf  # time of the latest event
--- a/limenotch/balancing/contained_balancer.py
+++ b/limenotch/balancing/contained_balancer.py
@@ -8,7 +8,6 @@
 from .balancer import Balancer
 from .endpoint_statistics import Request
 from .events import (
-    REQUEST_EVENTS,
     AttemptFinished,
     ClientDisconnected,
     Event,
@@ -37,7 +36,7 @@
         try:
             super()._apply(now, event, actions)
         except Exception as error:
-            if not isinstance(event, REQUEST_EVENTS):
+            if not isinstance(event, RequestEvent):
                 raise
             self._on_error(error)
             actions[:] = self._end_request(event, actions)
--- a/limenotch/balancing/events.py
+++ b/limenotch/balancing/events.py
@@ -103,34 +103,9 @@
     token: int
 
 
-REQUEST_EVENTS = (
-    RequestArrived,
-    UploadFinished,
-    ClientDisconnected,
-    AttemptFinished,
-    ResponseStarted,
-    TimerFired,
+RequestEvent = (
+    RequestArrived | UploadFinished | ClientDisconnected | AttemptFinished | ResponseStarted | TimerFired
 )
 """Events of one request. A timer may also be that of the subscription to the endpoint list."""
 
-RequestEvent = Union[
-    RequestArrived,
-    UploadFinished,
-    ClientDisconnected,
-    AttemptFinished,
-    ResponseStarted,
-    TimerFired,
-]
-
-Event = Union[
-    BalancerStarted,
-    MembershipUpdate,
-    OperatorEjection,
-    SettingsChanged,
-    RequestArrived,
-    UploadFinished,
-    ClientDisconnected,
-    AttemptFinished,
-    ResponseStarted,
-    TimerFired,
-]
+Event = Union[BalancerStarted, MembershipUpdate, OperatorEjection, SettingsChanged, RequestEvent]
--- a/limenotch/load_balancer.py
+++ b/limenotch/load_balancer.py
@@ -100,10 +100,9 @@
         kinds: Iterable[str] = (),
         clock: Callable[[], float] | None = None,
         wall: Callable[[], float] | None = None,
-        internal_errors: InternalErrors | None = None,
     ) -> None:
         """`clock` and `wall` in ms of Unix time: one that never runs back, and one that may be set."""
-        self.internal_errors = internal_errors or InternalErrors()
+        self.internal_errors = InternalErrors()
         self._balancer = ContainedBalancer(settings, seed, self._report_error)
         self._clock = clock or MonotonicUnixClock()
         self._endpoint_ages = EndpointAges(self._clock, wall or clock or wall_clock_ms)
