--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -170,51 +170,6 @@
             writer.transport.abort()
 
 
-class Distance:
-    """A proxy between sidecars and one endpoint: every byte arrives `one_way_s` later, in order, in both directions."""
-
-    def __init__(self, target: str, one_way_s: float) -> None:
-        self._target, self._one_way_s = target.rpartition(":"), one_way_s
-        self._server: asyncio.Server | None = None
-        self._writers: set[Writer] = set()
-        self.address = ""
-
-    async def start(self) -> None:
-        """Listens on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % self._server.sockets[0].getsockname()[1]  # noqa: UP031
-
-    async def _serve(self, reader: Reader, writer: Writer) -> None:
-        try:
-            far_reader, far_writer = await asyncio.open_connection(self._target[0], int(self._target[2]))
-        except (OSError, asyncio.CancelledError):
-            reset(writer)
-            return
-        for each in (writer, far_writer):
-            each.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._writers.add(each)
-        try:
-            await asyncio.gather(self._carry(reader, far_writer), self._carry(far_reader, writer))
-        finally:
-            self._writers -= {writer, far_writer}
-            writer.close()
-            far_writer.close()
-
-    async def _carry(self, reader: Reader, writer: Writer) -> None:
-        loop = asyncio.get_running_loop()
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
-            while data := await reader.read(65536):
-                loop.call_later(self._one_way_s, writer.write, data)
-        loop.call_later(self._one_way_s, writer.close)
-
-    def close(self) -> None:
-        """Stops listening and ends the connections."""
-        if self._server is not None:
-            self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-
 Answer = Callable[["Endpoint", Message, Writer], Awaitable[bool]]
 
 
