--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -330,8 +330,11 @@
         self.port = port
         self._idle: list[tuple[Reader, Writer]] = []
 
-    async def send(self, wire: bytes, wait_s: float) -> Message | None:
-        """The answer; None if none came whole in time. A closed resting connection is replaced once."""
+    async def send(self, wire: bytes, wait_s: float, kept_only: bool = False) -> Message | None:
+        """The answer; None if none came whole in time. A resting connection that was closed is replaced.
+
+        `kept_only`: no new connection is opened; ConnectionError, with nothing sent, if none is kept.
+        """
         while True:
             reused = bool(self._idle)
             if reused:
@@ -340,6 +343,8 @@
                     writer.close()
                     continue
             else:
+                if kept_only:
+                    raise ConnectionError("no connection is kept")
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port, limit=MAX_LINE)
                 writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             try:
