Log which part of a response did not arrive when its endpoint is given up

Need: when a sidecar closes a connection because a response has stopped, no line says so.

Change: the line 'response given up' has the endpoint, the part that is missing, the announced and received bytes of the body and the wait. The counter of buffered bytes now counts the bytes of the body in all states; it is read while the body is buffered only, as before.

--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -55,7 +55,7 @@
         self._head: http1.Message | None = None
         self._head_received_at = 0.0  # s
         self._buffered: list[bytes] = []  # of the body
-        self._buffered_bytes = 0
+        self._received_bytes = 0  # of the body of the current response
         self._pipe: BodyPipe | None = None
         self._pending_read: asyncio.Future[bytes] | None = None
         self._timer: object = None  # limits the wait for the next piece of a response that has begun
@@ -94,6 +94,7 @@
                 return
             self._head_received_at = monotonic()
         piece = parser.pieces()
+        self._received_bytes += len(piece)
         complete = parser.complete
         if self._pipe is None:
             self._buffer(piece, complete)
@@ -109,13 +110,12 @@
 
     def _buffer(self, piece: bytes, complete: bool) -> None:
         self._buffered.append(piece)
-        self._buffered_bytes += len(piece)
         if not complete and self._should_forward():
             self.start_forwarding()
 
     def _should_forward(self) -> bool:
         """Whether the response is to be forwarded from now on rather than buffered."""
-        if self._budget.requires_streaming(self._buffered_bytes):
+        if self._budget.requires_streaming(self._received_bytes):
             return True
         return self.may_be_long and monotonic() > self._head_received_at + FORWARD_AFTER_S
 
@@ -148,7 +148,7 @@
             message.length = len(message.body)
             self._response.set_result(message)
         self._head = None
-        self._buffered_bytes = 0
+        self._received_bytes = 0
         self._buffered.clear()
 
     def _finish_forwarding(self, complete: bool) -> None:
@@ -167,7 +167,25 @@
 
     def _start_timer(self, delay_s: float) -> None:
         self._cancel_timer()
-        self._timer = IOLoop.current().call_later(delay_s, self.close)
+        self._timer = IOLoop.current().call_later(delay_s, self._give_up, delay_s)
+
+    def _give_up(self, waited_s: float) -> None:
+        """Closes the connection, as the rest of a response that has begun did not arrive within `waited_s` seconds."""
+        log.info(
+            "response given up",
+            endpoint=self.endpoint_name,
+            waiting_for=self._awaited_part,
+            announced=self._head.length if self._head is not None else None,
+            received=self._received_bytes,
+            waited_s=waited_s,
+        )
+        self.close()
+
+    @property
+    def _awaited_part(self) -> str:
+        if self._head is None:
+            return "head"
+        return "buffered body" if self._pipe is None else "forwarded body"
 
     def _cancel_timer(self) -> None:
         if self._timer is not None:
--- a/tests/test_endpoint_connection.py
+++ b/tests/test_endpoint_connection.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 from time import monotonic
+from typing import Any
 
 import pytest
 
@@ -65,6 +67,38 @@
     run(case())
 
 
+@pytest.mark.parametrize(
+    ("sent", "waiting_for", "announced", "received"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX-Pad: p\r\n", "head", None, 0),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbo", "buffered body", 9, 2),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + bytes(70_000), "forwarded body", 100_000, 70_000),
+    ],
+    ids=["head", "buffered", "forwarded"],
+)
+def test_the_log_says_which_part_of_a_response_did_not_arrive(
+    sent: bytes, waiting_for: str, announced: int | None, received: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def case() -> None:
+        from tornado.iostream import IOStream
+
+        local, remote = socket.socketpair()
+        connection = EndpointConnection(IOStream(local), "a", ("127.0.0.1", 1), answer_s=0.05, stall_s=0.05)
+        connection.expect_response()
+        reading = asyncio.create_task(connection.read())
+        remote.sendall(sent)
+        await reading
+        remote.close()
+
+    with caplog.at_level(logging.INFO):
+        run(case())
+    lines: list[Any] = [record.msg for record in caplog.records]
+    given_up = [line for line in lines if isinstance(line, dict) and line["event"] == "response given up"]
+    assert [(line["waiting_for"], line["announced"], line["received"]) for line in given_up] == [
+        (waiting_for, announced, received)
+    ]
+
+
 def test_a_connection_with_unread_bytes_is_not_clean() -> None:
     # Guards against a duplicate response in the kernel buffer that would be taken for the next request's response.
     async def case() -> None:
