Forward a long response that pauses early instead of cutting it off

A response of over 64 KiB that rests for 1 s after its first 16 KiB was cut off after 0.5 s, at each endpoint in turn: 502 for a class that may not be repeated, else 503.

Cause: whether a response is forwarded was considered only when a piece of it arrived. A pause that began within 0.3 s of the head was timed by answer_s, the limit of buffered responses.

Evidence: each such request logs 'response given up' with waiting_for='buffered body', a long announced length and waited_s=0.5; over 5 s of its time were left, and the endpoint had not ended the connection.

Change: a response that may be long is forwarded by a timer, 0.3 s after its head, and one that is long by its head is never given up while it is buffered. start_forwarding starts the limit of forwarded responses, also when the attempt's deadline has caused it; before, answer_s went on there.

--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -36,9 +36,9 @@
         budget: BufferBudget | None = None,
     ) -> None:
         """`answer_s`: seconds from the first byte of a response to the end of its head, and between two pieces of a
-        body that is buffered. Without this limit an endless head, or a body shorter than announced, would block its
-        request until no retry is possible. `stall_s`: seconds between two pieces of a body that is being forwarded; it
-        is longer, as another endpoint can't be tried any more.
+        body that is buffered and can't be long. Without this limit an endless head, or a body shorter than announced,
+        would block its request until no retry is possible. `stall_s`: seconds between two pieces of a body that is
+        being forwarded; it is longer, as another endpoint can't be tried any more.
         """
         self.stream = stream
         self.endpoint_name = endpoint_name
@@ -106,7 +106,7 @@
             parser.next()
             self._complete(self._head)
         else:
-            self._start_timer(self._answer_s if self._pipe is None else self._stall_s)
+            self._limit_wait_for_body()
 
     def _buffer(self, piece: bytes, complete: bool) -> None:
         self._buffered.append(piece)
@@ -117,7 +117,7 @@
         """Whether the response is to be forwarded from now on rather than buffered."""
         if self._budget.requires_streaming(self._received_bytes):
             return True
-        return self.may_be_long and monotonic() > self._head_received_at + FORWARD_AFTER_S
+        return self.may_be_long and self._forward_delay_s <= 0.0
 
     @property
     def may_be_long(self) -> bool:
@@ -125,6 +125,30 @@
         announced = self._head.length if self._head is not None else 0
         return announced is None or announced > MAX_BUFFERED_BODY_BYTES
 
+    @property
+    def _forward_delay_s(self) -> float:
+        """Seconds until a response that may be long is forwarded; 0 or less once that time has come."""
+        return self._head_received_at + FORWARD_AFTER_S - monotonic()
+
+    def _limit_wait_for_body(self) -> None:
+        """Starts the timer for the next piece of the body.
+
+        A response that is long by its head is never given up while it is buffered: its endpoint may pause for longer
+        than `answer_s`, wherever the request is sent.
+        """
+        if self._pipe is not None:
+            self._start_timer(self._stall_s)
+        elif self._is_long or (self.may_be_long and self._forward_delay_s <= self._answer_s):
+            self._cancel_timer()
+            self._timer = IOLoop.current().call_later(max(self._forward_delay_s, 0.0), self.start_forwarding)
+        else:
+            self._start_timer(self._answer_s)
+
+    @property
+    def _is_long(self) -> bool:
+        """Whether the current response, by its head, is longer than what may be buffered."""
+        return self.may_be_long and self._head is not None and self._head.length is not None
+
     def start_forwarding(self) -> bool:
         """Makes the response available now, with a pipe for the rest of its body.
 
@@ -136,6 +160,7 @@
         self.forwarded = asyncio.get_running_loop().create_future()
         self._head.body = b"".join(self._buffered)
         self._response.set_result(self._head)
+        self._limit_wait_for_body()
         return True
 
     def _complete(self, message: http1.Message) -> None:
--- a/limenotch/settings.py
+++ b/limenotch/settings.py
@@ -49,7 +49,7 @@
 
     `idle_part` is the fraction of the endpoints' idle timeout after which an idle connection is closed here. Seconds:
     `settle_s` between a response and the next request, `answer_s` and `stall_s` between two pieces of a response that
-    is buffered or being forwarded.
+    is buffered or being forwarded; one that may be long is forwarded before `answer_s` can end it.
     """
 
     idle_part: Fraction = 0.4
--- /dev/null
+++ b/tests/test_paused_responses.py
@@ -0,0 +1,132 @@
+"""Responses whose endpoint pauses while it sends them, as a slow peer does: they are neither cut off nor held back."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from limenotch.net.pipe import MAX_BUFFERED_BODY_BYTES
+from limenotch.settings import EndpointSettings, Settings
+
+from .helpers.http_peers import LOOK, Handler, Reader, Writer
+from .helpers.processes import run, with_sidecar
+from .test_streamed_responses import BODY, FRAMINGS, OK, encode_chunked, read_streamed_response
+
+PAUSE_S = 0.9  # well above `answer_s`, 0.5 s by default
+FIRST_PIECE_BYTES = 16 * 1024  # less than what is buffered of any response
+LONG = OK + b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY
+
+
+def pausing(*parts: bytes | float) -> tuple[Handler, list[bool]]:
+    """An endpoint that sends these parts, pausing for the numbers (s) among them, and for each run whether it could."""
+    runs: list[bool] = []
+
+    async def handle(reader: Reader, writer: Writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        number = len(runs)
+        runs.append(False)
+        for part in parts:
+            if isinstance(part, bytes):
+                writer.write(part)
+                await writer.drain()
+            else:
+                await asyncio.sleep(part)
+        runs[number] = not writer.is_closing() and not reader.at_eof()
+        writer.close()
+
+    return handle, runs
+
+
+def check_received_once(wire: bytes, body: bytes, *parts: bytes | float, settings: Settings | None = None) -> None:
+    """Checks that the client gets `body` in response to `wire`, from the first run at an endpoint that was not cut."""
+    handler, runs = pausing(*parts)
+
+    async def use(port: int) -> None:
+        head, received, complete = await read_streamed_response(port, wire)
+        assert head is not None and (head.status, complete) == (200, True)
+        assert received == body
+
+    run(with_sidecar(handler, use, settings=settings or Settings()))
+    assert runs == [True]
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("place", ["after the head", "within the body"])
+def test_a_long_response_that_pauses_early_is_not_cut_off(framing: str, place: str) -> None:
+    # Guards review/2: forwarding was considered only when a piece arrived, so the limit of buffered ones struck first.
+    wire = FRAMINGS[framing]
+    cut = wire.index(b"\r\n\r\n", wire.index(b" 200 ")) + 4 if place == "after the head" else FIRST_PIECE_BYTES
+    check_received_once(LOOK, BODY, wire[:cut], PAUSE_S, wire[cut:])
+
+
+def test_a_long_response_that_its_deadline_has_forwarded_may_pause() -> None:
+    # Guards against the limit of a buffered response that went on after the deadline had the response forwarded.
+    wire = LOOK.replace(b"X-Budget: 20000m", b"X-Budget: 250m")
+    check_received_once(wire, BODY, 0.1, LONG[:FIRST_PIECE_BYTES], PAUSE_S, LONG[FIRST_PIECE_BYTES:])
+
+
+def test_a_response_that_is_long_by_its_head_is_forwarded_whatever_the_limit_of_buffered_ones() -> None:
+    settings = Settings(endpoints=EndpointSettings(answer_s=0.05))
+    check_received_once(LOOK, BODY, LONG[:FIRST_PIECE_BYTES], PAUSE_S, LONG[FIRST_PIECE_BYTES:], settings=settings)
+
+
+@pytest.mark.parametrize("framing", ["length", "chunked"])
+def test_what_has_arrived_of_a_paused_response_is_not_held_back(framing: str) -> None:
+    # Guards the client's first bytes, whose time counts: they once came with the piece after the pause.
+    async def case() -> None:
+        received = asyncio.Event()
+
+        async def handle(reader: Reader, writer: Writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(FRAMINGS[framing][:FIRST_PIECE_BYTES])
+            await received.wait()  # the rest follows only once the client has the beginning
+            writer.write(FRAMINGS[framing][FIRST_PIECE_BYTES:])
+            writer.close()
+
+        async def use(port: int) -> None:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(LOOK)
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(FIRST_PIECE_BYTES // 2)
+            received.set()
+            rest = len(BODY) - FIRST_PIECE_BYTES // 2
+            await reader.readexactly(rest)
+            writer.close()
+
+        await with_sidecar(handle, use)
+
+    run(case())
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        OK + b"Content-Length: 9\r\n\r\nbo",
+        OK + b"Content-Length: %d\r\n\r\n" % MAX_BUFFERED_BODY_BYTES + BODY[:FIRST_PIECE_BYTES],
+    ],
+    ids=["9 bytes", "the longest that is buffered"],
+)
+def test_a_short_response_that_stops_is_requested_from_another_endpoint(sent: bytes) -> None:
+    # Guards the other side of the limit: a response that never ends must leave time for a retry.
+    async def case() -> None:
+        runs: list[Writer] = []
+
+        async def handle(reader: Reader, writer: Writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            runs.append(writer)
+            if len(runs) == 1:
+                writer.write(sent)
+                await reader.read()  # up to the end of the connection
+            else:
+                writer.write(OK + b"Transfer-Encoding: chunked\r\n\r\n" + encode_chunked(b"whole", 5))
+            writer.close()
+
+        async def use(port: int) -> None:
+            head, body, complete = await read_streamed_response(port, LOOK)
+            assert head is not None and (head.status, body, complete) == (200, b"whole", True)
+
+        await with_sidecar(handle, use)
+        assert len(runs) == 2
+
+    run(case())
