Stop the timer of an interim response when that response is complete

Cause: the first piece of a head starts the timer of a begun response. The parser skips interim responses by itself, so nothing stopped the timer when the interim response was complete.

Evidence: 'response given up' with waiting_for=head and waited_s=0.5, 0.5 s after the first piece; the same answer in one piece is served after 0.9 s.

Change: the parser counts the interim responses it skips; when the count has changed the timer ends, and starts anew if the next head has begun.

Result: four cases of tests/test_paused_responses.py failed before and pass; three hold the limit of a head that stops.

--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -86,13 +86,8 @@
     async def _process_input(self) -> None:
         """Buffers or forwards what has been received of the response."""
         parser = self._parser
-        if self._head is None:
-            self._head = parser.head()
-            if self._head is None:
-                if not parser.idle and self._timer is None:  # not for interim responses (1xx), which the parser skips
-                    self._start_timer(self._answer_s)
-                return
-            self._head_received_at = monotonic()
+        if self._head is None and not self._receive_head():
+            return
         piece = parser.pieces()
         self._received_bytes += len(piece)
         complete = parser.complete
@@ -108,6 +103,22 @@
         else:
             self._limit_wait_for_body()
 
+    def _receive_head(self) -> bool:
+        """Takes the head of the final response if it is complete; otherwise limits the wait for what has begun of it.
+
+        Each interim response (1xx) is a message of its own. After it the endpoint works for as long as it needs.
+        """
+        interim_responses = self._parser.interim_responses
+        self._head = self._parser.head()
+        if self._head is not None:
+            self._head_received_at = monotonic()
+            return True
+        if self._parser.interim_responses != interim_responses:
+            self._cancel_timer()  # it was that of the interim response
+        if not self._parser.idle and self._timer is None:
+            self._start_timer(self._answer_s)
+        return False
+
     def _buffer(self, piece: bytes, complete: bool) -> None:
         self._buffered.append(piece)
         if not complete and self._should_forward():
--- a/limenotch/net/http1.py
+++ b/limenotch/net/http1.py
@@ -247,6 +247,11 @@
 
     DEFAULT_MAX_BODY_BYTES = MAX_RESPONSE_BYTES
 
+    def __init__(self, max_body_bytes: int | None = None) -> None:
+        """`max_body_bytes`: the longest body that is accepted."""
+        super().__init__(max_body_bytes)
+        self.interim_responses = 0  # how many interim responses were skipped
+
     def _may_start(self, start: bytes) -> bool:
         return b"HTTP/1.".startswith(start[:7])
 
@@ -266,6 +271,7 @@
         message = super().head()
         while message is not None and 100 <= message.status < 200:
             self.next()
+            self.interim_responses += 1
             message = super().head()
         return message
 
--- a/tests/test_paused_responses.py
+++ b/tests/test_paused_responses.py
@@ -51,6 +51,29 @@
     assert runs == [True]
 
 
+def stopping_once(sent: bytes) -> tuple[Handler, list[Writer]]:
+    """An endpoint whose first run sends `sent` and no more; further ones send a complete response. And its runs."""
+    runs: list[Writer] = []
+
+    async def handle(reader: Reader, writer: Writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        runs.append(writer)
+        if len(runs) == 1:
+            writer.write(sent)
+            await reader.read()  # up to the end of the connection
+        else:
+            writer.write(OK + b"Transfer-Encoding: chunked\r\n\r\n" + encode_chunked(b"whole", 5))
+        writer.close()
+
+    return handle, runs
+
+
+async def fetch_whole(port: int) -> None:
+    """Checks that the client gets the complete response of `stopping_once`."""
+    head, body, complete = await read_streamed_response(port, LOOK)
+    assert head is not None and (head.status, body, complete) == (200, b"whole", True)
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 @pytest.mark.parametrize("place", ["after the head", "within the body"])
 def test_a_long_response_that_pauses_early_is_not_cut_off(framing: str, place: str) -> None:
@@ -109,24 +132,35 @@
 )
 def test_a_short_response_that_stops_is_requested_from_another_endpoint(sent: bytes) -> None:
     # Guards the other side of the limit: a response that never ends must leave time for a retry.
-    async def case() -> None:
-        runs: list[Writer] = []
+    handler, requests = stopping_once(sent)
+    run(with_sidecar(handler, fetch_whole))
+    assert len(requests) == 2
 
-        async def handle(reader: Reader, writer: Writer) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            runs.append(writer)
-            if len(runs) == 1:
-                writer.write(sent)
-                await reader.read()  # up to the end of the connection
-            else:
-                writer.write(OK + b"Transfer-Encoding: chunked\r\n\r\n" + encode_chunked(b"whole", 5))
-            writer.close()
 
-        async def use(port: int) -> None:
-            head, body, complete = await read_streamed_response(port, LOOK)
-            assert head is not None and (head.status, body, complete) == (200, b"whole", True)
+INTERIM = b"HTTP/1.1 102 Processing\r\nX-Step: 1\r\n\r\n"
+SHORT = OK + b"Content-Length: 5\r\n\r\nbody!"
 
-        await with_sidecar(handle, use)
-        assert len(runs) == 2
 
-    run(case())
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (INTERIM[:9], 0.05, INTERIM[9:], PAUSE_S, SHORT),
+        (INTERIM[:9], 0.05, INTERIM[9:] + INTERIM[:9], 0.05, INTERIM[9:], PAUSE_S, SHORT),
+        (INTERIM[:9], 0.4, INTERIM[9:] + SHORT[:9], 0.4, SHORT[9:]),
+        (INTERIM + INTERIM[:9], 0.4, INTERIM[9:] + INTERIM[:9], 0.4, INTERIM[9:], PAUSE_S, SHORT),
+    ],
+    ids=["one", "two", "with the next head's beginning", "each in its own time"],
+)
+def test_an_interim_response_in_two_pieces_does_not_limit_the_time_to_the_final_one(
+    parts: tuple[bytes | float],
+) -> None:
+    # Guards against the timer of an interim response that ran on after it, and closed a connection that was at work.
+    check_received_once(LOOK, b"body!", *parts)
+
+
+@pytest.mark.parametrize("sent", [INTERIM[:9], INTERIM + INTERIM[:9], INTERIM + SHORT[:9]])
+def test_a_head_that_stops_is_requested_from_another_endpoint(sent: bytes) -> None:
+    # Guards the limit itself, after an interim response as well.
+    handler, requests = stopping_once(sent)
+    run(with_sidecar(handler, fetch_whole))
+    assert len(requests) == 2
