--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -86,7 +86,8 @@
     async def _process_input(self) -> None:
         """Buffers or forwards what has been received of the response."""
         parser = self._parser
-        if self._head is None and not self._receive_head():
+        head = self._head or self._receive_head()
+        if head is None:
             return
         piece = parser.pieces()
         self._received_bytes += len(piece)
@@ -99,12 +100,12 @@
         if complete:
             self._cancel_timer()
             parser.next()
-            self._complete(self._head)
+            self._complete(head)
         else:
             self._limit_wait_for_body()
 
-    def _receive_head(self) -> bool:
-        """Takes the head of the final response if it is complete; otherwise limits the wait for what has begun of it.
+    def _receive_head(self) -> http1.Message | None:
+        """The final response if its head is complete; None, with a limit to the wait for what has begun of it, if not.
 
         Each interim response (1xx) is a message of its own. After it the endpoint works for as long as it needs.
         """
@@ -112,12 +113,12 @@
         self._head = self._parser.head()
         if self._head is not None:
             self._head_received_at = monotonic()
-            return True
+            return self._head
         if self._parser.interim_responses != interim_responses:
             self._cancel_timer()  # it was that of the interim response
         if not self._parser.idle and self._timer is None:
             self._start_timer(self._answer_s)
-        return False
+        return None
 
     def _buffer(self, piece: bytes, complete: bool) -> None:
         self._buffered.append(piece)
