Give up a peer that reads nothing, not one that reads slowly

What callers saw: a client that reads a long response at 64 kB/s lost its end (20 MB: closed after 5.8 MB), a long request to an endpoint that reads 64 kB/s got 503 after 10 s, though both never stopped reading.

Cause: write_s and stall_s limited the time of one write. The kernel's send buffer grows to 4 MB and reports room only when a third of it is free; the peer's kernel acknowledges in steps of up to half a megabyte.

Evidence: one write of 64 KiB to such a peer takes up to 24.9 s with no limit in force; the connections ended 5.0 and 10.0 s after the begin of a write, with 4.18 and 4.19 MB in the send buffer.

Change: net/slow_peers.py bounds the send buffers, and allows a write the silence of the settings and the 16 s in which a peer that reads 32 KiB/s reads what its kernel does not show.

--- a/limenotch/net/client_connection.py
+++ b/limenotch/net/client_connection.py
@@ -203,7 +203,7 @@
         return keep_alive
 
     async def _write(self, response: bytes) -> None:
-        await self.stream.write_within(self._connections.settings.write_s, response)
+        await self.stream.write_to_reader(self._connections.settings.write_s, response)
 
     async def _read_request(self) -> http1.Message:
         """Reads the next request: complete or, if it is long, its buffered part, with the rest to be streamed.
--- a/limenotch/net/client_listener.py
+++ b/limenotch/net/client_listener.py
@@ -19,6 +19,7 @@
 from .read_ahead import ClientStream
 from .requests import RequestManager
 from .shutdown_schedule import schedule
+from .slow_peers import limit_send_buffer
 from .sockets import DescriptorLimits, Listener
 
 log = logs.get(__name__)
@@ -105,6 +106,7 @@
             sock.close()
             self.descriptors.clients.release()
             return
+        limit_send_buffer(sock)
         connection = ClientConnection(ClientStream(sock, max_buffer_size=MAX_BUFFER_BYTES), self)
         task = asyncio.get_running_loop().create_task(connection.serve())
         self._open[connection] = task
--- a/limenotch/net/endpoint_pool.py
+++ b/limenotch/net/endpoint_pool.py
@@ -21,6 +21,7 @@
 from .request import Attempt
 from .requests import RequestManager
 from .response_outcome import ExchangeOutcome, attempt_ending, load_of
+from .slow_peers import limit_send_buffer, write_to_reader
 from .sockets import DescriptorQuota
 
 log = logs.get(__name__)
@@ -264,12 +265,8 @@
         stream = connection.stream
         chunked = attempt.request.payload.length is None
         while piece := await body_pipe.get():
-            written = stream.write(http1.chunk(piece) if chunked else piece)
-            timer = self._loop.call_later(self._tuning.stall_s, stream.close)
-            try:
-                await written
-            finally:
-                self._loop.remove_timeout(timer)
+            wire = http1.chunk(piece) if chunked else piece
+            await write_to_reader(stream, wire, self._tuning.stall_s, stream.close)
         if chunked:
             await stream.write(http1.LAST_CHUNK)
 
@@ -353,6 +350,7 @@
             self._sockets.release()
             return None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        limit_send_buffer(sock)
         stream = IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
         connection = EndpointConnection(
             stream, endpoint.name, endpoint.address, self._tuning.answer_s, self._tuning.stall_s, self._budget
--- a/limenotch/net/read_ahead.py
+++ b/limenotch/net/read_ahead.py
@@ -13,11 +13,11 @@
 from collections.abc import Callable
 from enum import Enum
 
-from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream, StreamClosedError
 
 from ..config import host_port
 from .pipe import READ_BYTES, BufferBudget
+from .slow_peers import write_to_reader
 
 # Bytes that a client may send before it has received its response: several complete requests that are short enough to
 # be buffered. More than one read is buffered only while the memory budget for bodies is not exhausted.
@@ -52,17 +52,12 @@
         super().close_fd()
         self.ended()
 
-    async def write_within(self, limit_s: float, data: bytes) -> None:
-        """Writes `data` within `limit_s` seconds, else closes the connection: a client may never read.
+    async def write_to_reader(self, silence_s: float, data: bytes) -> None:
+        """Writes `data`; closes the connection if the client reads nothing for `silence_s` seconds.
 
         Raises StreamClosedError.
         """
-        written = self.write(data)
-        timer = IOLoop.current().call_later(limit_s, self.close)
-        try:
-            await written
-        finally:
-            IOLoop.current().remove_timeout(timer)
+        await write_to_reader(self, data, silence_s, self.close)
 
     def peer_connected(self) -> bool:
         """Whether the client is connected as far as the kernel knows, which a busy event loop may not have noticed."""
--- a/limenotch/settings.py
+++ b/limenotch/settings.py
@@ -26,8 +26,8 @@
     """The table `[consumers]`: timeouts of clients' connections, and the minimum rate of bodies.
 
     Seconds: `request_s` for a request's head, `body_s` for a body in addition to what `body_rate` (bytes a second)
-    allows, `idle_s` for the next request, `write_s` for writing a piece of a response; after SIGTERM, `accept_s` for
-    accepting connections and `keep_s` for keeping idle ones.
+    allows, `idle_s` for the next request, `write_s` in which a client reads nothing of its response, see
+    `net/slow_peers.py`; after SIGTERM, `accept_s` for accepting connections and `keep_s` for keeping idle ones.
     """
 
     request_s: Seconds = 2.6
