Await a paused response where its request would not be sent again

What callers saw: 502 for a request that may not be repeated, or whose body was sent, and 503 after the last attempt, where a response paused for over 0.5 s in its head or in a body of up to 64 KiB. The endpoint had run the request and was still sending. Long responses that pause in their heads were lost like this, too.

Cause: answer_s is there to leave time for a retry, but did not ask whether one would follow.

Evidence: 'response given up' with waited_s=0.5, 19 s before the deadline; runs and statuses in the incident.

Change: when answer_s has passed, the connection asks the request's policy, its body and the balancer (time, attempts, retry budget). If no retry would follow, the attempt's deadline or stall_s ends the response.

--- a/limenotch/balancing/balancer.py
+++ b/limenotch/balancing/balancer.py
@@ -157,9 +157,7 @@
             self._retry_or_finish(now, request, actions)
 
     def _retry_or_finish(self, now: float, request: Request, actions: list[Action]) -> None:
-        time_left = request.deadline - now - request.class_latency.mean_ms * self.tier_profile.lowest
-        attempts_left = len(request.attempts) < request.max_attempts
-        if time_left > 0 and attempts_left and self.retry_budget >= 1 and not request.streaming:
+        if self.has_retry_left(now, request):
             self.retry_budget -= 1
             self._send_attempt(now, request, actions)
         else:
--- a/limenotch/load_balancer.py
+++ b/limenotch/load_balancer.py
@@ -290,6 +290,10 @@
         """Report that the last byte of a single-use body was sent: its request has `budget_ms` from now on."""
         return self._handle(UploadFinished(str(request), budget_ms))
 
+    def can_retry(self, request: int) -> bool:
+        """Whether this request would be sent again if its attempts in flight failed now."""
+        return self._balancer.can_retry(self._clock(), str(request))
+
     def client_disconnected(self, request: int) -> Commands:
         """Report that the client of this request has disconnected."""
         return self._handle(ClientDisconnected(str(request)))
--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from time import monotonic
 
 from tornado.ioloop import IOLoop
@@ -52,6 +53,7 @@
         self._parser = http1.ResponseParser(http1.MAX_STREAMED_BODY_BYTES)
         self._budget = budget or BufferBudget(MAX_BUFFER_BYTES)
         self._response: asyncio.Future[http1.Message | None] | None = None
+        self._can_retry: Callable[[], bool] = lambda: True  # whether the request that awaits it would be sent again
         self._head: http1.Message | None = None
         self._head_received_at = 0.0  # s
         self._buffered: list[bytes] = []  # of the body
@@ -117,7 +119,7 @@
         if self._parser.interim_responses != interim_responses:
             self._cancel_timer()  # it was that of the interim response
         if not self._parser.idle and self._timer is None:
-            self._start_timer(self._answer_s)
+            self._start_timer(self._answer_s, self._retry_elsewhere)
         return None
 
     def _buffer(self, piece: bytes, complete: bool) -> None:
@@ -149,12 +151,11 @@
         than `answer_s`, wherever the request is sent.
         """
         if self._pipe is not None:
-            self._start_timer(self._stall_s)
+            self._start_timer(self._stall_s, self._give_up)
         elif self._is_long or (self.may_be_long and self._forward_delay_s <= self._answer_s):
-            self._cancel_timer()
-            self._timer = IOLoop.current().call_later(max(self._forward_delay_s, 0.0), self.start_forwarding)
+            self._start_timer(max(self._forward_delay_s, 0.0), self._forward_now)
         else:
-            self._start_timer(self._answer_s)
+            self._start_timer(self._answer_s, self._retry_elsewhere)
 
     @property
     def _is_long(self) -> bool:
@@ -202,9 +203,20 @@
         self._finish_forwarding(complete=False)
         self.stream.close()
 
-    def _start_timer(self, delay_s: float) -> None:
+    def _start_timer(self, delay_s: float, handle: Callable[[float], None]) -> None:
+        """Calls `handle` with `delay_s` after `delay_s` seconds, in place of the timer that runs."""
         self._cancel_timer()
-        self._timer = IOLoop.current().call_later(delay_s, self._give_up, delay_s)
+        self._timer = IOLoop.current().call_later(delay_s, handle, delay_s)
+
+    def _forward_now(self, _: float) -> None:
+        self.start_forwarding()
+
+    def _retry_elsewhere(self, waited_s: float) -> None:
+        """Gives the response up so that the request is sent again; waits on if it would not be."""
+        if self._can_retry():
+            self._give_up(waited_s)
+        else:
+            self._start_timer(self._stall_s, self._give_up)
 
     def _give_up(self, waited_s: float) -> None:
         """Closes the connection, as the rest of a response that has begun did not arrive within `waited_s` seconds."""
@@ -229,8 +241,13 @@
             IOLoop.current().remove_timeout(self._timer)
             self._timer = None
 
-    def expect_response(self) -> asyncio.Future[http1.Message | None]:
-        """A future of the next response, complete or being forwarded; None if the connection ends without one."""
+    def expect_response(self, can_retry: Callable[[], bool] = lambda: True) -> asyncio.Future[http1.Message | None]:
+        """A future of the next response, complete or being forwarded; None if the connection ends without one.
+
+        `can_retry` is called when `answer_s` has passed: whether the request would be sent again now. If not, giving
+        up gains nothing, and the response has `stall_s` more.
+        """
+        self._can_retry = can_retry
         self._response = asyncio.get_running_loop().create_future()
         self.forwarded = None
         return self._response
--- a/limenotch/net/endpoint_pool.py
+++ b/limenotch/net/endpoint_pool.py
@@ -6,6 +6,7 @@
 import math
 import socket
 from collections.abc import Coroutine, Iterable, Iterator
+from functools import partial
 from time import monotonic
 from typing import Any
 
@@ -194,7 +195,7 @@
         if not self._may_send(attempt):
             return ExchangeOutcome(self._unsent_ending(attempt, AttemptEnding.NOT_SENT))
         attempt.sent_at = monotonic()
-        pending_response = connection.expect_response()
+        pending_response = connection.expect_response(partial(self._requests.can_retry, attempt))
         written = await self._send_request(attempt, connection, pending_response)
         response = await pending_response
         if response is None:
--- a/tests/helpers/scripted.py
+++ b/tests/helpers/scripted.py
@@ -32,6 +32,9 @@
         self.hints: list[PlacementHint | None] = []
         self.reported: list[tuple[Any, ...]] = []
 
+    def can_retry(self, request: int) -> bool:
+        return True
+
     def deadline_ms(self, class_name: str) -> float:
         return 20_000.0
 
--- a/tests/test_paused_responses.py
+++ b/tests/test_paused_responses.py
@@ -3,15 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+from time import monotonic
+from typing import Any
 
 import pytest
 
 from limenotch.net.pipe import MAX_BUFFERED_BODY_BYTES
 from limenotch.settings import EndpointSettings, Settings
 
-from .helpers.http_peers import LOOK, Handler, Reader, Writer
+from .helpers.http_peers import LOOK, SETTINGS, Handler, Reader, Writer, fetch
 from .helpers.processes import run, with_sidecar
-from .test_streamed_responses import BODY, FRAMINGS, OK, encode_chunked, read_streamed_response
+from .test_streamed_responses import BODY, FRAMINGS, OK, POST, encode_chunked, read_streamed_response
 
 PAUSE_S = 0.9  # well above `answer_s`, 0.5 s by default
 FIRST_PIECE_BYTES = 16 * 1024  # less than what is buffered of any response
@@ -38,7 +40,13 @@
     return handle, runs
 
 
-def check_received_once(wire: bytes, body: bytes, *parts: bytes | float, settings: Settings | None = None) -> None:
+def check_received_once(
+    wire: bytes,
+    body: bytes,
+    *parts: bytes | float,
+    settings: Settings | None = None,
+    extra: dict[str, Any] | None = None,
+) -> None:
     """Checks that the client gets `body` in response to `wire`, from the first run at an endpoint that was not cut."""
     handler, runs = pausing(*parts)
 
@@ -47,7 +55,7 @@
         assert head is not None and (head.status, complete) == (200, True)
         assert received == body
 
-    run(with_sidecar(handler, use, settings=settings or Settings()))
+    run(with_sidecar(handler, use, settings=settings or Settings(), extra=extra))
     assert runs == [True]
 
 
@@ -164,3 +172,69 @@
     handler, requests = stopping_once(sent)
     run(with_sidecar(handler, fetch_whole))
     assert len(requests) == 2
+
+
+ONCE = {"name": "once", "effect": "at_most_once", "target_ms": 9000.0, "hard_limit_ms": 20000.0}
+WITH_ONCE = {"settings": {**SETTINGS, "classes": [*SETTINGS["classes"], ONCE]}}
+NO_BODY = b"\r\nContent-Length: 0\r\n\r\n"
+HEAD_BYTES = 20  # of a response, within its head
+
+
+@pytest.mark.parametrize("wire", [SHORT, LONG], ids=["short", "long"])
+@pytest.mark.parametrize("cut", [HEAD_BYTES, -3], ids=["in the head", "before the end"])
+def test_a_paused_response_to_a_request_that_may_not_be_repeated_is_awaited(wire: bytes, cut: int) -> None:
+    # Guards against giving up what an endpoint still sends where no other may be asked: the client got 502 for it.
+    request = LOOK.replace(b"GET", b"POST").replace(b"look", b"once").replace(b"\r\n\r\n", NO_BODY)
+    body = wire[wire.index(b"\r\n\r\n") + 4 :]
+    check_received_once(request, body, wire[:cut], PAUSE_S, wire[cut:], extra=WITH_ONCE)
+
+
+def test_the_last_attempt_of_a_request_awaits_its_paused_response() -> None:
+    # Guards requests whose responses pause wherever they are sent: each attempt was given up, and the client got 503.
+    handler, runs = pausing(SHORT[:HEAD_BYTES], PAUSE_S, SHORT[HEAD_BYTES:])
+
+    async def use(port: int) -> None:
+        answer = await fetch(port, LOOK)
+        assert (answer.status, answer.body) == (200, b"body!")
+
+    run(with_sidecar(handler, use))
+    assert len(runs) == 2 and runs[1]  # the settings allow two attempts
+
+
+def test_a_paused_response_to_a_long_request_is_awaited() -> None:
+    # Guards requests whose bodies can be sent only once.
+    runs = 0
+
+    async def handle(reader: Reader, writer: Writer) -> None:
+        nonlocal runs
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(len(BODY))
+        runs += 1
+        writer.write(SHORT[:HEAD_BYTES])
+        await asyncio.sleep(PAUSE_S)
+        writer.write(SHORT[HEAD_BYTES:])
+        writer.close()
+
+    async def use(port: int) -> None:
+        answer = await fetch(port, POST + b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY)
+        assert (answer.status, answer.body) == (200, b"body!")
+
+    run(with_sidecar(handle, use))
+    assert runs == 1
+
+
+def test_a_response_that_stops_is_awaited_no_longer_than_its_request() -> None:
+    # Guards the deadline, which is what ends a response that no other endpoint can be asked for.
+    async def handle(reader: Reader, writer: Writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(SHORT[:HEAD_BYTES])
+        await reader.read()
+        writer.close()
+
+    async def use(port: int) -> None:
+        wire = LOOK.replace(b"GET", b"POST").replace(b"look", b"once").replace(b"\r\n\r\n", NO_BODY)
+        started_at = monotonic()
+        answer = await fetch(port, wire.replace(b"20000m", b"1000m"))
+        assert answer.status == 504 and 0.8 < monotonic() - started_at < 1.5
+
+    run(with_sidecar(handle, use, extra=WITH_ONCE))
