Reset a client that stopped reading, so that it can't take a part for all

What callers saw: a client of HTTP/1.0 that pauses within a long response of unknown length, is given up and then reads on gets what the kernels hold and an orderly end, as if the response were complete.

Cause: the limit of writes closed the stream; the reset for truncated responses of HTTP/1.0 comes after that and finds it closed.

Change: the limit resets the connection. It strikes only while a part of the response is unsent.

--- a/limenotch/net/read_ahead.py
+++ b/limenotch/net/read_ahead.py
@@ -53,11 +53,12 @@
         self.ended()
 
     async def write_to_reader(self, silence_s: float, data: bytes) -> None:
-        """Writes `data`; closes the connection if the client reads nothing for `silence_s` seconds.
+        """Writes `data`; resets the connection if the client reads nothing for `silence_s` seconds.
 
-        Raises StreamClosedError.
+        An orderly end would mark what the kernel still sends as a complete response if that has no length. Raises
+        StreamClosedError.
         """
-        await write_to_reader(self, data, silence_s, self.close)
+        await write_to_reader(self, data, silence_s, self.reset)
 
     def peer_connected(self) -> bool:
         """Whether the client is connected as far as the kernel knows, which a busy event loop may not have noticed."""
--- a/tests/test_slow_peers.py
+++ b/tests/test_slow_peers.py
@@ -72,6 +72,38 @@
     assert [len(body) for body in received] == [len(LONG_BODY)] and received[0] == LONG_BODY
 
 
+@pytest.mark.parametrize("minor", [0, 1])
+def test_a_client_that_stopped_reading_does_not_take_a_part_for_all(
+    minor: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Guards clients of HTTP/1.0, for which an orderly end completes a response with no length.
+    monkeypatch.setattr(slow_peers, "MAX_UNSEEN_S", 0.1)
+    given_up = asyncio.Event()
+
+    async def respond(reader: Reader, writer: Writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(OK + b"\r\n" + LONG_BODY + LONG_BODY)
+        with contextlib.suppress(ConnectionError):
+            await writer.drain()
+        given_up.set()
+        writer.close()
+
+    async def use(port: int) -> None:
+        sock = socket.create_connection(("127.0.0.1", port))
+        sock.sendall(LOOK.replace(b"HTTP/1.1", b"HTTP/1.%d" % minor))
+        await given_up.wait()
+        await asyncio.sleep(0.2)
+        received = bytearray()
+        with contextlib.suppress(ConnectionResetError):
+            while data := sock.recv(65536):
+                received += data
+            assert minor, "the connection ended in order"
+        sock.close()
+        assert len(received) < len(LONG_BODY) and not received.endswith(b"0\r\n\r\n")
+
+    run(with_sidecar(respond, use, settings=Settings(clients=ClientSettings(write_s=SILENCE_S))))
+
+
 async def connected_pair(receive_buffer_bytes: int) -> tuple[IOStream, socket.socket]:
     """A stream with a bounded send buffer, and the socket of its peer, which does not read by itself."""
     listener = socket.create_server(("127.0.0.1", 0))
