Do not time a response whose request is still being sent

What callers saw: an endpoint that begins its response before it has all of a long request was cut off after 0.5 s, while the client was still sending: two runs, or 502.

Cause: the limits of a response counted while its endpoint had to wait for its client.

Change: a pause of the response has no limit until the last byte of the request is sent; the limits of the request's client and of its endpoint's reading hold.

--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -54,6 +54,7 @@
         self._budget = budget or BufferBudget(MAX_BUFFER_BYTES)
         self._response: asyncio.Future[http1.Message | None] | None = None
         self._can_retry: Callable[[], bool] = lambda: True  # whether the request that awaits it would be sent again
+        self._request_sent = True  # to its last byte
         self._head: http1.Message | None = None
         self._head_received_at = 0.0  # s
         self._buffered: list[bytes] = []  # of the body
@@ -118,7 +119,7 @@
             return self._head
         if self._parser.interim_responses != interim_responses:
             self._cancel_timer()  # it was that of the interim response
-        if not self._parser.idle and self._timer is None:
+        if not self._parser.idle and self._timer is None and self._request_sent:
             self._start_timer(self._answer_s, self._retry_elsewhere)
         return None
 
@@ -152,6 +153,8 @@
         """
         if self._pipe is not None:
             self._start_timer(self._stall_s, self._give_up)
+        elif not self._request_sent:
+            self._cancel_timer()
         elif self._is_long or (self.may_be_long and self._forward_delay_s <= self._answer_s):
             self._start_timer(max(self._forward_delay_s, 0.0), self._forward_now)
         else:
@@ -241,17 +244,29 @@
             IOLoop.current().remove_timeout(self._timer)
             self._timer = None
 
-    def expect_response(self, can_retry: Callable[[], bool] = lambda: True) -> asyncio.Future[http1.Message | None]:
+    def expect_response(
+        self, can_retry: Callable[[], bool] = lambda: True, request_sent: bool = True
+    ) -> asyncio.Future[http1.Message | None]:
         """A future of the next response, complete or being forwarded; None if the connection ends without one.
 
         `can_retry` is called when `answer_s` has passed: whether the request would be sent again now. If not, giving
-        up gains nothing, and the response has `stall_s` more.
+        up gains nothing, and the response has `stall_s` more. Without `request_sent`, a pause of the response has no
+        limit before `limit_response`.
         """
         self._can_retry = can_retry
+        self._request_sent = request_sent
         self._response = asyncio.get_running_loop().create_future()
         self.forwarded = None
         return self._response
 
+    def limit_response(self) -> None:
+        """The last byte of the request was sent: the endpoint has no more to wait for if its response has begun."""
+        self._request_sent = True
+        if self._head is not None:
+            self._limit_wait_for_body()
+        elif not self._parser.idle:
+            self._start_timer(self._answer_s, self._retry_elsewhere)
+
     def is_clean(self) -> bool:
         """Whether the connection is open and has no unread bytes, which would be taken for the next response."""
         if self.stream.closed() or (self._pending_read is not None and self._pending_read.done()):
--- a/limenotch/net/endpoint_pool.py
+++ b/limenotch/net/endpoint_pool.py
@@ -195,7 +195,8 @@
         if not self._may_send(attempt):
             return ExchangeOutcome(self._unsent_ending(attempt, AttemptEnding.NOT_SENT))
         attempt.sent_at = monotonic()
-        pending_response = connection.expect_response(partial(self._requests.can_retry, attempt))
+        request_sent = attempt.request.body_pipe is None
+        pending_response = connection.expect_response(partial(self._requests.can_retry, attempt), request_sent)
         written = await self._send_request(attempt, connection, pending_response)
         response = await pending_response
         if response is None:
@@ -257,6 +258,7 @@
             await asyncio.wait([upload])
             return False
         await upload
+        connection.limit_response()
         self._requests.upload_finished(attempt)
         self._start_deadline(attempt)
         return True
--- a/tests/test_paused_responses.py
+++ b/tests/test_paused_responses.py
@@ -238,3 +238,30 @@
         assert answer.status == 504 and 0.8 < monotonic() - started_at < 1.5
 
     run(with_sidecar(handle, use, extra=WITH_ONCE))
+
+
+@pytest.mark.parametrize("begun", [LONG[:HEAD_BYTES], LONG[:FIRST_PIECE_BYTES]], ids=["in the head", "in the body"])
+def test_a_response_that_begins_before_its_request_is_complete_awaits_the_rest_of_it(begun: bytes) -> None:
+    # Guards against forwarding or giving up a response whose endpoint waits for its client: that ended the upload.
+    runs: list[bytes] = []
+
+    async def handle(reader: Reader, writer: Writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        received = await reader.readexactly(MAX_BUFFERED_BODY_BYTES)
+        runs.append(b"")
+        writer.write(begun)
+        runs[-1] = received + await reader.readexactly(len(BODY) - len(received))
+        writer.write(LONG[len(begun) :])
+        writer.close()
+
+    async def use(port: int) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(POST + b"Content-Length: %d\r\n\r\n" % len(BODY) + BODY[: 2 * MAX_BUFFERED_BODY_BYTES])
+        await asyncio.sleep(PAUSE_S)
+        writer.write(BODY[2 * MAX_BUFFERED_BODY_BYTES :])
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.readexactly(len(BODY)) == BODY
+        writer.close()
+
+    run(with_sidecar(handle, use))
+    assert runs == [BODY]
