Time a resumed wallet by requests sent for it, not by the next of the plan

Cause: the check takes the first request served after the credit, and the plan, which is seeded, has no request of ann for d between 2487 and 3170 ms. The credit came at 2534 ms, the first request was asked at 3169.8 ms. Whether d had resumed before that was not seen, so the case says nothing of the sidecar.

Change: after the credit each sidecar is sent requests 20 ms apart until one is served, here and in the test of the empty wallet.

--- a/limenotch/lab/emulate/load.py
+++ b/limenotch/lab/emulate/load.py
@@ -106,15 +106,19 @@
                 and request.created_at_ms <= now + TIMER_RESOLUTION_MS
                 and request.created_at_ms < until_ms
             ):
-                self._record.request_created(request)
-                self.progress.asked += 1
-                self._start_attempt(request, request.created_at_ms)
+                self.send(request)
                 request = self._clients.next(request.created_at_ms)
             await asyncio.sleep(0)
         self._arrivals_ended = True
         if self._open_attempts:
             await self._all_ended.wait()
 
+    def send(self, request: Request) -> None:
+        """Sends a new request: of the plan's clients or, while `run` goes on, of a caller."""
+        self._record.request_created(request)
+        self.progress.asked += 1
+        self._start_attempt(request, request.created_at_ms)
+
     def stop(self) -> None:
         """Cancels all timers and lets `run` return."""
         for timer in list(self._timers):
--- a/tests/fleet/test_wallet_processes.py
+++ b/tests/fleet/test_wallet_processes.py
@@ -5,7 +5,8 @@
 `helpers/wallet_clients.py`, and what the test looks for in clients' responses. `ann` and `bob` have wallets, `cid` has
 none; bob has credit for the whole run and must not be affected by ann's. Words of `ask`: `pay T N I` (N units under the
 id I, answered 200 and added), `again T N I` (answered 200, counted before), `other T N I` (409), `late T N I` (not
-answered 200), `dry T` (all is spent), `spends T` (this node has served T since), `leased`.
+answered 200), `dry T` (all is spent), `spends T` (this node has served T since), `resumes T` (each node has served T
+since; it is sent requests until then), `leased`.
 """
 
 from __future__ import annotations
@@ -113,6 +114,10 @@
             await self.stage.processes.wait_until(
                 lambda: bool(self.stage.served(arguments[0], node.name, since_ms)), 15, words
             )
+        elif word == "resumes":
+            async with asyncio.timeout(15):
+                nodes = self.stage.timeline.nodes
+                await asyncio.gather(*(self.stage.send_until_served(name, arguments[0]) for name in nodes))
         else:
             await self.stage.processes.wait_until_all(is_leased, 15, words, [node.name])
 
@@ -197,7 +202,7 @@
 def test_credit_is_spent_at_all_counted_once_runs_dry_and_resumes_and_the_leader_dies(tmp_path: Path) -> None:
     def judge(completed: CompletedRun) -> None:
         stage, ends = completed.stage, completed.ends
-        credited_ms, added_ms, killed_ms = completed.fault_at_ms(0), completed.fault_at_ms(4), completed.fault_at_ms(8)
+        credited_ms, added_ms, killed_ms = completed.fault_at_ms(0), completed.fault_at_ms(4), completed.fault_at_ms(9)
         assert ends["ann"].credit == 1060
         assert {response.node for response in stage.served("ann", since_ms=credited_ms, until_ms=added_ms)} == {
             "a",
@@ -218,7 +223,7 @@
         last_served_ms = stage.served("ann", until_ms=added_ms)[-1].asked_ms
         assert last_served_ms - max(emptied_ms, first_rejection_ms) <= TUNING.pause_ms + COMMIT_MS
         assert sum(response.cost for response in stage.served("ann", until_ms=added_ms)) == 60
-        assert completed.statuses("bob", "", FIRST_ALLOCATIONS_MS, completed.fault_at_ms(7)) <= {200}
+        assert completed.statuses("bob", "", FIRST_ALLOCATIONS_MS, completed.fault_at_ms(8)) <= {200}
         for node in "abc":
             assert completed.first_served("ann", node, added_ms).asked_ms - added_ms <= TUNING.resume_ms + COMMIT_MS
         for tenant in ("ann", "bob"):
@@ -239,6 +244,7 @@
 302    ask a other ann 50 one
 303    ask a dry ann
 304    ask c pay ann 1000 two
+305    ask c resumes ann
 1500   ask a spends ann
 1501   ask b spends ann
 1502   ask c spends ann
@@ -373,6 +379,7 @@
 303    ask e spends ann
 304    ask a dry ann
 305    ask e pay ann 1000 two
+306    ask e resumes ann
 5600
 """,
         tmp_path,
--- a/tests/helpers/wallet_clients.py
+++ b/tests/helpers/wallet_clients.py
@@ -27,6 +27,8 @@
 
 PATH = "/fleet/wallets/"
 READING_INTERVAL_S = 0.05  # between two readings
+PROBE_INTERVAL_S = 0.02  # between two requests to a sidecar that is to serve one
+PROBE_CLASS = 0  # of the plan: idempotent
 SETTLE_LIMIT_S = 15.0
 COST = {"once": 2}  # of a request, by class; 1 of others
 TENANT_WITHOUT_WALLET = "cid"  # a tenant without a wallet
@@ -85,10 +87,12 @@
     def begin(self) -> None:
         """Starts reading wallets. To be called once, when the run is about to begin."""
         self.readings, self.empty_readings, self.broken = [], [], list[str]()
+        self._probed_nodes = dict[int, str]()  # by the number of the request
         self._reader = asyncio.get_running_loop().create_task(self._read_wallets())
 
     def _choose_pool(self, request: Request) -> Pool | None:
-        pool = super()._choose_pool(request)
+        probed = self._probed_nodes.get(request.number)
+        pool = super()._choose_pool(request) if probed is None else self._pool_of(probed)
         if pool is None:
             return None
         self.answers = getattr(self, "answers", [])
@@ -103,6 +107,26 @@
 
         return _RecordingPool(pool, record_response)  # type: ignore[return-value]
 
+    def _pool_of(self, node: str) -> Pool | None:
+        key = self.keys_of[node]
+        self.call_rules.assign_next_request(key)
+        return self._pools.get(key)
+
+    async def send_until_served(self, node: str, tenant: str) -> None:
+        """Sends requests of the tenant to this sidecar, PROBE_INTERVAL_S apart, until it serves one.
+
+        So the time of the first one served is that of the sidecar, not that of the plan's next request to it.
+        """
+        since_ms = self.clock()
+        account = [account.name for account in self.plan.accounts].index(tenant)
+        budget_ms = self.plan.classes[PROBE_CLASS].deadline_ms
+        assert self.load is not None
+        while not self.served(tenant, node, since_ms):
+            number = -1 - len(self._probed_nodes)
+            self._probed_nodes[number] = node
+            self.load.send(Request(number, self.clock(), PROBE_CLASS, account, 1.0, budget_ms, 0, 0, False, ""))
+            await asyncio.sleep(PROBE_INTERVAL_S)
+
     # Wallets
 
     async def add(self, node: NodeProcess, tenant: str, amount: int, credit_id: str) -> tuple[int, Any]:
