Reserve the retry for which a paused response is given up

What callers saw: with many responses paused at once, 503, or 502 for a keyed request, 0.5 s into a response that its endpoint was still sending, with no retry and most of the time left.

Cause: the connection asked whether the budget had a retry, which was taken only when the attempt's end had reached the balancer, 0.5 to 20 ms later. Requests that asked in between were promised the same one.

Change: the question reserves the retry, and a request that ends without it returns it. What decides on a retry moved to retry_policy.py.

--- a/limenotch/balancing/balancer.py
+++ b/limenotch/balancing/balancer.py
@@ -29,7 +29,7 @@
 )
 from .hedging import RETRY_BUDGET_RATIO, handle_overdue_attempt, hedge_delay, should_hedge_at_once
 from .outlier_detection import eject, record_answer
-from .retry_policy import may_repeat
+from .retry_policy import has_retry_left, may_repeat, reserve_retry, spend_retry
 from .types import Effect, Outcome
 from .weights import update_weights, weights_due
 
@@ -157,12 +157,17 @@
             self._retry_or_finish(now, request, actions)
 
     def _retry_or_finish(self, now: float, request: Request, actions: list[Action]) -> None:
-        if self.has_retry_left(now, request):
-            self.retry_budget -= 1
+        if has_retry_left(self, now, request):
+            spend_retry(self, request)
             self._send_attempt(now, request, actions)
         else:
             self._finish_without_success(now, request, actions)
 
+    def reserve_retry(self, now: float, name: str) -> bool:
+        """Reserve a retry for a request, an attempt of which is about to be ended; False if it has none."""
+        request = self.requests.get(name)
+        return request is not None and reserve_retry(self, now, request)
+
     def _finish_without_success(self, now: float, request: Request, actions: list[Action]) -> None:
         """Reject the request if the client may safely retry it; fail it otherwise."""
         executions = request.possible_executions()
--- a/limenotch/balancing/balancer_state.py
+++ b/limenotch/balancing/balancer_state.py
@@ -316,17 +316,6 @@
         request.attempts[-1].count_in_flight(now)
         self.in_flight += 1
 
-    def can_retry(self, now: float, name: str) -> bool:
-        """Whether the request of this name is open and has a retry left at `now` (ms)."""
-        request = self.requests.get(name)
-        return request is not None and self.has_retry_left(now, request)
-
-    def has_retry_left(self, now: float, request: Request) -> bool:
-        """Whether there are time, attempts and retry budget for another attempt at `now` (ms)."""
-        time_left = request.deadline - now - request.class_latency.mean_ms * self.tier_profile.lowest
-        attempts_left = len(request.attempts) < request.max_attempts
-        return time_left > 0 and attempts_left and self.retry_budget >= 1 and not request.streaming
-
     def record_end(self, now: float, event: AttemptFinished) -> EndedAttempt | None:
         """Mark the event's attempt as ended, and return it; None if no such attempt is open."""
         request = self.requests.get(event.request)
@@ -348,9 +337,16 @@
 
     def forget_request(self, request: Request) -> None:
         """Drop an answered request, unless some of its attempts are still open."""
+        self.release_retry(request)
         if not any(attempt.open for attempt in request.attempts):
             self.requests.pop(request.name, None)
 
+    def release_retry(self, request: Request) -> None:
+        """Return a reserved retry that the request does not need any more."""
+        if request.retry_reserved:
+            request.retry_reserved = False
+            self.retry_budget = min(self.retry_budget + 1, BURST_REQUESTS)
+
     # Observations
 
     def record_report(self, now: float, endpoint: EndpointStatistics, event: AttemptFinished) -> None:
--- a/limenotch/balancing/contained_balancer.py
+++ b/limenotch/balancing/contained_balancer.py
@@ -68,6 +68,7 @@
             failed = bool(request.possible_executions())
             actions.append(FailRequest(request.name) if failed else RejectRequest(request.name))
         request.answered = True
+        self.release_retry(request)
         self.requests.pop(request.name, None)
         return actions
 
--- a/limenotch/balancing/endpoint_statistics.py
+++ b/limenotch/balancing/endpoint_statistics.py
@@ -242,6 +242,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     answered: bool = False
     streaming: bool = False  # its streamed response has begun
+    retry_reserved: bool = False  # the retry budget has paid for its next attempt
     single_use_body: bool = False
     preferred_endpoint: str = ""
     prior_execution: PriorExecution | None = None
--- a/limenotch/balancing/retry_policy.py
+++ b/limenotch/balancing/retry_policy.py
@@ -1,4 +1,4 @@
-"""Retry policy: where and until when a request that may have been executed may be executed again.
+"""Retry policy: where and until when a request that may have run may run again, and the budget of retries.
 
 Endpoint selection and rejections apply it, and the network code checks it again right before it sends the
 first byte of an attempt.
@@ -8,6 +8,8 @@
 
 from collections.abc import Hashable, Iterable
 
+from .balancer_state import BalancerState
+from .endpoint_statistics import Request
 from .types import DedupScope, Effect, PriorAttempt, TrafficClass
 
 
@@ -36,3 +38,31 @@
         and dedup_group(traffic_class.dedup_scope, attempt.zone, attempt.cell) == group
         for attempt in may_have_run
     )
+
+
+def has_retry_left(state: BalancerState, now: float, request: Request) -> bool:
+    """Whether there are time, attempts and retry budget for another attempt at `now` (ms)."""
+    time_left = request.deadline - now - request.class_latency.mean_ms * state.tier_profile.lowest
+    attempts_left = len(request.attempts) < request.max_attempts
+    budget_left = request.retry_reserved or state.retry_budget >= 1
+    return time_left > 0 and attempts_left and budget_left and not request.streaming
+
+
+def reserve_retry(state: BalancerState, now: float, request: Request) -> bool:
+    """Reserve a retry for a request, an attempt of which is about to be ended; False if none is left.
+
+    Otherwise other requests could take the retry from the budget before the end of the attempt is reported.
+    """
+    if not has_retry_left(state, now, request):
+        return False
+    spend_retry(state, request)
+    request.retry_reserved = True
+    return True
+
+
+def spend_retry(state: BalancerState, request: Request) -> None:
+    """Take a retry from the budget, or use the one that is reserved for this request."""
+    if request.retry_reserved:
+        request.retry_reserved = False
+    else:
+        state.retry_budget -= 1
--- a/limenotch/load_balancer.py
+++ b/limenotch/load_balancer.py
@@ -290,9 +290,9 @@
         """Report that the last byte of a single-use body was sent: its request has `budget_ms` from now on."""
         return self._handle(UploadFinished(str(request), budget_ms))
 
-    def can_retry(self, request: int) -> bool:
-        """Whether this request would be sent again if its attempts in flight failed now."""
-        return self._balancer.can_retry(self._clock(), str(request))
+    def reserve_retry(self, request: int) -> bool:
+        """Reserve a retry for this request, for when its attempts in flight have failed; False if it has none left."""
+        return self._balancer.reserve_retry(self._clock(), str(request))
 
     def client_disconnected(self, request: int) -> Commands:
         """Report that the client of this request has disconnected."""
--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -53,7 +53,7 @@
         self._parser = http1.ResponseParser(http1.MAX_STREAMED_BODY_BYTES)
         self._budget = budget or BufferBudget(MAX_BUFFER_BYTES)
         self._response: asyncio.Future[http1.Message | None] | None = None
-        self._can_retry: Callable[[], bool] = lambda: True  # whether the request that awaits it would be sent again
+        self._reserve_retry: Callable[[], bool] = lambda: True  # False: the request that awaits it is not sent again
         self._request_sent = True  # to its last byte
         self._head: http1.Message | None = None
         self._head_received_at = 0.0  # s
@@ -216,7 +216,7 @@
 
     def _retry_elsewhere(self, waited_s: float) -> None:
         """Gives the response up so that the request is sent again; waits on if it would not be."""
-        if self._can_retry():
+        if self._reserve_retry():
             self._give_up(waited_s)
         else:
             self._start_timer(self._stall_s, self._give_up)
@@ -245,15 +245,15 @@
             self._timer = None
 
     def expect_response(
-        self, can_retry: Callable[[], bool] = lambda: True, request_sent: bool = True
+        self, reserve_retry: Callable[[], bool] = lambda: True, request_sent: bool = True
     ) -> asyncio.Future[http1.Message | None]:
         """A future of the next response, complete or being forwarded; None if the connection ends without one.
 
-        `can_retry` is called when `answer_s` has passed: whether the request would be sent again now. If not, giving
-        up gains nothing, and the response has `stall_s` more. Without `request_sent`, a pause of the response has no
-        limit before `limit_response`.
+        `reserve_retry` is called when `answer_s` has passed, and reserves a retry of the request. If it returns False,
+        giving up gains nothing, and the response has `stall_s` more. Without `request_sent`, a pause of the response
+        has no limit before `limit_response`.
         """
-        self._can_retry = can_retry
+        self._reserve_retry = reserve_retry
         self._request_sent = request_sent
         self._response = asyncio.get_running_loop().create_future()
         self.forwarded = None
--- a/limenotch/net/endpoint_pool.py
+++ b/limenotch/net/endpoint_pool.py
@@ -196,7 +196,7 @@
             return ExchangeOutcome(self._unsent_ending(attempt, AttemptEnding.NOT_SENT))
         attempt.sent_at = monotonic()
         request_sent = attempt.request.body_pipe is None
-        pending_response = connection.expect_response(partial(self._requests.can_retry, attempt), request_sent)
+        pending_response = connection.expect_response(partial(self._requests.reserve_retry, attempt), request_sent)
         written = await self._send_request(attempt, connection, pending_response)
         response = await pending_response
         if response is None:
--- a/limenotch/net/requests.py
+++ b/limenotch/net/requests.py
@@ -258,15 +258,18 @@
             self._request_ids.discard(request.request_id)
             self.metrics.count_ended(request.class_name, ending)
 
-    def can_retry(self, attempt: Attempt) -> bool:
-        """Whether the request would be sent again if this attempt ended now, after it was sent, without a response."""
+    def reserve_retry(self, attempt: Attempt) -> bool:
+        """Reserves a retry of the request if it would be sent again should this attempt end now, without a response.
+
+        Returns False if it would not: the attempt was sent, and the request may not be repeated or has no retry left.
+        """
         request = attempt.request
         endpoint = attempt.endpoint
         if endpoint is None or (request.body_pipe is not None and request.body_pipe.was_read):
             return False
         sent = request.possible_executions()
         allowed = request.policy.allows_retry(sent, endpoint.zone, endpoint.group, monotonic() * 1000.0)
-        return allowed and self.load_balancer.can_retry(request.number)
+        return allowed and self.load_balancer.reserve_retry(request.number)
 
     def attempt_ended(
         self,
--- a/tests/helpers/scripted.py
+++ b/tests/helpers/scripted.py
@@ -32,7 +32,7 @@
         self.hints: list[PlacementHint | None] = []
         self.reported: list[tuple[Any, ...]] = []
 
-    def can_retry(self, request: int) -> bool:
+    def reserve_retry(self, request: int) -> bool:
         return True
 
     def deadline_ms(self, class_name: str) -> float:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -26,6 +26,30 @@
     assert referee.balancer.retry_budget == 0.0
 
 
+def test_a_reserved_retry_is_taken_by_no_other_request() -> None:
+    # Guards review/2's related path: several responses were given up for the same retry of the budget.
+    referee = Referee(make_settings(classes=(READ,)), listed=make_endpoints(5))
+    balancer = referee.balancer
+    names = [referee.arrive(0)[0] for _ in range(2)]
+    balancer.retry_budget = 1.0
+    assert [balancer.reserve_retry(referee.now, name) for name in (*names, names[0])] == [True, False, True]
+    for name in reversed(names):
+        referee.finish_attempt(name, 0, Outcome.RESET)
+    assert [len(referee.tracked[name].sent) for name in names] == [2, 1]
+    assert balancer.retry_budget == 0.0
+
+
+def test_a_reserved_retry_that_is_not_needed_returns_to_the_budget() -> None:
+    referee = Referee(make_settings(classes=(READ,)), listed=make_endpoints(5))
+    balancer = referee.balancer
+    name, _ = referee.arrive(0)
+    balancer.retry_budget = 1.0
+    assert balancer.reserve_retry(referee.now, name) and balancer.retry_budget == 0.0
+    referee.finish_attempt(name, 0, Outcome.OK)
+    assert balancer.retry_budget == 1.0
+    assert not balancer.reserve_retry(referee.now, name)
+
+
 def test_a_burst_of_ten_is_admitted_at_low_load() -> None:
     """At 10 requests/s, random variation alone exceeded the limit: 4% were rejected without an attempt."""
     referee = Referee(make_settings(classes=(READ,)), listed=make_endpoints(5))
--- a/tests/test_paused_responses.py
+++ b/tests/test_paused_responses.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from time import monotonic
+from time import monotonic, sleep
 from typing import Any
 
 import pytest
 
+from limenotch.balancing.balancer_state import BURST_REQUESTS
 from limenotch.net.pipe import MAX_BUFFERED_BODY_BYTES
 from limenotch.settings import EndpointSettings, Settings
 
-from .helpers.http_peers import LOOK, SETTINGS, Handler, Reader, Writer, fetch
+from .helpers.http_peers import LOOK, SETTINGS, Handler, Reader, Writer, fetch, with_new_id
 from .helpers.processes import run, with_sidecar
 from .test_streamed_responses import BODY, FRAMINGS, OK, POST, encode_chunked, read_streamed_response
 
@@ -201,6 +202,37 @@
     assert len(runs) == 2 and runs[1]  # the settings allow two attempts
 
 
+def test_of_responses_that_pause_together_those_without_a_retry_are_awaited() -> None:
+    # Guards against giving up more responses than the retry budget pays for: those beyond it got 503 untried.
+    count = 16
+    ids: list[bytes] = []
+    all_begun = asyncio.Event()
+
+    async def handle(reader: Reader, writer: Writer) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        request_id = head[head.index(b"X-Call-Id: ") :].split(b"\r\n")[0]
+        if request_id not in ids:
+            ids.append(request_id)
+            writer.write(SHORT[:HEAD_BYTES])
+            if len(ids) == count:
+                all_begun.set()
+            await asyncio.sleep(PAUSE_S)
+            writer.write(SHORT[HEAD_BYTES:])
+        else:
+            writer.write(SHORT)
+        writer.close()
+
+    async def use(port: int) -> None:
+        answers = asyncio.gather(*(fetch(port, with_new_id(LOOK)) for _ in range(count)))
+        await all_begun.wait()
+        await asyncio.sleep(0.2)
+        asyncio.get_running_loop().call_soon(sleep, 0.4)  # a late event loop: the limits of all strike at once
+        assert [answer.status for answer in await answers] == [200] * count
+
+    assert count > BURST_REQUESTS
+    run(with_sidecar(handle, use))
+
+
 def test_a_paused_response_to_a_long_request_is_awaited() -> None:
     # Guards requests whose bodies can be sent only once.
     runs = 0
