Count what a wallet owes of an advance against the next one

Cause: Spender._reserve bounds the advance by what is not recorded yet. The applied Advance set that to 0, and nothing else counted it.

Change: a process counts its recorded advances until credit has covered them: at most the wallet's debt, after each entry. The sum over all processes is never less than the debt, and each counts advance at most. Entries, messages and stored data are unchanged.

--- a/limenotch/fleet/wallet/allocations.py
+++ b/limenotch/fleet/wallet/allocations.py
@@ -122,6 +122,7 @@
         "advance_reserved",
         "advance_proposed",
         "advance_serial",
+        "owed_units",
         "restricted_span_ms",
         "restricted_until_ms",
     )
@@ -147,6 +148,7 @@
         self.advanced_units = self.advance_reserved = 0
         self.advance_proposed = 0  # of `advanced_units`: proposed to the log and not yet committed
         self.advance_serial = 0
+        self.owed_units = 0  # of this process's advances: in the ledger, and not known to be covered by credit
 
     @property
     def unreserved(self) -> int:
@@ -158,6 +160,11 @@
         """Sum over the allocations."""
         return sum(allocation.available for allocation in self.allocations.values())
 
+    @property
+    def advance_used(self) -> int:
+        """Units of the advance that are served or reserved and not covered by credit."""
+        return self.owed_units + self.advanced_units + self.advance_reserved
+
     def update_rates(self, now: float, span_ms: float) -> None:
         """Updates the moving averages with what has happened since the last update; old data fades over `span_ms`.
 
@@ -295,7 +302,7 @@
             elif (
                 tuning.without_lease == "advance"
                 and tenant in self._ledger.wallets
-                and account.advanced_units + account.advance_reserved + cost <= tuning.advance
+                and account.advance_used + cost <= tuning.advance
             ):
                 account.advance_reserved += cost
                 account.last_reserved_at_ms = now
--- a/limenotch/fleet/wallet/core.py
+++ b/limenotch/fleet/wallet/core.py
@@ -239,6 +239,7 @@
                     self.spend_witness.allocation_ended(entry.tenant, holder, entry.serial)
                     if is_own:
                         self.allocation_holder.allocation_ended(entry.tenant, entry.serial)
+        self.allocation_holder.wallet_changed(entry.tenant)
         self.granter.ledger_changed(entry.tenant)
 
     def _snapshot_installed(self, event: log.SnapshotInstalled) -> None:
--- a/limenotch/fleet/wallet/ledger.py
+++ b/limenotch/fleet/wallet/ledger.py
@@ -70,6 +70,11 @@
         """Units allocated to holders and not settled as spent."""
         return sum(allocation.unspent for allocation in self.allocations.values())
 
+    @property
+    def debt(self) -> int:
+        """Units served in advance that no credit has covered yet."""
+        return max(0, -self.unallocated)
+
     @property
     def is_balanced(self) -> bool:
         """Whether no credit is lost or created."""
--- a/limenotch/fleet/wallet/quota_holder.py
+++ b/limenotch/fleet/wallet/quota_holder.py
@@ -90,8 +90,19 @@
         account = self._spender.accounts.get(tenant)
         if account is not None and account.advance_proposed:
             account.advanced_units -= amount
+            account.owed_units += amount
             account.advance_proposed = 0
 
+    def wallet_changed(self, tenant: str) -> None:
+        """The tenant's wallet was changed by an entry or replaced: credit may have covered this process's advances.
+
+        Which advances it covers is not recorded. So each process takes as much of the debt as it may have caused: the
+        sum over all processes is never less than the debt.
+        """
+        account = self._spender.accounts.get(tenant)
+        if account is not None and account.owed_units:
+            account.owed_units = min(account.owed_units, self._ledger.wallets[tenant].debt)
+
     def ledger_replaced(self, now: float) -> None:
         """The ledger was replaced: some allocations may have ended or been granted in between."""
         for account in self._spender.accounts.values():
@@ -103,6 +114,7 @@
                 and self._ledger.last_advance_serial(account.tenant, self._own_id) >= account.advance_serial
             ):
                 self.advance_recorded(account.tenant, account.advance_proposed)
+            self.wallet_changed(account.tenant)
             if account.paused:
                 self.credit_added(account.tenant)  # credit may have been added
         for tenant, serial in sorted(self._ledger.allocations_by_holder.get(self._own_id, ())):
@@ -211,8 +223,7 @@
                 account.needed = 0  # the rejected clients do not retry any more
             if (
                 not account.allocations
-                and not account.advanced_units
-                and not account.advance_reserved
+                and not account.advance_used
                 and now - last_request_at_ms >= tuning.idle_ms + tuning.retry_after_ms
             ):
                 del spender.accounts[account.tenant]
