Keep the fleet's sockets open until a sidecar that ends has answered

Promise: docs/fleet/bindings.md, "A consumer that comes back through another sidecar finds it there".

Cause: FleetNode.leave closed the sockets after 0.5 s, while open connections are served for up to 1.8 s. What was bound later was told to nobody.

Peers drop updates of members held dead, not of those that have left.

Change: the sockets are closed with the process.

--- a/limenotch/fleet_node.py
+++ b/limenotch/fleet_node.py
@@ -45,7 +45,7 @@
 
 log = logs.get(__name__)
 
-# From the notice that this process leaves to the closing of its sockets.
+# From the notice that this process leaves to the closing of its sockets, if a successor waits for their address.
 CLOSE_DELAY_S = 0.5
 # Where GET gives this node's state to operators.
 PATH = "/fleet"
@@ -95,6 +95,7 @@
         self._voters: tuple[str, ...] = table.voters
         self._voter_check = PeriodicCallback(self._check_voters, VOTER_CHECK_INTERVAL_S * MS_PER_S)
         self._closing: asyncio.TimerHandle | None = None
+        self._left = False
         self.descriptors = table.descriptors
         self.paths: dict[str, RequestHandler] = {PATH: self._handle_request}
         for adapter in self._adapters:
@@ -268,13 +269,16 @@
             for adapter in self._adapters:
                 adapter.voters_changed(voters)
 
-    def leave(self) -> None:
-        """Notify the peers that this process leaves, and close the sockets CLOSE_DELAY_S later.
+    def leave(self, successor_serves: bool) -> None:
+        """Notify the peers that this process leaves. They still get what its last requests change, up to `close`.
 
-        The address is free only then: the next process of this sidecar may wait for it.
+        If a successor serves already, it waits for the address: the sockets are closed CLOSE_DELAY_S later.
         """
-        if self._closing is None:
-            self._transport.leave()
+        if self._left:
+            return
+        self._left = True
+        self._transport.leave()
+        if successor_serves:
             self._closing = asyncio.get_running_loop().call_later(CLOSE_DELAY_S, self._transport.close)
 
     def close(self) -> None:
--- a/limenotch/shutdown.py
+++ b/limenotch/shutdown.py
@@ -47,5 +47,5 @@
         "shutting down", open_requests=len(components.requests.open), handed_over=components.successor.successor_serves
     )
     if components.fleet_node is not None:
-        components.fleet_node.leave()
+        components.fleet_node.leave(components.successor.successor_serves)
     await components.clients.shut_down(components.successor.successor_serves, requested_at)
--- a/tests/fleet/test_affinity_processes.py
+++ b/tests/fleet/test_affinity_processes.py
@@ -13,18 +13,21 @@
 from typing import Any
 
 from limenotch.lab import planning, scenario
-from limenotch.lab.emulate.sidecars import SidecarError
+from limenotch.lab.emulate.sidecars import SidecarError, free_port
 from limenotch.lab.fleet import drawing, weather
 from limenotch.lab.fleet.processes import NotReachedError, Processes
 from limenotch.lab.fleet.stage import Outcome, relayed_fleet_settings
 from limenotch.net import http1
-from tests.helpers.http_peers import LOOK, read_response
+from tests.helpers.http_peers import DELIVER, LOOK, read_response, with_new_id
 
 from .returning_clients import RecordingStage, ReturningClients
+from .test_fleet_node import FAST, wait_for_states
 from .test_fleet_off import Sidecar, serving
 from .test_log_processes import AGREEMENT, MEMBERSHIP
 from .test_rules_processes import RULES_TABLE
 
+LATE_S = 1.0  # after SIGTERM: connections are kept for 1.8 s
+
 SCENARIO = """
 name = "bindings"
 length_s = {length_s}
@@ -256,3 +259,32 @@
         assert found[1] >= {"limenotch.fleet_adapters.affinity", "limenotch.fleet.affinity.core"}
 
     asyncio.run(run_case())
+
+
+def test_a_key_taken_late_in_a_shutdown_is_known_to_the_other_sidecar(tmp_path: Path) -> None:
+    # Guards review/1: a sidecar that ends took keyed calls for longer than it had its fleet's sockets open (0.5 s).
+    async def run_case() -> None:
+        seed = free_port()
+        table = f'seeds = ["127.0.0.1:{seed}"]\n{FAST}[fleet.bindings]\n'
+        async with (
+            serving(tmp_path, "a", table, seed) as ending,
+            serving(tmp_path, "b", table) as staying,
+            asyncio.timeout(20),
+        ):
+            for sidecar in (ending, staying):
+                await wait_for_states([sidecar], a="alive", b="alive")
+                await until(sidecar, state="whole")
+            reader, writer = await asyncio.open_connection("127.0.0.1", ending.port)
+            parser = http1.ResponseParser()
+            writer.write(LOOK)
+            assert (await read_response(reader, parser)).status == 200
+            assert not (await staying.status())["parts"]["bindings"]["held"]
+            ending.process.send_signal(signal.SIGTERM)
+            await asyncio.sleep(LATE_S)
+            writer.write(with_new_id(DELIVER))
+            assert (await read_response(reader, parser)).status == 200
+            await until(staying, held=1)
+            writer.close()
+            assert await ending.process.wait() == 0
+
+    asyncio.run(run_case())
