Remove the loop of ResponseParser.take that can't run

Need: take skipped interim responses once more, though head, which it calls, has skipped them: a message of a status below 200 is never kept. Change: the override is gone; interim responses are skipped in one place. Result: tests of the parser, of paused and streamed responses, of the sidecar and of the emulator pass.

--- a/limenotch/net/http1.py
+++ b/limenotch/net/http1.py
@@ -259,13 +259,6 @@
         # A load report is used for load balancing only: the response is valid without it.
         return name.strip().lower() == b"x-load-report"
 
-    def take(self) -> Message | None:
-        """The next final response if it is complete, else None. Raises MalformedError."""
-        message = super().take()
-        while message is not None and 100 <= message.status < 200:  # interim: the final response follows
-            message = super().take()
-        return message
-
     def head(self) -> Message | None:
         """The next final response, without its body, if its head is complete, else None. Raises MalformedError."""
         message = super().head()
