Let other connections come between whatever one peer sends

Cause: reads of bytes that have arrived, and writes that the kernel takes at once, do not suspend a coroutine. The loops that read requests (ClientConnection._read_request, _serve_requests, _receive_rest) and those over empty lines and chunks (_Parser._head, Body.decode) so ran for as long as the client was faster than they were; 30 of 30 stack samples were within one of them. Timers did not run either, so that no limit ended the connection, and the cancelled timers of its writes were never removed (111 MB). The class: a loop whose length a peer decides, with no turn for others.

Change: ReadAhead.read returns what has arrived in the next turn of the event loop; one request is served in a turn; one call decodes 128 lines of the chunked coding; a write that is done starts no timer. Over 16 empty lines before a request get 400, over 64 interim responses end the attempt. The same in the loops that read endpoints, discovery, operators and peers of a fleet.

The tests of the network code pass.

--- a/limenotch/net/admin/server.py
+++ b/limenotch/net/admin/server.py
@@ -138,11 +138,24 @@
 
     async def _read_request(self, connection: _Connection) -> http1.Message:
         parser = http1.RequestParser()
-        while (request := parser.take()) is None:
-            parser.feed(await connection.stream.read_bytes(MAX_READ_BYTES, partial=True))
+        while (request := parser.head()) is None:
+            parser.feed(await self._read(connection))
+        pieces = [parser.pieces()]
+        while not parser.complete:
+            parser.feed(b"" if parser.has_more else await self._read(connection))
+            pieces.append(parser.pieces())
+            await asyncio.sleep(0)
         connection.request_pending = False
+        request.body = b"".join(pieces)
+        request.length = len(request.body)
         return request
 
+    async def _read(self, connection: _Connection) -> bytes:
+        """The next bytes of a request. Raises StreamClosedError."""
+        data = connection.stream.read_bytes(MAX_READ_BYTES, partial=True)
+        await asyncio.sleep(0)  # clients come between, also while an operator sends all the time
+        return await data
+
     async def _handle(self, request: http1.Message) -> bytes:
         path = request.target.partition(b"?")[0].decode("latin-1")
         if path == HEALTH:
--- a/limenotch/net/client_connection.py
+++ b/limenotch/net/client_connection.py
@@ -13,10 +13,11 @@
 from . import http1
 from .client_connections import ClientConnections
 from .header_fields import budget_ms, decode_name
-from .pipe import BodyPipe, PipeBrokenError
+from .pipe import PipeBrokenError
 from .read_ahead import ClientStream, IdleEndError, Mode, ReadAhead
 from .request import FinalResponse, Request, Verdict
 from .request_check import check_request, details_of
+from .request_reader import RequestReader
 from .responses import forwarded_headers, write_final_response
 
 log = logs.get(__name__)
@@ -42,12 +43,10 @@
         self.reader = ReadAhead(stream, connections.budget)
         self.used = False  # whether a request has arrived on it
         self._connections = connections
-        self._parser = http1.RequestParser(http1.MAX_STREAMED_BODY_BYTES)
-        self._timer: object = None  # limits the wait for a request, its head or its body
+        self.request_reader = RequestReader(self.reader, self, connections.budget)
         self._request: Request | None = None
         self._final: asyncio.Future[FinalResponse] | None = None
         self._upload: asyncio.Task[None] | None = None  # receives the rest of a streamed request
-        self._body_wait_s = 0.0  # time spent waiting for the current body
         self._address: str | None = None  # of the client; None: not looked up yet, "": unknown
         self._within_response = False  # whether a streamed response is partly written
         self._shut_down = False  # whether our sending side is shut down
@@ -58,11 +57,6 @@
         """Whether a request is open or its response is being forwarded."""
         return self._request is not None
 
-    @property
-    def _nothing_received(self) -> bool:
-        """Whether no part of a further request has arrived, neither here nor in the kernel."""
-        return self._parser.idle and self.reader.empty
-
     def end_if_idle(self) -> bool:
         """Ends the connection if it is between two requests; returns whether it did.
 
@@ -71,7 +65,7 @@
         """
         if self._shut_down or self._final is not None:
             return False
-        if self.stream.closed() or self.stream.writing() or not self._nothing_received:
+        if self.stream.closed() or self.stream.writing() or not self.request_reader.nothing_received:
             return False
         self._shut_down_sending()
         self.reader.fail(IdleEndError())
@@ -131,11 +125,13 @@
                 keep_alive = await self._serve_request(message)
             if self._draining:  # the drain may have begun after the response was composed
                 return
+            if not self.request_reader.parser.idle:
+                await asyncio.sleep(0)  # other connections come before the next request of this one
 
     @property
     def _draining(self) -> bool:
         """Whether the connection ends after its next response."""
-        return self._connections.draining and (self._connections.drains_unread or self._nothing_received)
+        return self._connections.draining and (self._connections.drains_unread or self.request_reader.nothing_received)
 
     def _can_keep_alive(self, message: http1.Message) -> bool:
         """Whether the connection can serve further requests after the response to `message`."""
@@ -206,109 +202,39 @@
         await self.stream.write_to_reader(self._connections.settings.write_s, response)
 
     async def _read_request(self) -> http1.Message:
-        """Reads the next request: complete or, if it is long, its buffered part, with the rest to be streamed.
-
-        A request that does not arrive in time is rejected; a connection on which none begins in time ends.
-        """
-        parser = self._parser
-        limits = self._connections.settings
-        begun = not self.used
-        self._start_timer(limits.request_s if begun else limits.idle_s)
-        self._connections.set_idle(self, parser.idle)
+        connections = self._connections
+        connections.set_idle(self, self.request_reader.parser.idle)
         try:
-            while (message := parser.head()) is None:
-                if not (begun or parser.idle):
-                    begun = True
-                    self._start_timer(limits.request_s)
-                parser.feed(await self.reader.read())
-                self._connections.set_idle(self, False)
-            if parser.expects_continue and message.minor == 1:
-                self._stop_timer()
-                await self._write(http1.CONTINUE)
-            return await self._read_body(message)
+            return await self.request_reader.read_request(connections.settings, self.used, self._send_continue)
         finally:
-            self._connections.set_idle(self, False)
-            self._stop_timer()
-
-    async def _read_body(self, message: http1.Message) -> http1.Message:
-        """Reads the body up to its end, or as far as it may be buffered."""
-        parser = self._parser
-        budget = self._connections.budget
-        pieces: list[bytes] = []
-        size = 0
-        self._body_wait_s = 0.0
-        while True:
-            piece = parser.pieces()
-            pieces.append(piece)
-            size += len(piece)
-            if parser.complete:
-                parser.next()
-                break
-            if budget.requires_streaming(size):
-                message.rest = BodyPipe(budget)
-                break
-            await self._read_more(size)
-        message.body = b"".join(pieces)
-        if message.rest is None:
-            message.length = size
-        return message
-
-    async def _read_more(self, size: int) -> None:
-        """Reads more of a body of which `size` bytes have arrived; it is rejected below the minimum rate of bodies."""
-        limits = self._connections.settings
-        started_at = monotonic()
-        left_s = limits.body_s + size / limits.body_rate - self._body_wait_s
-        self._start_timer(max(min(left_s, limits.body_s), 0.0))
-        self._parser.feed(await self.reader.read())
-        self._stop_timer()
-        self._body_wait_s += monotonic() - started_at
+            connections.set_idle(self, False)
+
+    async def _send_continue(self) -> None:
+        await self._write(http1.CONTINUE)
+
+    def receiving_started(self) -> None:
+        """Bytes have arrived: the connection is not idle any more."""
+        self._connections.set_idle(self, False)
+
+    def stopped(self) -> bool:
+        """Whether the connection is closed."""
+        return self.stream.closed()
 
     async def _receive_rest(self, message: http1.Message) -> None:
-        """Reads the rest of a streamed request to its end, and puts it into its pipe while an attempt reads that."""
-        parser = self._parser
-        pipe = message.rest
-        size = len(message.body)
+        """Receives the rest of a streamed request; what is wrong with it ends the request."""
         try:
-            while True:
-                piece = parser.pieces()
-                size += len(piece)
-                with contextlib.suppress(PipeBrokenError):  # the request is answered already
-                    await pipe.put(piece)
-                if parser.complete:
-                    parser.next()
-                    self.reader.set_mode(Mode.BUFFER_OR_DROP)
-                    pipe.end()
-                    return
-                await self._read_more(size)
+            await self.request_reader.receive_rest(self._connections.settings, message)
+            self.reader.set_mode(Mode.BUFFER_OR_DROP)
+            message.rest.end()
         except StreamClosedError:
-            pipe.break_off()
+            message.rest.break_off()
         except Exception as error:  # malformed, too slow or an internal error: the request will never be complete
-            pipe.break_off()
+            message.rest.break_off()
             if self._final is not None and not self._final.done():
                 self._abandon_request()
                 self._final.set_exception(error)
             elif not isinstance(error, http1.MalformedError):
                 log.exception("internal error while receiving a request body")
-        finally:
-            self._stop_timer()
-
-    def _start_timer(self, wait_s: float) -> None:
-        self._stop_timer()
-        self._timer = IOLoop.current().call_later(wait_s, self._handle_timeout)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None:
-            IOLoop.current().remove_timeout(self._timer)
-            self._timer = None
-
-    def _handle_timeout(self) -> None:
-        """Ends an idle connection, or rejects a request that is not complete: both would use up the descriptors."""
-        if self.stream.closed():
-            return
-        if not self.reader.empty:  # bytes have arrived in time, and are processed later in this turn of the event loop
-            self._start_timer(0.0)
-        elif not self.end_if_idle():
-            self.reader.fail(http1.MalformedError(408, "request not complete in time"))
 
     def _accept(self, message: http1.Message) -> None:
         """Validates a request and passes it to the request manager. Raises MalformedError or StreamClosedError."""
--- a/limenotch/net/discovery/client.py
+++ b/limenotch/net/discovery/client.py
@@ -290,7 +290,10 @@
         while not response.complete:
             pending_before = response.pending_bytes
             lines_before = response.lines_received
-            documents = response.feed(await watch.wait(stream.read_bytes(MAX_READ_BYTES, partial=True)))
+            documents = response.feed_part(await self._read(watch, stream))
+            while response.has_more:
+                await asyncio.sleep(0)
+                documents += response.feed_part()
             if response.head is not None and response.head.status != 200:
                 raise http1.MalformedError(502, f"discovery answered with status {response.head.status}")
             if documents:
@@ -305,6 +308,13 @@
             if list_started or line_received:
                 self._handle_progress(watch, LineReceived())
 
+    async def _read(self, watch: Watch, stream: IOStream) -> bytes:
+        """The next bytes of the watch. Raises StreamClosedError."""
+        data = asyncio.ensure_future(stream.read_bytes(MAX_READ_BYTES, partial=True))
+        if data.done():
+            await asyncio.sleep(0)  # clients come between the reads of a long list
+        return await watch.wait(data)
+
     async def _send_query(self, watch: Watch) -> IOStream:
         log.info("directory: asked", at=host_port(watch.address), since=self._version)  # counted by lab/timeline.py
         stream = watch.stream = IOStream(self._take_socket())
--- a/limenotch/net/discovery/json_stream.py
+++ b/limenotch/net/discovery/json_stream.py
@@ -88,12 +88,20 @@
     def __init__(self) -> None:
         """Starts at the beginning of a response."""
         self.head: Message | None = None
+        self.has_more = False
         self._parser = ResponseParser(MAX_DOCUMENT_BYTES)  # a list may be one chunk, or have a Content-Length
         self._body: Body | None = None
         self._documents = JsonDocumentParser()
 
     def feed(self, data: bytes) -> list[bytes]:
         """The documents that `data` completes. Raises MalformedError if it is not HTTP or a document is too long."""
+        documents = self.feed_part(data)
+        while self.has_more:
+            documents += self.feed_part()
+        return documents
+
+    def feed_part(self, data: bytes = b"") -> list[bytes]:
+        """The same for a limited number of chunks. While `has_more`, another call, without data, decodes the next."""
         parser = self._parser
         parser.feed(data)
         while self.head is None:
@@ -105,10 +113,8 @@
                 self._body = parser._framing(head)
         assert self._body is not None
         self._body.received_bytes = 0  # the length of the whole stream is not limited, that of each document is
-        self._body.decode(parser.buffer)
-        documents = self._documents.feed(b"".join(self._body.decoded))
-        self._body.decoded.clear()
-        return documents
+        self.has_more = self._body.decode(parser.buffer)
+        return self._documents.feed(self._body.take())
 
     @property
     def pending_bytes(self) -> int:
--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -70,10 +70,15 @@
                 self._pending_read = asyncio.ensure_future(
                     self.stream.read_bytes(self._budget.read_bytes, partial=True)
                 )
+                if self._pending_read.done():
+                    await asyncio.sleep(0)  # other connections come between: this endpoint may send all the time
                 self._parser.feed(await self._pending_read)
                 if self._response is None or (self._response.done() and self._pipe is None):
                     break  # bytes that are no response to a request
                 await self._process_input()
+                while self._parser.has_more:
+                    await asyncio.sleep(0)
+                    await self._process_input()
         except StreamClosedError as error:
             # An orderly end completes a body without length (RFC 9112, section 6.3); a reset truncates it.
             if self._head is not None and error.real_error is None and self._parser.ends_with_connection:
--- a/limenotch/net/http1.py
+++ b/limenotch/net/http1.py
@@ -16,6 +16,8 @@
 MAX_STREAMED_BODY_BYTES = 40 * 1024 * 1024  # of a body that is forwarded in pieces
 MAX_LENGTH_DIGITS = 15  # of Content-Length
 START_BYTES = 16  # of a message, which are checked before its head is complete
+MAX_EMPTY_LINES = 16  # before a message; one is to be ignored (RFC 9112, 2.2)
+MAX_INTERIM_RESPONSES = 64  # before a final response
 
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")  # RFC 9110, 5.6.2
 TARGET = re.compile(rb"[!-~\x80-\xff]+")
@@ -87,9 +89,11 @@
     def __init__(self, max_body_bytes: int | None = None) -> None:
         self.max_body_bytes = self.DEFAULT_MAX_BODY_BYTES if max_body_bytes is None else max_body_bytes
         self.buffer = bytearray()
+        self.has_more = False  # whether bytes of the body that have arrived are not decoded yet
         self._message: Message | None = None
         self._body = Body(False, 0)
         self._searched_bytes = 0  # at the front of the buffer, which do not contain the end of a head
+        self._empty_lines = 0  # before the next message
 
     @property
     def idle(self) -> bool:
@@ -104,7 +108,8 @@
         """The next message if it is complete, else None. Raises MalformedError."""
         if self._message is None and self.head() is None:
             return None
-        self._body.decode(self.buffer)
+        while self._body.decode(self.buffer):
+            pass
         return self._complete_message() if self._body.done else None
 
     def head(self) -> Message | None:
@@ -118,11 +123,12 @@
         return self._message
 
     def pieces(self) -> bytes:
-        """The bytes of the body that have arrived since the last call. Raises MalformedError."""
-        self._body.decode(self.buffer)
-        piece = b"".join(self._body.decoded)
-        self._body.decoded.clear()
-        return piece
+        """The bytes of the body that have arrived since the last call. Raises MalformedError.
+
+        One call decodes a limited number of chunks; `has_more` tells whether others have arrived.
+        """
+        self.has_more = self._body.decode(self.buffer)
+        return self._body.take()
 
     @property
     def complete(self) -> bool:
@@ -137,13 +143,12 @@
         message = self._message
         self._message = None
         if message is not None:
-            message.body = b"".join(self._body.decoded)
+            message.body = self._body.take()
             message.length = len(message.body)
         return message
 
     def _head(self) -> Message | None:
-        while self.buffer.startswith(b"\r\n"):
-            del self.buffer[:2]
+        self._skip_empty_lines()
         # Checked before the head is complete, as its end may never come.
         if self.buffer != b"\r" and not self._may_start(bytes(self.buffer[:START_BYTES])):
             raise MalformedError(400, "no message of HTTP/1")
@@ -158,10 +163,18 @@
         first, *lines = bytes(self.buffer[:end]).split(b"\r\n")
         del self.buffer[: end + 4]
         self._searched_bytes = 0
+        self._empty_lines = 0
         message = self._parse_headers(lines)
         self._parse_start_line(first, message)
         return message
 
+    def _skip_empty_lines(self) -> None:
+        while self.buffer.startswith(b"\r\n"):
+            self._empty_lines += 1
+            if self._empty_lines > MAX_EMPTY_LINES:
+                raise MalformedError(400, "too many empty lines before a message")
+            del self.buffer[:2]
+
     def _parse_headers(self, lines: list[bytes]) -> Message:
         headers: Headers = []
         fields: dict[bytes, bytes] = {}
@@ -250,7 +263,7 @@
     def __init__(self, max_body_bytes: int | None = None) -> None:
         """`max_body_bytes`: the longest body that is accepted."""
         super().__init__(max_body_bytes)
-        self.interim_responses = 0  # how many interim responses were skipped
+        self.interim_responses = 0  # skipped before the next final response
 
     def _may_start(self, start: bytes) -> bool:
         return b"HTTP/1.".startswith(start[:7])
@@ -265,7 +278,11 @@
         while message is not None and 100 <= message.status < 200:
             self.next()
             self.interim_responses += 1
+            if self.interim_responses > MAX_INTERIM_RESPONSES:
+                raise MalformedError(502, "too many interim responses")
             message = super().head()
+        if message is not None:
+            self.interim_responses = 0
         return message
 
     def end(self) -> Message | None:
--- a/limenotch/net/http1_body.py
+++ b/limenotch/net/http1_body.py
@@ -7,6 +7,7 @@
 MAX_HEAD_BYTES = 16 * 1024  # of a start line with its headers; also of the trailers
 MAX_BODY_BYTES = 64 * 1024  # of the body of a request that is buffered completely; a parser may set another limit
 MAX_CHUNK_LINE_BYTES = 1024  # of a chunk's size line
+MAX_LINES_PER_CALL = 128  # of the chunked coding, decoded in one call: other connections come between
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\x00-\x08\x0a-\x1f\x7f]*)?")
 
 
@@ -28,7 +29,7 @@
         self.chunked = chunked
         self.length = length
         self.limit = limit  # bytes
-        self.decoded: list[bytes] = []  # the content received; the user removes what it has processed
+        self._decoded = bytearray()  # the content received and not taken yet
         self.received_bytes = 0  # bytes received
         self.missing_bytes = (
             0 if chunked else length
@@ -38,33 +39,44 @@
         self.done = not chunked and length == 0
         self.trailer_bytes = 0  # bytes of trailers received
 
-    def decode(self, buffer: bytearray) -> None:
-        """Moves the body's bytes from the front of the buffer to `decoded`. Raises MalformedError."""
-        while not self.done:
-            if self.state == "data":
-                if not self._decode_data(buffer):
-                    return
-                continue
-            end = buffer.find(b"\r\n")
+    def decode(self, buffer: bytearray) -> bool:
+        """Decodes the body's bytes at the front of the buffer, and removes them there. Raises MalformedError.
+
+        Returns whether it stopped after MAX_LINES_PER_CALL, so that another call may decode more.
+        """
+        for _ in range(MAX_LINES_PER_CALL):
+            if self.state == "data" and not self.done and not self._decode_data(buffer):
+                return False
+            if self.done:
+                return False
+            end = buffer.find(b"\r\n", 0, MAX_CHUNK_LINE_BYTES + 2)
             if end < 0:
                 if len(buffer) > MAX_CHUNK_LINE_BYTES:
                     raise MalformedError(400, "chunk line too long")
-                return
+                return False
             line = bytes(buffer[:end])
             del buffer[: end + 2]
             self._process_line(line)
+        return not self.done
+
+    def take(self) -> bytes:
+        """The content that was decoded since the last call."""
+        content = bytes(self._decoded)
+        self._decoded.clear()
+        return content
 
     def _decode_data(self, buffer: bytearray) -> bool:
-        """Moves bytes of the body or of the current chunk from the buffer; returns whether that is complete."""
-        piece = bytes(buffer) if self.missing_bytes is None else bytes(buffer[: self.missing_bytes])
-        del buffer[: len(piece)]
-        self.received_bytes += len(piece)
+        """Decodes bytes of the body or of the current chunk; returns whether that is complete."""
+        size = len(buffer) if self.missing_bytes is None else min(len(buffer), self.missing_bytes)
+        self.received_bytes += size
         if self.received_bytes > self.limit:
             raise MalformedError(413, "body too large")
-        self.decoded.append(piece)
+        with memoryview(buffer) as view:
+            self._decoded += view[:size]
+        del buffer[:size]
         if self.missing_bytes is None:
             return False
-        self.missing_bytes -= len(piece)
+        self.missing_bytes -= size
         if self.missing_bytes:
             return False
         self.done = not self.chunked
--- a/limenotch/net/peer_streams.py
+++ b/limenotch/net/peer_streams.py
@@ -276,6 +276,7 @@
                     frames.feed(await inbound.stream.read_bytes(READ_CHUNK_BYTES, partial=True))
                 if not self._process_frames(inbound, frames):
                     return
+                await asyncio.sleep(0)  # clients come between, also while a peer sends all the time
                 inbound.last_received_s = self._loop.time()
                 if inbound.process is not None:
                     deadline_s = inbound.last_received_s + 2 * IDLE_TIMEOUT_S
--- a/limenotch/net/read_ahead.py
+++ b/limenotch/net/read_ahead.py
@@ -105,6 +105,9 @@
     async def read(self) -> bytes:
         """The buffered bytes; if there are none, waits for the next ones.
 
+        Bytes that have arrived already are returned in the next turn of the event loop: a client that sends all the
+        time would otherwise be the only one that is served.
+
         Raises StreamClosedError once the connection has ended, even if bytes are buffered, as the client would not get
         a response. Raises the error passed to `fail`.
         """
@@ -112,6 +115,9 @@
         if not self._buffer:
             self._start_read()
             self._check()
+        if self._buffer:
+            await asyncio.sleep(0)
+            self._check()
         while not self._buffer:
             await self._wait_for_read()
             self._check()
--- a/limenotch/net/slow_peers.py
+++ b/limenotch/net/slow_peers.py
@@ -33,6 +33,9 @@
     read at all is given up after `silence_s` and MAX_UNSEEN_S. Raises StreamClosedError.
     """
     written = stream.write(data)
+    if written.done():
+        await written
+        return
     timer = IOLoop.current().call_later(silence_s + MAX_UNSEEN_S, give_up)
     try:
         await written
--- a/tests/test_client_endings.py
+++ b/tests/test_client_endings.py
@@ -25,7 +25,7 @@
 
 
 def timeout(connections: Connections, consumer: ClientConnection) -> None:
-    consumer._handle_timeout()
+    consumer.request_reader.handle_timeout()
 
 
 def eviction(connections: Connections, consumer: ClientConnection) -> None:
@@ -103,9 +103,9 @@
     async def use(connections: Connections) -> None:
         sock, consumer = await connections.client()
         sock.sendall(part)
-        await wait_until(lambda: not consumer._parser.idle and consumer._timer is not None)
+        await wait_until(lambda: not consumer.request_reader.parser.idle and consumer.request_reader.timer is not None)
         sock.sendall(crossing)
-        consumer._handle_timeout()
+        consumer.request_reader.handle_timeout()
         sock.sendall(behind)
         answer = await read_from(sock)
         sock.close()
@@ -121,9 +121,9 @@
         wire = with_body if late == b"c" else UP
         sock, consumer = await connections.client()
         sock.sendall(wire[: -len(late)])
-        await wait_until(lambda: not consumer._parser.idle and consumer.reader.empty)
+        await wait_until(lambda: not consumer.request_reader.parser.idle and consumer.reader.empty)
         sock.sendall(late)
-        consumer._handle_timeout()
+        consumer.request_reader.handle_timeout()
         assert (await read_from(sock, b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
         sock.close()
 
@@ -226,8 +226,8 @@
         sock, consumer = await connections.client()
         head = DELIVER[:-3].replace(b"HTTP/1.1", version).replace(b"\r\n\r\n", b"\r\nExpect: 100-continue\r\n\r\n")
         sock.sendall(head)
-        await wait_until(lambda: not consumer._parser.idle and consumer._timer is not None)
-        consumer._handle_timeout()
+        await wait_until(lambda: not consumer.request_reader.parser.idle and consumer.request_reader.timer is not None)
+        consumer.request_reader.handle_timeout()
         answer = await read_from(sock)
         sock.close()
         assert answer.startswith(http1.CONTINUE + b"HTTP/1.1 408 " if continued else b"HTTP/1.1 408 ")
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -231,7 +231,7 @@
     async def use(connections: Connections) -> None:
         sock, consumer = await connections.client()
         await asyncio.to_thread(sock.sendall, part)
-        await wait_until(lambda: not consumer._parser.idle)
+        await wait_until(lambda: not consumer.request_reader.parser.idle)
         if part == BIG[:-1]:
             await wait_until(lambda: bool(connections.request_manager.open))
         times = schedule(20.0, 0.5, 1.8)
