Bound all that clients can make the process hold by the limit on its memory

What callers saw: with hundreds of clients that write slowly, stop halfway, send heads of very many fields or read long responses slowly, a process with 32 MB took 36 to 282 MB and was killed, with all that it had accepted.

Cause: the budget counted pipes and bytes read ahead only. Not counted, by allocation traces: parsed heads (570 KB for 2,600 fields), the buffered part of each body (68 KB, held twice while it was joined), the unread bytes of streams and reads that had begun before the budget was exhausted (64 KB each), pieces being written, the first part of a forwarded response (109 KB, held to its end, and a second time in EndpointConnection._buffered), requests in the tracebacks of the errors that ended them, ids of up to 16 KB for each of 10,000 remembered requests, and garbage in cycles. Nor was the number of connections related to memory. The class: owners that a limit does not know.

Change: memory_limits.py divides what is free at the start between connections, buffers and ids. Each owner charges the budget; a stream decides how much to read when bytes arrive. A head has 128 fields at most (431). While the budget is exhausted, a head of over 4 KB or 32 fields gets 503, and bodies of over 8 KB are streamed. A client for whose connection there is no memory displaces the slowest incomplete request (503), an idle connection that carried no request, or one idle for 0.5 s; otherwise it gets 503 and time to read it. Long responses take three quarters of the connections at most. Ids of over 32 bytes are kept as digests, and none is dropped for a new one. Hedged attempts leave half of the descriptors to first ones. Garbage is collected early while memory is short.

--- a/limenotch/app.py
+++ b/limenotch/app.py
@@ -99,4 +99,5 @@
     )
     if components.fleet_node is not None:
         components.fleet_node.start()
+    components.measure_base()
     gc.freeze()  # the garbage collector need not examine the objects that exist until the end of the process
--- a/limenotch/net/client_connections.py
+++ b/limenotch/net/client_connections.py
@@ -46,6 +46,10 @@
         """The connection starts (`idle`) or stops waiting for its next request."""
         ...
 
+    def set_receiving(self, connection: ConnectionT, receiving: bool) -> None:
+        """The connection starts or stops to wait for the rest of a request of which a part has arrived."""
+        ...
+
     def set_lingering(self, connection: ConnectionT) -> None:
         """Our sending side of the connection is shut down; the client has not closed it yet."""
         ...
--- a/limenotch/net/client_listener.py
+++ b/limenotch/net/client_listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import math
 import socket
 from collections.abc import Callable
 from time import monotonic
@@ -15,8 +16,10 @@
 from ..config import Address
 from ..load_balancer import LoadBalancer
 from .client_connection import ClientConnection
+from .garbage import GarbageCollector
 from .pipe import BufferBudget
 from .read_ahead import ClientStream
+from .refusals import RefusedClients
 from .requests import RequestManager
 from .shutdown_schedule import schedule
 from .slow_peers import limit_send_buffer
@@ -31,6 +34,8 @@
 # Seconds without accepting if no descriptor can be freed: the waiting connections would wake the event loop all the
 # time.
 LISTENER_PAUSE_S = 0.02
+MIN_IDLE_S = 0.5  # seconds for which a connection may be idle after a request, however many clients wait
+MAX_LINGERING_FRACTION = 1 / 2  # of the connections that memory allows
 
 
 class ClientListener:
@@ -61,8 +66,14 @@
         self._listener: Listener | None = None
         self._open: dict[ClientConnection, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()  # including those that still run after their connections closed
-        self._idle: dict[ClientConnection, None] = {}  # waiting for a request, the longest idle first
+        self._idle: dict[
+            ClientConnection, float
+        ] = {}  # since when each waits for a request (s), the longest idle first
         self._lingering: dict[ClientConnection, None] = {}  # shut down by us and not yet closed by their clients
+        self._receiving: dict[ClientConnection, None] = {}  # a part of a request has arrived, and its rest is awaited
+        self.max_active: float = math.inf  # connections that memory allows, without those that are lingering
+        self.garbage = GarbageCollector()
+        self._refused = RefusedClients(descriptors.clients.release)
         descriptors.clients.drop_idle = self._drop_idle
 
     def listen(self, address: Address, inherited: socket.socket | None = None) -> socket.socket:
@@ -106,39 +117,79 @@
             sock.close()
             self.descriptors.clients.release()
             return
+        if self._active >= self.max_active and not self._displace():
+            self._refused.refuse(sock)
+            return
         limit_send_buffer(sock)
-        connection = ClientConnection(ClientStream(sock, max_buffer_size=MAX_BUFFER_BYTES), self)
+        connection = ClientConnection(ClientStream(sock, self.budget, MAX_BUFFER_BYTES), self)
         task = asyncio.get_running_loop().create_task(connection.serve())
         self._open[connection] = task
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @property
+    def _active(self) -> int:
+        return len(self._open) - len(self._lingering)
+
+    def _displace(self) -> bool:
+        """Ends a connection that carries no complete request, for a new one; returns whether it did.
+
+        The slowest of the requests that are being received comes first, as a usual client sends a request at once.
+        A connection that has carried a request, and not been idle for long, is left alone.
+        """
+        now = monotonic()
+        slowest = min(self._receiving, key=lambda connection: connection.receiving_rate(now), default=None)
+        if slowest is not None and slowest.receiving_rate(now) < math.inf:
+            del self._receiving[slowest]
+            slowest.end_incomplete_request("request not complete while other clients wait for memory")
+            return True
+        idle = (each for each in self._by_use() if not each.used or now - self._idle[each] >= MIN_IDLE_S)
+        return any(connection.end_if_idle() for connection in idle)
+
+    def _by_use(self) -> list[ClientConnection]:
+        """Idle connections: those that carried no request first, then the longest idle."""
+        return sorted(self._idle, key=lambda connection: connection.used)
+
     def ended(self, connection: ClientConnection) -> None:
         """The connection is closed: releases its descriptor."""
         if self._open.pop(connection, None) is not None:
             self.set_idle(connection, False)
             self._lingering.pop(connection, None)
+            self._receiving.pop(connection, None)
+            self.garbage.check()
             self.descriptors.clients.release()
 
     def set_idle(self, connection: ClientConnection, idle: bool) -> None:
         """The connection starts (`idle`) or stops waiting for its next request."""
         if idle:
-            self._idle[connection] = None
+            self._idle[connection] = monotonic()
         else:
             self._idle.pop(connection, None)
 
+    def set_receiving(self, connection: ClientConnection, receiving: bool) -> None:
+        """The connection starts (`receiving`) or stops to wait for the rest of a request."""
+        if receiving:
+            self.garbage.check()
+            self._receiving[connection] = None
+        else:
+            self._receiving.pop(connection, None)
+
     def set_lingering(self, connection: ClientConnection) -> None:
         """Our sending side of the connection is shut down; the client has not closed it yet."""
         self.set_idle(connection, False)
+        self._receiving.pop(connection, None)
         self._lingering[connection] = None
+        while len(self._lingering) > self.max_active * MAX_LINGERING_FRACTION:
+            next(iter(self._lingering)).evict()
 
     def _drop_idle(self) -> bool:
         """Evicts one connection: a lingering one, else an idle one that carried no request, else another idle one.
 
         Returns False if none could be evicted.
         """
-        idle = sorted(self._idle, key=lambda connection: connection.used)
-        return any(connection.evict() for connection in [*self._lingering, *idle])
+        if self._refused.drop_oldest():
+            return True
+        return any(connection.evict() for connection in [*self._lingering, *self._by_use()])
 
     async def shut_down(self, handed_over: bool = False, requested_at: float | None = None) -> None:
         """Shuts down gracefully: stops accepting connections, and returns when every request is answered.
@@ -170,6 +221,7 @@
         for connection in [connection for connection in self._open if not connection.owes_response]:
             connection.stream.close()
         await self._wait_until(started_at + times.wait_s)
+        self._refused.close()
 
     async def _wait_until(self, time: float) -> None:
         """Waits until no connection is open, at most until `time` (seconds of `time.monotonic`)."""
--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -8,12 +8,13 @@
 from time import monotonic
 
 from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from .. import logs
 from ..load_balancer_types import DiscoveredEndpoint
 from . import http1
-from .pipe import MAX_BUFFERED_BODY_BYTES, BodyPipe, BufferBudget, PipeBrokenError
+from .counted_stream import CountedStream
+from .pipe import MAX_BUFFERED_BODY_BYTES, BodyPipe, BudgetShare, BufferBudget, PipeBrokenError
 
 log = logs.get(__name__)
 
@@ -29,7 +30,7 @@
 
     def __init__(
         self,
-        stream: IOStream,
+        stream: CountedStream,
         endpoint_name: str,
         address: tuple[str, int],
         answer_s: float = 0.5,
@@ -52,6 +53,7 @@
         self._stall_s = stall_s
         self._parser = http1.ResponseParser(http1.MAX_STREAMED_BODY_BYTES)
         self._budget = budget or BufferBudget(MAX_BUFFER_BYTES)
+        self._share = BudgetShare(self._budget)  # of the parser's buffer, the head, and the part of a body that is held
         self._response: asyncio.Future[http1.Message | None] | None = None
         self._reserve_retry: Callable[[], bool] = lambda: True  # False: the request that awaits it is not sent again
         self._request_sent = True  # to its last byte
@@ -67,12 +69,12 @@
         """Reads responses until the connection ends, or receives what is not a response, and closes it."""
         try:
             while True:
-                self._pending_read = asyncio.ensure_future(
-                    self.stream.read_bytes(self._budget.read_bytes, partial=True)
-                )
+                self._pending_read = self.stream.read_piece()
                 if self._pending_read.done():
                     await asyncio.sleep(0)  # other connections come between: this endpoint may send all the time
-                self._parser.feed(await self._pending_read)
+                data = await self._pending_read
+                self.stream.taken(data)
+                self._parser.feed(data)
                 if self._response is None or (self._response.done() and self._pipe is None):
                     break  # bytes that are no response to a request
                 await self._process_input()
@@ -90,6 +92,7 @@
         finally:
             self._cancel_timer()
             self.close()
+            self._share.set(0)
 
     async def _process_input(self) -> None:
         """Buffers or forwards what has been received of the response."""
@@ -100,6 +103,8 @@
         piece = parser.pieces()
         self._received_bytes += len(piece)
         complete = parser.complete
+        held_bytes = self._received_bytes if self._pipe is None else 0
+        self._share.set(len(parser.buffer) + head.head_bytes + held_bytes)
         if self._pipe is None:
             self._buffer(piece, complete)
         else:
@@ -180,6 +185,7 @@
         self._pipe = self._head.rest = BodyPipe(self._budget)
         self.forwarded = asyncio.get_running_loop().create_future()
         self._head.body = b"".join(self._buffered)
+        self._buffered.clear()
         self._response.set_result(self._head)
         self._limit_wait_for_body()
         return True
--- a/limenotch/net/endpoint_pool.py
+++ b/limenotch/net/endpoint_pool.py
@@ -4,29 +4,31 @@
 
 import asyncio
 import math
-import socket
 from collections.abc import Coroutine, Iterable, Iterator
 from functools import partial
 from time import monotonic
 from typing import Any
 
 from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from .. import logs, settings
 from ..load_balancer_types import AttemptEnding, DiscoveredEndpoint, DiscoveryStatus
 from . import attempt_check, http1
 from .attempt_message import encode_request
+from .counted_stream import open_stream
 from .endpoint_connection import MAX_BUFFER_BYTES, EndpointConnection
 from .pipe import BodyPipe, BufferBudget, PipeBrokenError
 from .request import Attempt
 from .requests import RequestManager
 from .response_outcome import ExchangeOutcome, attempt_ending, load_of
-from .slow_peers import limit_send_buffer, write_to_reader
+from .slow_peers import write_to_reader
 from .sockets import DescriptorQuota
 
 log = logs.get(__name__)
 
+HEDGING_RESERVE = 1 / 2  # of the descriptors; hedged attempts begin later than first ones, and would take the last
+
 
 class EndpointPool:
     """Owns the connections to endpoints and sends attempts over them."""
@@ -269,7 +271,7 @@
         chunked = attempt.request.payload.length is None
         while piece := await body_pipe.get():
             wire = http1.chunk(piece) if chunked else piece
-            await write_to_reader(stream, wire, self._tuning.stall_s, stream.close)
+            await write_to_reader(stream, wire, self._tuning.stall_s, stream.close, self._budget)
         if chunked:
             await stream.write(http1.LAST_CHUNK)
 
@@ -301,7 +303,9 @@
         if connection is not None:
             self._used[attempt] = connection
             return connection
-        connection = self._open(endpoint) if self._sockets.acquire() else None
+        # Hedged attempts leave some descriptors to the requests that have no attempt in flight.
+        spared = int(self._sockets.limit * HEDGING_RESERVE) if attempt.is_hedge else 0
+        connection = self._open(endpoint) if self._sockets.acquire(spared) else None
         if connection is None:
             self._forced_endings.setdefault(attempt, AttemptEnding.NOT_SENT)
             return None
@@ -345,16 +349,12 @@
 
     def _open(self, endpoint: DiscoveredEndpoint) -> EndpointConnection | None:
         """A connection that is not connected yet; None, with its descriptor released, if no socket can be created."""
-        family = socket.AF_INET6 if ":" in endpoint.address[0] else socket.AF_INET
         try:
-            sock = socket.socket(family, socket.SOCK_STREAM)
+            stream = open_stream(endpoint.address, self._budget, MAX_BUFFER_BYTES)
         except OSError as error:  # no descriptor is left in spite of the quota
             log.warning("no descriptor for a connection to an endpoint", endpoint=endpoint.name, error=str(error))
             self._sockets.release()
             return None
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        limit_send_buffer(sock)
-        stream = IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES)
         connection = EndpointConnection(
             stream, endpoint.name, endpoint.address, self._tuning.answer_s, self._tuning.stall_s, self._budget
         )
--- a/limenotch/net/http1.py
+++ b/limenotch/net/http1.py
@@ -18,6 +18,8 @@
 START_BYTES = 16  # of a message, which are checked before its head is complete
 MAX_EMPTY_LINES = 16  # before a message; one is to be ignored (RFC 9112, 2.2)
 MAX_INTERIM_RESPONSES = 64  # before a final response
+MAX_FIELDS = 128  # of a head
+FIELD_BYTES = 400  # that a parsed header field takes beside its text: two strings, a pair, and its place in a table
 
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")  # RFC 9110, 5.6.2
 TARGET = re.compile(rb"[!-~\x80-\xff]+")
@@ -62,6 +64,18 @@
     body: bytes = b""  # complete, or the part of a long body that was buffered
     length: int | None = 0  # of the body in bytes; None: known only at its end
     rest: Any = None  # the pipe of a streamed body, with the pieces that follow `body`
+    text_bytes: int = 0  # of the head as it was received
+
+    @property
+    def head_bytes(self) -> int:
+        """The memory that the parsed head takes, in bytes."""
+        return self.text_bytes + FIELD_BYTES * len(self.headers)
+
+    def drop_content(self) -> None:
+        """Drops headers and body, as the message is not needed any more: others may refer to it for longer."""
+        self.headers = []
+        self.fields = {}
+        self.body = b""
 
     @property
     def keep_alive(self) -> bool:
@@ -160,11 +174,14 @@
             return None
         if end > MAX_HEAD_BYTES:
             raise MalformedError(431, "headers too large")
+        if self.buffer.count(b"\r\n", 0, end) > MAX_FIELDS:
+            raise MalformedError(431, "too many header fields")
         first, *lines = bytes(self.buffer[:end]).split(b"\r\n")
         del self.buffer[: end + 4]
         self._searched_bytes = 0
         self._empty_lines = 0
         message = self._parse_headers(lines)
+        message.text_bytes = end
         self._parse_start_line(first, message)
         return message
 
--- a/limenotch/net/pipe.py
+++ b/limenotch/net/pipe.py
@@ -37,6 +37,19 @@
         return size > MAX_BUFFERED_BODY_BYTES or size > SMALL_READ_BYTES and self.exhausted
 
 
+class BudgetShare:
+    """What one owner of bytes or parsed objects holds of a budget."""
+
+    def __init__(self, budget: BufferBudget) -> None:
+        self._budget = budget
+        self.bytes = 0
+
+    def set(self, size: int) -> None:
+        """The owner holds `size` bytes from now on."""
+        self._budget.used += size - self.bytes
+        self.bytes = size
+
+
 class BodyPipe:
     """The pieces of one body: `put` by the connection it arrives on, and `get` by the one it is forwarded on."""
 
--- a/limenotch/net/read_ahead.py
+++ b/limenotch/net/read_ahead.py
@@ -13,10 +13,11 @@
 from collections.abc import Callable
 from enum import Enum
 
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from ..config import host_port
-from .pipe import READ_BYTES, BufferBudget
+from .counted_stream import CountedStream
+from .pipe import SMALL_READ_BYTES, BufferBudget
 from .slow_peers import write_to_reader
 
 # Bytes that a client may send before it has received its response: several complete requests that are short enough to
@@ -39,7 +40,7 @@
     """The sidecar ends the connection while it is idle, between two requests."""
 
 
-class ClientStream(IOStream):
+class ClientStream(CountedStream):
     """A client's connection that reports its end at once.
 
     Tornado's close callback runs in the next turn of the event loop, after the timers that are due by then.
@@ -58,7 +59,7 @@
         An orderly end would mark what the kernel still sends as a complete response if that has no length. Raises
         StreamClosedError.
         """
-        await write_to_reader(self, data, silence_s, self.reset)
+        await write_to_reader(self, data, silence_s, self.reset, self._budget)
 
     def peer_connected(self) -> bool:
         """Whether the client is connected as far as the kernel knows, which a busy event loop may not have noticed."""
@@ -91,7 +92,7 @@
 class ReadAhead:
     """The bytes of one stream, in the order in which they arrive."""
 
-    def __init__(self, stream: IOStream, budget: BufferBudget) -> None:
+    def __init__(self, stream: CountedStream, budget: BufferBudget) -> None:
         self.stream = stream
         self.dropped = False  # whether bytes were dropped: no further request can be read then
         self._budget = budget
@@ -193,7 +194,7 @@
         if self._pending is not None or self.stream.closed():
             return None
         try:
-            self._pending = asyncio.ensure_future(self.stream.read_bytes(self._budget.read_bytes, partial=True))
+            self._pending = self.stream.read_piece()
         except OSError:  # the connection is broken, and the stream has closed itself
             return None
         return self._pending
@@ -210,6 +211,7 @@
         if future is None or future.cancelled() or future.exception() is not None:
             return  # the stream is closed
         piece = future.result()
+        self.stream.taken(piece)
         if self._mode is Mode.BUFFER_OR_DROP and (self.dropped or self._buffered_bytes + len(piece) > self._capacity):
             self.dropped = True
             self._clear_buffer()
@@ -219,7 +221,7 @@
 
     @property
     def _capacity(self) -> int:
-        return READ_BYTES if self._budget.exhausted else MAX_READ_AHEAD_BYTES
+        return SMALL_READ_BYTES if self._budget.exhausted else MAX_READ_AHEAD_BYTES
 
     def _should_read_ahead(self) -> bool:
         if self._mode is Mode.BUFFER:
--- a/limenotch/net/request.py
+++ b/limenotch/net/request.py
@@ -57,6 +57,11 @@
         """Whether the endpoint may have run it: its first byte was sent, and its ending does not rule it out."""
         return self.sent_at > 0 and self.ending not in NEVER_RAN
 
+    @property
+    def is_hedge(self) -> bool:
+        """Whether another attempt of its request is in flight."""
+        return any(other is not self and not other.ended for other in self.request.attempts)
+
     @property
     def response_needed(self) -> bool:
         """Whether the attempt is in flight and its request still waits for a response."""
--- a/limenotch/net/request_reader.py
+++ b/limenotch/net/request_reader.py
@@ -1,9 +1,10 @@
-"""Receives the requests of one client's connection, within limits of time (RFC 9112)."""
+"""Receives the requests of one client's connection, within limits of time and memory (RFC 9112)."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Awaitable, Callable
 from time import monotonic
 from typing import Protocol
@@ -12,15 +13,20 @@
 
 from ..settings import ClientSettings
 from . import http1
-from .pipe import BodyPipe, BufferBudget, PipeBrokenError
+from .pipe import BodyPipe, BudgetShare, BufferBudget, PipeBrokenError
 from .read_ahead import ReadAhead
 
+# Of a head, while the budget is exhausted: several times what a client of the platform sends.
+MAX_SMALL_HEAD_BYTES = 4 * 1024
+MAX_SMALL_HEAD_FIELDS = 32
+MIN_RECEIVING_S = 0.1  # seconds that each request has to arrive, however many clients wait
+
 
 class ReceivingConnection(Protocol):
     """What the reader uses of the connection whose requests it receives."""
 
-    def receiving_started(self) -> None:
-        """Bytes have arrived: the connection is not idle any more."""
+    def set_receiving(self, receiving: bool) -> None:
+        """A part of a request has arrived (`receiving`), or all of it that is awaited."""
         ...
 
     def end_if_idle(self) -> bool:
@@ -33,13 +39,17 @@
 
 
 class RequestReader:
-    """Receives requests one after another."""
+    """Receives requests one after another; what it holds of the current one is charged to the budget."""
 
     def __init__(self, reader: ReadAhead, connection: ReceivingConnection, budget: BufferBudget) -> None:
         self.reader = reader
         self.parser = http1.RequestParser(http1.MAX_STREAMED_BODY_BYTES)
         self._connection = connection
         self._budget = budget
+        self._share = BudgetShare(budget)  # of the parser's buffer, the head, and the part of the body that is held
+        self._begun_at = 0.0  # s; when the first bytes of the current request arrived
+        self._received_bytes = 0  # of the current request
+        self._head_bytes = 0  # of the current request, parsed
         self.timer: object = None  # limits the wait for a request, its head or its body
         self._body_wait_s = 0.0  # time spent waiting for the current body
 
@@ -48,6 +58,11 @@
         """Whether no part of a further request has arrived, neither here nor in the kernel."""
         return self.parser.idle and self.reader.empty
 
+    def receiving_rate(self, now: float) -> float:
+        """The bytes a second of the request that is being received; infinite for MIN_RECEIVING_S."""
+        age_s = now - self._begun_at
+        return self._received_bytes / age_s if age_s >= MIN_RECEIVING_S else math.inf
+
     async def read_request(
         self, limits: ClientSettings, used: bool, send_continue: Callable[[], Awaitable[None]]
     ) -> http1.Message:
@@ -58,22 +73,54 @@
         request in time the connection ends.
         """
         parser = self.parser
+        self._received_bytes = 0
+        self._begun_at = monotonic()
         begun = not used
         self._start_timer(limits.request_s if begun else limits.idle_s)
         try:
             while (message := parser.head()) is None:
+                self._check_head_size()
                 if not (begun or parser.idle):
                     begun = True
                     self._start_timer(limits.request_s)
-                parser.feed(await self.reader.read())
-                self._connection.receiving_started()
+                await self._feed()
+                self._share.set(len(parser.buffer))
+                self._connection.set_receiving(not parser.idle)
+            self._charge_head(message)
             if parser.expects_continue and message.minor == 1:
                 self._stop_timer()
                 await send_continue()
+            self._connection.set_receiving(True)
             return await self._read_body(limits, message)
         finally:
+            self._connection.set_receiving(False)
             self._stop_timer()
 
+    def discard(self) -> None:
+        """Drops what was received of a request that is rejected."""
+        self.parser.buffer.clear()
+        self._share.set(0)
+
+    def release(self) -> None:
+        """Ends the charge for the request that was read last: it is answered."""
+        self._share.set(len(self.parser.buffer))
+
+    def close(self) -> None:
+        """Ends all charges: the connection has ended."""
+        self._share.set(0)
+
+    def _check_head_size(self) -> None:
+        """Raises MalformedError if an incomplete head takes more than there is memory for."""
+        if len(self.parser.buffer) > MAX_SMALL_HEAD_BYTES and self._budget.exhausted:
+            raise http1.MalformedError(503, "no memory for a head of this size now")
+
+    def _charge_head(self, message: http1.Message) -> None:
+        """Charges a parsed head. Raises MalformedError if there is no memory for it."""
+        if len(message.headers) > MAX_SMALL_HEAD_FIELDS and self._budget.exhausted:
+            raise http1.MalformedError(503, "no memory for so many header fields now")
+        self._head_bytes = message.head_bytes
+        self._share.set(len(self.parser.buffer) + self._head_bytes)
+
     async def _read_body(self, limits: ClientSettings, message: http1.Message) -> http1.Message:
         """Reads the body up to its end, or as far as it may be buffered."""
         parser = self.parser
@@ -84,6 +131,7 @@
             piece = parser.pieces()
             pieces.append(piece)
             size += len(piece)
+            self._share.set(len(parser.buffer) + self._head_bytes + size)
             if parser.complete:
                 parser.next()
                 break
@@ -108,10 +156,18 @@
         started_at = monotonic()
         left_s = limits.body_s + size / limits.body_rate - self._body_wait_s
         self._start_timer(max(min(left_s, limits.body_s), 0.0))
-        self.parser.feed(await self.reader.read())
+        await self._feed()
         self._stop_timer()
         self._body_wait_s += monotonic() - started_at
 
+    async def _feed(self) -> None:
+        """Passes what arrives next to the parser."""
+        data = await self.reader.read()
+        if self.parser.idle:
+            self._begun_at = monotonic()
+        self._received_bytes += len(data)
+        self.parser.feed(data)
+
     async def receive_rest(self, limits: ClientSettings, message: http1.Message) -> None:
         """Reads the rest of a streamed request to its end, and puts it into its pipe while an attempt reads that.
 
@@ -119,6 +175,7 @@
         """
         parser = self.parser
         size = len(message.body)
+        self._connection.set_receiving(True)
         try:
             while True:
                 piece = parser.pieces()
@@ -130,6 +187,7 @@
                     return
                 await self._receive_more(limits, size)
         finally:
+            self._connection.set_receiving(False)
             self._stop_timer()
 
     def _start_timer(self, wait_s: float) -> None:
--- a/limenotch/net/requests.py
+++ b/limenotch/net/requests.py
@@ -30,6 +30,7 @@
 )
 from ..metrics import Metrics
 from ..request_policy import SentAttempt
+from . import final_responses
 from .pipe import BodyPipe
 from .request import (
     NO_DETAILS,
@@ -45,7 +46,6 @@
 from .request_ids import RequestIds
 from .request_trace import trace_accepted, trace_attempt, trace_final
 
-NO_CAPACITY_RETRY_AFTER_MS = 1000.0  # the settings may allow less
 METRIC_ENDINGS = {Verdict.SERVED: "answered", Verdict.REJECTED: "deferred", Verdict.FAILED: "errored"}
 
 
@@ -56,6 +56,7 @@
         """`max_open`: how many requests may be open at once; further ones are rejected."""
         self.load_balancer = load_balancer
         self.max_open = max_open
+        self.max_streams: float = math.inf  # long responses that are forwarded at once
         self.metrics = metrics or Metrics()
         # During a shutdown: when every request has to end, in seconds of time.monotonic.
         self.last_deadline = math.inf
@@ -64,7 +65,7 @@
         self.streaming: dict[int, Request] = {}  # requests whose responses are being streamed to their clients
         self.attempt_runner: AttemptRunner
         self.watch_discovery: Callable[[], None]
-        self._request_ids = RequestIds()
+        self.request_ids = RequestIds()
         self._loop = IOLoop.current()
         self._last_number = 0
         self._attempts_in_flight: dict[tuple[int, int], Attempt] = {}  # by the numbers of request and attempt
@@ -74,7 +75,7 @@
 
     def is_known(self, request_id: bytes) -> bool:
         """Whether a request with this id is open, or has ended, may have run and must not run again."""
-        return self._request_ids.is_known(request_id, monotonic())
+        return self.request_ids.is_known(request_id, monotonic())
 
     def accept(
         self,
@@ -111,19 +112,16 @@
         )
         request.policy = self.load_balancer.request_policy(class_name, bool(details.idempotency_key))
         self.metrics.count_taken()
-        if not has_capacity or len(self.open) >= self.max_open or self.load_balancer.rejects_all:
-            self._reject_without_capacity(request)
+        no_memory = not request.policy.is_idempotent and self.request_ids.is_full(monotonic())
+        if not has_capacity or no_memory or len(self.open) >= self.max_open or self.load_balancer.rejects_all:
+            self._close(request, final_responses.without_capacity(self.load_balancer))
         else:
             self._open_request(request, usable_ms)
         return request
 
-    def _reject_without_capacity(self, request: Request) -> None:
-        retry_after_ms = min(NO_CAPACITY_RETRY_AFTER_MS, self.load_balancer.max_retry_after_ms)
-        self._close(request, FinalResponse(Verdict.REJECTED, retry_after_ms=retry_after_ms))
-
     def _open_request(self, request: Request, usable_ms: float) -> None:
         self.open[request.number] = request
-        self._request_ids.add(request.request_id)
+        self.request_ids.add(request.request_id)
         if self._trace:
             trace_accepted(request, usable_ms)
         try:
@@ -193,10 +191,10 @@
 
     def _abandon(self, request: Request) -> None:
         """Ends a request that the load balancer has not decided to end, and cancels its attempts."""
-        if any(attempt.may_have_run for attempt in request.attempts):
-            final = FinalResponse(Verdict.FAILED, timed_out=True)
-        else:
-            final = FinalResponse(Verdict.REJECTED)
+        self._end(request, final_responses.abandoned(request))
+
+    def _end(self, request: Request, final: FinalResponse) -> None:
+        """Ends a request with a response that the load balancer has not decided, and cancels its attempts."""
         self._close(request, final)
         self.execute(self.load_balancer.client_disconnected(request.number))
         self._cancel_attempts(request)
@@ -246,6 +244,9 @@
         request = attempt.request
         if not attempt.response_needed:
             return False
+        if len(self.streaming) >= self.max_streams:
+            self._end(request, final_responses.without_memory_for_response(request, self.load_balancer))
+            return False
         attempt.response_began_at = monotonic()
         self.streaming[request.number] = request
         self._close(request, FinalResponse(Verdict.SERVED, payload))
@@ -255,7 +256,7 @@
     def stream_ended(self, request: Request, ending: str) -> None:
         """A streamed response has ended; `ending` is the name of the metric that counts it."""
         if self.streaming.pop(request.number, None) is not None:
-            self._request_ids.discard(request.request_id)
+            self.request_ids.discard(request.request_id)
             self.metrics.count_ended(request.class_name, ending)
 
     def reserve_retry(self, attempt: Attempt) -> bool:
@@ -388,6 +389,6 @@
         """Removes the request from the open ones, and remembers its id if it may have run and must not run again."""
         if not request.policy.is_idempotent and any(attempt.may_have_run for attempt in request.attempts):
             now = monotonic()
-            self._request_ids.remember(request.request_id, now, now + request.policy.deadline_s)
+            self.request_ids.remember(request.request_id, now, now + request.policy.deadline_s)
         if self.open.pop(request.number, None) is not None and request.number not in self.streaming:
-            self._request_ids.discard(request.request_id)
+            self.request_ids.discard(request.request_id)
--- a/limenotch/net/slow_peers.py
+++ b/limenotch/net/slow_peers.py
@@ -13,6 +13,8 @@
 from tornado.ioloop import IOLoop
 from tornado.iostream import IOStream
 
+from .pipe import BudgetShare, BufferBudget
+
 # The kernel doubles it. Its own choice grows to megabytes, and a write goes on only when a third of them is free.
 SEND_BUFFER_BYTES = 128 * 1024
 MAX_UNSEEN_BYTES = 512 * 1024  # that a peer may read before its kernel acknowledges more
@@ -26,9 +28,13 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
 
 
-async def write_to_reader(stream: IOStream, data: bytes, silence_s: float, give_up: Callable[[], None]) -> None:
+async def write_to_reader(
+    stream: IOStream, data: bytes, silence_s: float, give_up: Callable[[], None], budget: BufferBudget
+) -> None:
     """Writes `data`; calls `give_up`, which closes the stream, if its peer reads nothing for `silence_s` seconds.
 
+    Until all of it is written, `data` is charged to the budget.
+
     A peer that reads at least MIN_READ_RATE and pauses for less than `silence_s` is never given up. One that does not
     read at all is given up after `silence_s` and MAX_UNSEEN_S. Raises StreamClosedError.
     """
@@ -37,7 +43,10 @@
         await written
         return
     timer = IOLoop.current().call_later(silence_s + MAX_UNSEEN_S, give_up)
+    share = BudgetShare(budget)
+    share.set(len(data))
     try:
         await written
     finally:
+        share.set(0)
         IOLoop.current().remove_timeout(timer)
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from collections.abc import Callable
 
@@ -19,9 +20,12 @@
         self.idle = 0  # of those used, by idle connections: each can carry a request, or be closed for a new one
         self.drop_idle: Callable[[], bool] = lambda: False  # closes one idle connection, if there is any
 
-    def acquire(self) -> bool:
-        """Counts one more descriptor if the limit allows it or an idle connection can be closed; False otherwise."""
-        if self.used >= self.limit and not self.drop_idle():
+    def acquire(self, spared: int = 0) -> bool:
+        """Counts one more descriptor if the limit allows it or an idle connection can be closed; False otherwise.
+
+        `spared`: how many descriptors below the limit are left to others.
+        """
+        if self.used >= self.limit - spared and not self.drop_idle():
             return False
         self.used += 1
         return True
@@ -113,13 +117,13 @@
         self.endpoints = DescriptorQuota()
         self.set_limit(limit)
 
-    def set_limit(self, limit: int) -> None:
-        """Sets the limit of the process, also at runtime.
+    def set_limit(self, limit: int, max_endpoint_connections: float = math.inf) -> None:
+        """Sets the limit of the process, also at runtime; memory may allow fewer connections to endpoints.
 
         Idle connections to endpoints beyond the new limit are closed; all other connections stay open.
         """
         shared = max(limit - self._tuning.reserve - self._reserved, MIN_SHARED_DESCRIPTORS)
         self.clients.limit = int(shared * self._tuning.client_fraction)
-        self.endpoints.limit = shared - self.clients.limit
+        self.endpoints.limit = int(min(shared - self.clients.limit, max_endpoint_connections))
         while self.endpoints.used > self.endpoints.limit and self.endpoints.drop_idle():
             pass  # closing these affects no client
--- a/limenotch/wiring.py
+++ b/limenotch/wiring.py
@@ -12,6 +12,7 @@
 from .load_balancer import LoadBalancer
 from .load_balancer_types import DiscoveredEndpoint
 from .metrics import Metrics
+from .net import memory_limits
 from .net.admin.server import AdminServer, RequestHandler
 from .net.client_listener import ClientListener
 from .net.discovery.client import DiscoveryClient
@@ -28,7 +29,10 @@
 
 log = logs.get(__name__)
 
-BUFFERED_MEMORY_FRACTION = 1 / 8  # of the memory limit; the buffers of connections may take as much again
+MB = 1e6  # bytes
+REFUSAL_DESCRIPTORS = 16  # of clients' descriptors, for those that are refused and read the error
+STREAM_FRACTION = 3 / 4  # of the clients, that may receive long responses at once
+HEDGED_FRACTION = 1 / 4  # more connections to endpoints than clients: hedged attempts, and idle ones
 
 
 def is_pushed(config: Config) -> bool:
@@ -36,11 +40,6 @@
     return config.raw_settings.get("registry_mode") == "push"
 
 
-def buffer_limit(memory_mb: float, processes: int) -> int:
-    """How many bytes of bodies each of `processes` processes may buffer; `memory_mb` (10^6 bytes) is for all."""
-    return int(memory_mb * 1e6 * BUFFERED_MEMORY_FRACTION / processes)
-
-
 def make_fleet_node(config: Config, settings: Settings) -> FleetNode | None:
     """This process's node of the fleet; None without a `[fleet]` table, and then no module of the fleet is imported."""
     if settings.fleet is None:
@@ -68,7 +67,9 @@
         self.metrics = Metrics()
         self.metrics.register_classes(class_names(config))
         self.requests = RequestManager(self.load_balancer, config.max_open, self.metrics)
-        self.buffers = BufferBudget(buffer_limit(config.memory_mb, 1))
+        self.buffers = BufferBudget(0)  # its limit is set by `limit_resources`
+        self._base_bytes = 0
+        self._base_endpoints = 0
         self.endpoint_pool = self._make_endpoint_pool(settings)
         self.discovery = self._make_discovery_client(settings)
         self.requests.attempt_runner = self.endpoint_pool
@@ -85,6 +86,7 @@
         self.successor = Successor(config.state_path, config.listen, self.export_state, self.set_process_count)
         if self.fleet_node is not None:
             self._connect_fleet_node(self.fleet_node)
+        self.measure_base()
         self.admin = AdminServer(self.is_ready, self.render_metrics, self.request_ejection, self._admin_paths())
 
     def _make_endpoint_pool(self, settings: Settings) -> EndpointPool:
@@ -131,6 +133,7 @@
         """Applies a list, complete or changes."""
         # The pool first: the load balancer's commands may concern an endpoint that is new in this list.
         self.endpoint_pool.apply_list(endpoints, complete)
+        self.limit_resources()
         self.has_endpoint_list.set()
         self.requests.execute(self.load_balancer.endpoints_listed(endpoints, complete, self.discovery.silence_ms()))
 
@@ -174,11 +177,26 @@
 
     # The other processes of this sidecar
 
+    def measure_base(self) -> None:
+        """Measures what the process takes without clients, and divides the rest of its memory between them."""
+        self._base_bytes = memory_limits.private_bytes()
+        self._base_endpoints = len(self.endpoint_pool)
+        self.limit_resources()
+
     def limit_resources(self) -> None:
         """Divides the limits of the configuration by the number of running processes of this sidecar."""
         processes = self.successor.process_count
-        self.descriptors.set_limit(self.config.sockets // processes)
-        self.buffers.limit = buffer_limit(self.config.memory_mb, processes)
+        memory = memory_limits.divide(
+            self.config.memory_mb * MB / processes, self._base_bytes, len(self.endpoint_pool) - self._base_endpoints
+        )
+        self.descriptors.set_limit(self.config.sockets // processes, memory.clients * (1 + HEDGED_FRACTION))
+        clients_limit = self.descriptors.clients.limit
+        max_clients = min(memory.clients, max(clients_limit - REFUSAL_DESCRIPTORS, clients_limit // 2))
+        self.clients.max_active = max_clients
+        self.clients.garbage.threshold_bytes = memory.garbage_bytes
+        self.buffers.limit = memory.buffer_bytes
+        self.requests.max_streams = max(int(min(max_clients, self.descriptors.endpoints.limit) * STREAM_FRACTION), 1)
+        self.requests.request_ids.limit = memory.request_ids
 
     def set_process_count(self, processes: int) -> None:
         """Sets how many processes of this sidecar run from now on, this one included."""
