Count a long request's time from its last byte although its endpoint reads slowly

What callers saw: the final response of a long request came seconds after its time, for as long as an endpoint took to read the request (5.2 s after the last byte with a budget of 0.6 s).

Cause: the budget of a streamed request started when its last byte had been written to the endpoint (RequestManager.upload_finished). The time counts from the client's last byte. Until then nothing limited the request but a pause of 26 s of the endpoint. The class: a deadline that starts with what another peer does.

Change: it starts when the last byte is received, less the time for which the endpoint kept the client from sending over the last 4 MiB, which its kernel may hold: the client may have sent them. If that time alone is the budget, the request ends at once. A request whose body is not with its endpoint by then gets 504, or 503 if nothing was sent.

--- a/limenotch/net/client_connection.py
+++ b/limenotch/net/client_connection.py
@@ -247,11 +247,15 @@
         """Whether the connection is closed."""
         return self.stream.closed()
 
-    async def _receive_rest(self, message: http1.Message) -> None:
+    async def _receive_rest(self, request: Request, message: http1.Message) -> None:
         """Receives the rest of a streamed request; what is wrong with it ends the request."""
         try:
-            await self.request_reader.receive_rest(self._connections.settings, message)
+            requests = self._connections.requests
+            held_s = await self.request_reader.receive_rest(
+                self._connections.settings, message, request.budget_left_s, lambda: requests.expire_upload(request)
+            )
             self.reader.set_mode(Mode.BUFFER_OR_DROP)
+            requests.body_received(request, held_s)
             message.rest.end()
         except StreamClosedError:
             message.rest.break_off()
@@ -289,7 +293,7 @@
         )
         self._request.client_connected = self.stream.peer_connected
         if streamed:
-            self._upload = asyncio.get_running_loop().create_task(self._receive_rest(message))
+            self._upload = asyncio.get_running_loop().create_task(self._receive_rest(self._request, message))
 
     def _client_address(self) -> str:
         """The client's address, "host:port"; empty if it is unknown or there is no interceptor."""
--- a/limenotch/net/final_responses.py
+++ b/limenotch/net/final_responses.py
@@ -5,6 +5,7 @@
 from ..load_balancer import LoadBalancer
 from .request import FinalResponse, Request, Verdict
 
+METRIC_ENDINGS = {Verdict.SERVED: "answered", Verdict.REJECTED: "deferred", Verdict.FAILED: "errored"}
 NO_CAPACITY_RETRY_AFTER_MS = 1000.0  # the settings may allow less
 
 
--- a/limenotch/net/pipe.py
+++ b/limenotch/net/pipe.py
@@ -64,11 +64,26 @@
 
     async def put(self, piece: bytes) -> None:
         """Adds a piece, and waits until there is capacity for the next one. Raises PipeBrokenError."""
+        self.add(piece)
+        await self.wait_for_capacity()
+
+    def add(self, piece: bytes) -> None:
+        """Adds a piece, to be followed by `wait_for_capacity`."""
         if piece and not self._broken:
             self._pieces.append(piece)
             self._count(len(piece))
             self._changed.set()
-        while self._pieces and (self._buffered_bytes >= MAX_PIPE_BYTES or self._budget.exhausted) and not self._broken:
+
+    @property
+    def is_full(self) -> bool:
+        """Whether a piece has to be read before the next one is added."""
+        if self._broken or not self._pieces:
+            return False
+        return self._buffered_bytes >= MAX_PIPE_BYTES or self._budget.exhausted
+
+    async def wait_for_capacity(self) -> None:
+        """Waits until the next piece may be added. Raises PipeBrokenError."""
+        while self.is_full:
             self._changed.clear()
             await self._changed.wait()
         if self._broken:
--- a/limenotch/net/request.py
+++ b/limenotch/net/request.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from time import monotonic
 from typing import Any, NamedTuple, Protocol
 
 from ..load_balancer_types import NEVER_RAN, AttemptEnding, DiscoveredEndpoint, PlacementHint
@@ -97,6 +98,7 @@
     details: RequestDetails = NO_DETAILS
     placement_hint: PlacementHint | None = None  # the preferred endpoint
     already_charged: bool = False  # whether it is a retry of a request that was charged to the quota
+    upload_finished: bool = False  # whether the last byte of a streamed message was sent to an endpoint
     waited_ms: float = 0.0  # spent waiting for interceptors that returned RetryLater
     interceptors: list[RequestInterceptor] = field(default_factory=list)  # that have admitted it: notified of its end
     attempts: list[Attempt] = field(default_factory=list)
@@ -106,6 +108,14 @@
     policy: RequestPolicy = RequestPolicy()
     ran_elsewhere: SentAttempt | None = None  # an attempt sent by another sidecar, as that one reported it
 
+    def may_be_sent_again(self, attempt: Attempt) -> bool:
+        """Whether the class and the body of the request allow to send it again where `attempt` was sent."""
+        endpoint = attempt.endpoint
+        if endpoint is None or (self.body_pipe is not None and self.body_pipe.was_read):
+            return False
+        now_ms = monotonic() * 1000.0
+        return self.policy.allows_retry(self.possible_executions(), endpoint.zone, endpoint.group, now_ms)
+
     def possible_executions(self) -> list[SentAttempt]:
         """The attempts that may have run, including those in flight and the one that another sidecar reported."""
         reported = [self.ran_elsewhere] if self.ran_elsewhere is not None else []
--- a/limenotch/net/request_reader.py
+++ b/limenotch/net/request_reader.py
@@ -15,6 +15,7 @@
 from . import http1
 from .pipe import BodyPipe, BudgetShare, BufferBudget, PipeBrokenError
 from .read_ahead import ReadAhead
+from .upload_clock import UploadClock
 
 # Of a head, while the budget is exhausted: several times what a client of the platform sends.
 MAX_SMALL_HEAD_BYTES = 4 * 1024
@@ -168,28 +169,53 @@
         self._received_bytes += len(data)
         self.parser.feed(data)
 
-    async def receive_rest(self, limits: ClientSettings, message: http1.Message) -> None:
+    async def receive_rest(
+        self, limits: ClientSettings, message: http1.Message, budget_s: float, expired: Callable[[], None]
+    ) -> float:
         """Reads the rest of a streamed request to its end, and puts it into its pipe while an attempt reads that.
 
-        Raises StreamClosedError, and MalformedError if the body is not valid or too slow.
+        Returns for how many seconds of its time budget, `budget_s`, the client was held back by the endpoint; `expired`
+        is called when these are all of it. Raises StreamClosedError, and MalformedError if the body is not valid or
+        too slow.
         """
         parser = self.parser
+        clock = UploadClock(message.length)
         size = len(message.body)
         self._connection.set_receiving(True)
         try:
             while True:
                 piece = parser.pieces()
                 size += len(piece)
+                clock.received(size)
                 with contextlib.suppress(PipeBrokenError):  # the request is answered already
-                    await message.rest.put(piece)
+                    await self._put(message.rest, piece, clock, budget_s, expired)
                 if parser.complete:
                     parser.next()
-                    return
+                    return clock.held_s
                 await self._receive_more(limits, size)
         finally:
             self._connection.set_receiving(False)
             self._stop_timer()
 
+    async def _put(
+        self, pipe: BodyPipe, piece: bytes, clock: UploadClock, budget_s: float, expired: Callable[[], None]
+    ) -> None:
+        """Adds a piece to the pipe, and counts the time for which the client is held back. Raises PipeBrokenError."""
+        pipe.add(piece)
+        if not pipe.is_full:
+            await pipe.wait_for_capacity()
+            return
+        clock.hold(monotonic())
+        timer = None
+        if clock.may_be_sent:
+            timer = IOLoop.current().call_later(max(budget_s - clock.held_s, 0.0), expired)
+        try:
+            await pipe.wait_for_capacity()
+        finally:
+            clock.release(monotonic())
+            if timer is not None:
+                IOLoop.current().remove_timeout(timer)
+
     def _start_timer(self, wait_s: float) -> None:
         self._stop_timer()
         self.timer = IOLoop.current().call_later(wait_s, self.handle_timeout)
--- a/limenotch/net/requests.py
+++ b/limenotch/net/requests.py
@@ -46,8 +46,6 @@
 from .request_ids import RequestIds
 from .request_trace import trace_accepted, trace_attempt, trace_final
 
-METRIC_ENDINGS = {Verdict.SERVED: "answered", Verdict.REJECTED: "deferred", Verdict.FAILED: "errored"}
-
 
 class RequestManager:
     """Owns all open requests and executes the commands of the load balancer."""
@@ -91,8 +89,7 @@
     ) -> Request:
         """Accepts a request; `respond` is called exactly once unless its client disconnects first.
 
-        Without `has_capacity` the request is rejected at once. With a `body_pipe` its message is still being received,
-        and its time budget starts when the message is complete.
+        Without `has_capacity` it is rejected. With a `body_pipe`, its time budget starts with `body_received`.
         """
         # Limited by the deadline of its class: otherwise a request could stay open for days.
         usable_ms = usable_budget_ms(min(budget_ms, self.load_balancer.deadline_ms(class_name)))
@@ -162,10 +159,8 @@
         if hint is not None and hint.may_have_run:
             ran_at_ms = monotonic() * 1000.0 - hint.age_ms
             request.ran_elsewhere = SentAttempt(hint.zone, hint.group, ran_at_ms)
-        if request.body_pipe is not None:
-            budget_left_s = request.budget_left_s
-        else:
-            budget_left_s = max(request.deadline - monotonic(), 0.0)
+        streamed = request.body_pipe is not None
+        budget_left_s = request.budget_left_s if streamed else max(request.deadline - monotonic(), 0.0)
         self.execute(
             self.load_balancer.request_arrived(
                 request.number,
@@ -173,7 +168,7 @@
                 request.tenant,
                 budget_left_s * 1000.0,
                 request.details.is_retry,
-                request.body_pipe is not None,
+                streamed,
                 request.placement_hint,
                 bool(request.details.idempotency_key),
             )
@@ -223,11 +218,27 @@
             if not attempt.ended:
                 self.attempt_runner.cancel(attempt)
 
+    def body_received(self, request: Request, held_back_s: float) -> None:
+        """The last byte of a streamed message was received: the time budget of its request starts.
+
+        `held_back_s`: the part of it that has passed already, in which the endpoint kept the client from sending.
+        """
+        now = monotonic()
+        request.deadline = min(now + max(request.budget_left_s - held_back_s, 0.0), self.last_deadline)
+        self._loop.call_later(max(request.deadline - now, 0.0), self.expire_upload, request)
+
+    def expire_upload(self, request: Request) -> None:
+        """The time of a request is over; without effect if it has ended, or its endpoint has read all of it."""
+        if request.number in self.open and not request.upload_finished:
+            self._end(request, final_responses.abandoned(request))
+
     def upload_finished(self, attempt: Attempt) -> None:
-        """The last byte of a streamed message was sent: the time budget of its request starts."""
-        attempt.started_at = monotonic()
+        """The last byte of a streamed message was sent, for whose response its request's time is left."""
         request = attempt.request
-        request.deadline = min(attempt.started_at + request.budget_left_s, self.last_deadline)
+        request.upload_finished = True
+        if math.isinf(request.deadline):
+            self.body_received(request, 0.0)
+        attempt.started_at = monotonic()
         attempt.deadline = request.deadline
         budget_left_s = max(request.deadline - attempt.started_at, 0.0)
         self.execute(self.load_balancer.upload_finished(request.number, budget_left_s * 1000.0))
@@ -237,9 +248,8 @@
     ) -> bool:
         """A streamed response has begun; returns whether it is the final response of its request, to be forwarded.
 
-        For the load balancer that is the end of the attempt: the endpoint has done the work, and the time that the
-        client takes to read is no sign of load. The client's connection, which forwards the response, reports its end
-        to `stream_ended`. `utilisation` and `per_s` (requests per second) are from the endpoint's load report.
+        For the load balancer that is the end of the attempt: how long the client reads is no sign of load. The client's
+        connection reports the response's end to `stream_ended`. `utilisation` and `per_s`: see `load_of`.
         """
         request = attempt.request
         if not attempt.response_needed:
@@ -265,12 +275,7 @@
         Returns False if it would not: the attempt was sent, and the request may not be repeated or has no retry left.
         """
         request = attempt.request
-        endpoint = attempt.endpoint
-        if endpoint is None or (request.body_pipe is not None and request.body_pipe.was_read):
-            return False
-        sent = request.possible_executions()
-        allowed = request.policy.allows_retry(sent, endpoint.zone, endpoint.group, monotonic() * 1000.0)
-        return allowed and self.load_balancer.reserve_retry(request.number)
+        return request.may_be_sent_again(attempt) and self.load_balancer.reserve_retry(request.number)
 
     def attempt_ended(
         self,
@@ -281,11 +286,11 @@
         per_s: float | None = None,
     ) -> None:
         """An attempt has ended; the response of the first attempt that is served becomes its request's final one."""
+        request = attempt.request
         if attempt.ended:
             return
         attempt.ended = True
         attempt.ending = ending
-        request = attempt.request
         del self._attempts_in_flight[request.number, attempt.number]
         for interceptor in request.interceptors:
             interceptor.attempt_ended(attempt, ending)
@@ -374,7 +379,7 @@
     def _close(self, request: Request, final: FinalResponse) -> None:
         request.final = final
         if request.number not in self.streaming:
-            self.metrics.count_ended(request.class_name, METRIC_ENDINGS[final.verdict])
+            self.metrics.count_ended(request.class_name, final_responses.METRIC_ENDINGS[final.verdict])
         if self._trace:
             trace_final(request, final, self.load_balancer.decision_metrics())
         self._forget(request)
--- a/tests/test_attempt_crossings.py
+++ b/tests/test_attempt_crossings.py
@@ -311,10 +311,13 @@
 
     def write_to_fd(self, data: memoryview) -> int:
         remaining = 10 - PartialWriteStream.written
-        if remaining <= 0:
-            raise BlockingIOError
-        PartialWriteStream.written += super().write_to_fd(data[:remaining])
-        return min(remaining, 10)
+        try:
+            if remaining <= 0:
+                raise BlockingIOError
+            PartialWriteStream.written += super().write_to_fd(data[:remaining])
+            return min(remaining, 10)
+        finally:
+            del data  # as in IOStream: a frame that a traceback keeps alive would keep the buffer from being resized
 
 
 def reset_connection(writer: Writer) -> None:
