Do not cut off a response at a deadline that falls in the turn that forwards it

Cause: a deadline closes a connection unless it can start to forward a long response (EndpointPool._force_end). If the response was being forwarded already, start_forwarding returns False, and the response was cut off. The attempt's task cancels the deadline, but only in the next turn: both fall into one turn where it lasts long, as beside a flood.

Change: a response that is being forwarded is left alone, whichever came first.

Result: the test closes the connection on the code before.

--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -175,6 +175,11 @@
         """Whether the current response, by its head, is longer than what may be buffered."""
         return self.may_be_long and self._head is not None and self._head.length is not None
 
+    def forwards_if_long(self) -> bool:
+        """Whether the response is being forwarded; that starts now if the response may be long."""
+        already = self.forwarded is not None and not self.forwarded.done()
+        return already or (self.may_be_long and self.start_forwarding())
+
     def start_forwarding(self) -> bool:
         """Makes the response available now, with a pipe for the rest of its body.
 
--- a/limenotch/net/endpoint_pool.py
+++ b/limenotch/net/endpoint_pool.py
@@ -141,12 +141,7 @@
         if attempt.ended:
             return
         connection = self._used.get(attempt)
-        if (
-            ending is AttemptEnding.TIMED_OUT
-            and connection is not None
-            and connection.may_be_long
-            and connection.start_forwarding()
-        ):
+        if ending is AttemptEnding.TIMED_OUT and connection is not None and connection.forwards_if_long():
             return  # the deadline of a long response applies to its head, which was received in time
         self._forced_endings.setdefault(attempt, ending)
         if connection is not None:
