Know a request's id also after its long response, and in both processes of an upgrade

What callers saw: a request that may run once ran twice when its id came again, after its client had left within a long response, or at the other process of an upgrade.

Cause: an id is remembered for the class's deadline from the first byte of its response on, and was forgotten when the response ended: a response that took longer left nothing. Each process remembered its own ids only, and nothing of them was handed over. The class: knowledge that ends, or stays behind, while the other side still counts on it.

Change: the id is remembered anew when the response ends. Lines of the hand-over as they were; a process of the version before is not claimed from, and gets new lines only where it drops them. The connection to the predecessor is read in one place. A test that injects a fault into a pipe does so at the method that is awaited now.

--- a/limenotch/app.py
+++ b/limenotch/app.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import signal
+from time import monotonic
 
 from tornado.ioloop import PeriodicCallback
 
@@ -42,6 +43,7 @@
     if inherited is not None:
         components.set_process_count(components.successor.process_count)
         import_inherited_state(inherited, components.discovery, components.load_balancer)
+        import_request_ids(inherited, components)
     use_known_list(components)
     components.ejections.load()
     ejections_poll = PeriodicCallback(components.ejections.reload_if_changed, CHECK_INTERVAL_S * 1000.0)
@@ -69,6 +71,18 @@
         log.warning("predecessor's learned state rejected; starting without it", error=str(error))
 
 
+def import_request_ids(inherited: InheritedState, components: Components) -> None:
+    """Takes over the ids of the predecessor's requests, and claims new ones there. An earlier version sends none."""
+    exported = inherited.state.get("request_ids")
+    if exported is None:
+        return
+    try:
+        components.requests.request_ids.import_keys(exported, monotonic())
+    except (ValueError, TypeError) as error:
+        log.warning("predecessor's ids of requests rejected", error=str(error))
+    components.claim_requests()
+
+
 def use_known_list(components: Components) -> None:
     """Uses the endpoint list in the configuration, unless the predecessor has handed one over."""
     known_list = components.config.known_list
--- a/limenotch/net/request.py
+++ b/limenotch/net/request.py
@@ -108,6 +108,11 @@
     policy: RequestPolicy = RequestPolicy()
     ran_elsewhere: SentAttempt | None = None  # an attempt sent by another sidecar, as that one reported it
 
+    @property
+    def must_not_run_again(self) -> bool:
+        """Whether the request may have run, and a second execution could do harm."""
+        return not self.policy.is_idempotent and any(attempt.may_have_run for attempt in self.attempts)
+
     def may_be_sent_again(self, attempt: Attempt) -> bool:
         """Whether the class and the body of the request allow to send it again where `attempt` was sent."""
         endpoint = attempt.endpoint
--- a/limenotch/net/requests.py
+++ b/limenotch/net/requests.py
@@ -43,7 +43,7 @@
     RetryLater,
     Verdict,
 )
-from .request_ids import RequestIds
+from .request_ids import RequestIds, key_of
 from .request_trace import trace_accepted, trace_attempt, trace_final
 
 
@@ -72,7 +72,7 @@
         self._trace = logs.tracing()
 
     def is_known(self, request_id: bytes) -> bool:
-        """Whether a request with this id is open, or has ended, may have run and must not run again."""
+        """Whether a request with this id is open, or must not run again."""
         return self.request_ids.is_known(request_id, monotonic())
 
     def accept(
@@ -91,7 +91,7 @@
 
         Without `has_capacity` it is rejected. With a `body_pipe`, its time budget starts with `body_received`.
         """
-        # Limited by the deadline of its class: otherwise a request could stay open for days.
+        # Limited by its class: otherwise a request could stay open for days.
         usable_ms = usable_budget_ms(min(budget_ms, self.load_balancer.deadline_ms(class_name)))
         self._last_number += 1
         deadline = math.inf if body_pipe is not None else monotonic() + usable_ms / 1000.0
@@ -119,6 +119,8 @@
     def _open_request(self, request: Request, usable_ms: float) -> None:
         self.open[request.number] = request
         self.request_ids.add(request.request_id)
+        if not request.policy.is_idempotent:
+            self.request_ids.notify(key_of(request.request_id), 2 * request.policy.deadline_s)
         if self._trace:
             trace_accepted(request, usable_ms)
         try:
@@ -175,7 +177,7 @@
         )
 
     def finish_by(self, last_deadline: float) -> None:
-        """Starts a shutdown: every request, open ones included, is answered by `last_deadline` (time.monotonic)."""
+        """Starts a shutdown: every request is answered by `last_deadline` (time.monotonic)."""
         self.last_deadline = last_deadline
         self._loop.call_later(max(last_deadline - monotonic(), 0.0), self._end_all)
 
@@ -210,10 +212,7 @@
         self._cancel_attempts(request)
 
     def _cancel_attempts(self, request: Request) -> None:
-        """Cancels all attempts of the request, as their responses are not needed any more.
-
-        That includes attempts that the load balancer does not cancel, such as one whose response is being streamed.
-        """
+        """Cancels all attempts of the request, also one whose response is being streamed."""
         for attempt in request.attempts:
             if not attempt.ended:
                 self.attempt_runner.cancel(attempt)
@@ -266,6 +265,7 @@
     def stream_ended(self, request: Request, ending: str) -> None:
         """A streamed response has ended; `ending` is the name of the metric that counts it."""
         if self.streaming.pop(request.number, None) is not None:
+            self._remember(request)
             self.request_ids.discard(request.request_id)
             self.metrics.count_ended(request.class_name, ending)
 
@@ -321,10 +321,6 @@
             )
         )
 
-    def timer_fired(self, token: int) -> None:
-        """A timer that the load balancer scheduled is due."""
-        self.execute(self.load_balancer.timer_fired(token))
-
     def execute(self, commands: Commands) -> None:
         """Executes commands in the order given; commands that result from executing one of them come last."""
         self._pending_commands.extend(commands)
@@ -337,11 +333,14 @@
         finally:
             self._executing = False
 
+    def _handle_timer(self, token: int) -> None:
+        self.execute(self.load_balancer.timer_fired(token))
+
     def _execute_command(self, command: Command) -> None:
         if isinstance(command, StartAttempt):
             self._start_attempt(command)
         elif isinstance(command, ScheduleTimer):
-            self._loop.call_later(command.delay_ms / 1000.0, self.timer_fired, command.token)
+            self._loop.call_later(command.delay_ms / 1000.0, self._handle_timer, command.token)
         elif isinstance(command, WatchDiscovery):
             self.watch_discovery()
         elif isinstance(command, CancelAttempt):
@@ -360,9 +359,8 @@
         if request is None:
             return
         now = monotonic()
-        deadline = math.inf
-        if request.deadline != math.inf:
-            deadline = min(now + command.timeout_ms / 1000.0, request.deadline)
+        limited = request.deadline != math.inf
+        deadline = min(now + command.timeout_ms / 1000.0, request.deadline) if limited else math.inf
         attempt = Attempt(request, len(request.attempts), command.endpoint, now, deadline)
         request.attempts.append(attempt)
         self._attempts_in_flight[request.number, attempt.number] = attempt
@@ -391,9 +389,12 @@
             interceptor.request_closed(request)
 
     def _forget(self, request: Request) -> None:
-        """Removes the request from the open ones, and remembers its id if it may have run and must not run again."""
-        if not request.policy.is_idempotent and any(attempt.may_have_run for attempt in request.attempts):
-            now = monotonic()
-            self.request_ids.remember(request.request_id, now, now + request.policy.deadline_s)
+        self._remember(request)
         if self.open.pop(request.number, None) is not None and request.number not in self.streaming:
             self.request_ids.discard(request.request_id)
+
+    def _remember(self, request: Request) -> None:
+        """Remembers the id of a request that must not run again, for as long as its client may send it."""
+        if request.must_not_run_again:
+            now = monotonic()
+            self.request_ids.remember(request.request_id, now, now + request.policy.deadline_s)
--- a/limenotch/net/successor.py
+++ b/limenotch/net/successor.py
@@ -12,13 +12,13 @@
 import json
 import os
 import socket
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 from tornado.ioloop import IOLoop
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from .. import logs
 from ..config import Address
@@ -30,7 +30,7 @@
 VERSION = 1  # of the hand-over's protocol
 HANDOVER_TIMEOUT_S = 2.0  # for a complete hand-over: a predecessor that hangs must not delay the start for longer
 MAX_STATE_BYTES = 4 * 1024 * 1024  # of the line of JSON
-MAX_MESSAGE_BYTES = 64  # of the other lines
+MAX_MESSAGE_BYTES = 128  # of the other lines
 MAX_REQUEST_BUFFER_BYTES = 4096  # for what the successor sends
 SERVING = b"serving\n"
 SERVING_ACK = b"noted\n"
@@ -60,6 +60,12 @@
         os.close(folder)
 
 
+def _retrieve_error(future: asyncio.Future[None]) -> None:
+    """The stream's end is handled where it is read."""
+    if not future.cancelled():
+        future.exception()
+
+
 def _set_done(future: asyncio.Future[None]) -> None:
     if not future.done():
         future.set_result(None)
@@ -88,6 +94,12 @@
         self._handover_listener: Listener | None = None  # on the Unix socket
         self._client_listener: socket.socket | None = None  # the one that is handed over
         self._predecessor: IOStream | None = None
+        self._acknowledged = asyncio.Event()  # the predecessor knows that this process serves
+        # A line that the predecessor sent; and the answer to a line of a successor, if there is one.
+        self.predecessor_line: Callable[[bytes], None] = lambda line: None
+        self.predecessor_ended: Callable[[], None] = lambda: None
+        self.first_lines: Callable[[], bytes] = lambda: b""  # sent to a successor that serves
+        self.answer_successor: Callable[[bytes], bytes | None] = lambda line: None
         self._successors: dict[IOStream, bool] = {}  # and whether each serves
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -150,7 +162,7 @@
                 received.close()
             raise
         self._predecessor = stream
-        stream.set_close_callback(self._handle_predecessor_end)
+        self._start_task(self._read_from_predecessor(stream))
         return InheritedState(sockets[0], state)
 
     def _check_listener(self, sockets: list[socket.socket]) -> None:
@@ -162,6 +174,7 @@
 
     def _handle_predecessor_end(self) -> None:
         self._predecessor = None
+        self.predecessor_ended()
         log.info("predecessor ended")
         self._process_count_changed(self.process_count)
 
@@ -174,13 +187,23 @@
         stream = self._predecessor
         if stream is None:
             return
-        timer = self._loop.call_later(HANDOVER_TIMEOUT_S, stream.close)
-        with contextlib.suppress(StreamClosedError):
+        with contextlib.suppress(StreamClosedError, TimeoutError):
             await stream.write(SERVING)
-            await stream.read_until(SERVING_ACK, max_bytes=MAX_MESSAGE_BYTES)
-        self._loop.remove_timeout(timer)
-        if not stream.closed():
-            self._start_watching(stream)
+            async with asyncio.timeout(HANDOVER_TIMEOUT_S):
+                await self._acknowledged.wait()
+            return
+        stream.close()
+
+    def tell_predecessor(self, line: bytes) -> None:
+        """Sends a line to the predecessor, if it still runs."""
+        if self._predecessor is not None and not self._predecessor.closed():
+            self._predecessor.write(line).add_done_callback(_retrieve_error)
+
+    def tell_successors(self, line: bytes) -> None:
+        """Sends a line to the later processes that serve."""
+        for stream, serves in self._successors.items():
+            if serves and not stream.closed():
+                stream.write(line).add_done_callback(_retrieve_error)
 
     # As the predecessor of another process
 
@@ -218,11 +241,7 @@
             self._handover_listener.accept_connections(1, self._start_handover, lambda _: None)
 
     def _start_handover(self, sock: socket.socket) -> None:
-        task = asyncio.get_running_loop().create_task(
-            self._hand_over(IOStream(sock, max_buffer_size=MAX_REQUEST_BUFFER_BYTES))
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._start_task(self._hand_over(IOStream(sock, max_buffer_size=MAX_REQUEST_BUFFER_BYTES)))
 
     async def _hand_over(self, stream: IOStream) -> None:
         timer = self._loop.call_later(HANDOVER_TIMEOUT_S, stream.close)
@@ -237,11 +256,8 @@
             self._successors[stream] = False
             log.info("handed over to a successor", size=len(state))
             self._process_count_changed(self.process_count)
-            if await stream.read_until(SERVING, max_bytes=MAX_MESSAGE_BYTES):
-                self._successors[stream] = True
-                log.info("successor serves")
-                await stream.write(SERVING_ACK)
-            await stream.read_until_close()
+            while line := await stream.read_until(b"\n", max_bytes=MAX_MESSAGE_BYTES):
+                await self._handle_successor_line(stream, line)
         except (StreamClosedError, OSError) as error:
             log.info("successor ended", error=str(error))
         except Exception:
@@ -255,16 +271,38 @@
                     # The successor that ended may have replaced our Unix socket by its own.
                     self.offer_listener(self._client_listener)
 
-    def _start_watching(self, stream: IOStream) -> None:
-        """Keeps reading a connection on which nothing more is sent, so that its end is noticed."""
-        task = asyncio.get_running_loop().create_task(self._read_until_closed(stream))
+    async def _handle_successor_line(self, stream: IOStream, line: bytes) -> None:
+        if line == SERVING:
+            self._successors[stream] = True
+            log.info("successor serves")
+            await stream.write(SERVING_ACK + self.first_lines())
+        elif (answer := self.answer_successor(line)) is not None:
+            await stream.write(answer)
+        await asyncio.sleep(0)
+
+    async def _read_from_predecessor(self, stream: IOStream) -> None:
+        """Handles the predecessor's lines up to its end."""
+        try:
+            while line := await stream.read_until(b"\n", max_bytes=MAX_MESSAGE_BYTES):
+                if line == SERVING_ACK:
+                    self._acknowledged.set()
+                else:
+                    self.predecessor_line(line)
+                await asyncio.sleep(0)
+        except (StreamClosedError, UnsatisfiableReadError):
+            pass
+        except Exception:
+            log.exception("internal error in the hand-over")
+        finally:
+            stream.close()
+            if self._predecessor is stream:
+                self._handle_predecessor_end()
+
+    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _read_until_closed(self, stream: IOStream) -> None:
-        with contextlib.suppress(StreamClosedError):
-            await stream.read_until_close()
-
     def _stop_listening(self) -> None:
         if self._handover_listener is not None:
             self._handover_listener.close()
@@ -273,6 +311,8 @@
     def close(self) -> None:
         """Closes the Unix socket and the connections to the other processes."""
         self._stop_listening()
-        for stream in [*self._successors, *([self._predecessor] if self._predecessor is not None else [])]:
+        predecessor = self._predecessor
+        self._predecessor = None
+        for stream in [*self._successors, *([predecessor] if predecessor is not None else [])]:
             stream.set_close_callback(None)
             stream.close()
--- a/limenotch/wiring.py
+++ b/limenotch/wiring.py
@@ -5,14 +5,16 @@
 import asyncio
 from collections.abc import Iterable, Mapping
 from random import Random
+from time import monotonic
 from typing import TYPE_CHECKING, Any
 
 from . import logs
+from .clocks import MS_PER_S
 from .config import Config, host_port
 from .load_balancer import LoadBalancer
 from .load_balancer_types import DiscoveredEndpoint
 from .metrics import Metrics
-from .net import memory_limits
+from .net import memory_limits, request_claims
 from .net.admin.server import AdminServer, RequestHandler
 from .net.client_listener import ClientListener
 from .net.discovery.client import DiscoveryClient
@@ -84,6 +86,9 @@
         )
         self.ejections = OperatorEjections(config.state_path, self.set_ejected)
         self.successor = Successor(config.state_path, config.listen, self.export_state, self.set_process_count)
+        self.successor.answer_successor = self._answer_claim
+        self.successor.first_lines = self._lines_of_known_requests
+        self.requests.request_ids.notify = self._notify_successors
         if self.fleet_node is not None:
             self._connect_fleet_node(self.fleet_node)
         self.measure_base()
@@ -183,6 +188,29 @@
         self._base_endpoints = len(self.endpoint_pool)
         self.limit_resources()
 
+    @property
+    def _longest_known_s(self) -> float:
+        """For how many seconds the id of an open request counts as known elsewhere."""
+        return 2 * max(cls.deadline_ms for cls in self.load_balancer.classes) / MS_PER_S
+
+    def _answer_claim(self, line: bytes) -> bytes | None:
+        return request_claims.answer_claim(self.requests.request_ids, line, self._longest_known_s)
+
+    def _notify_successors(self, key: bytes, left_s: float) -> None:
+        self.successor.tell_successors(request_claims.remember_line(key, left_s))
+
+    def _lines_of_known_requests(self) -> bytes:
+        known = self.requests.request_ids.export(monotonic(), self._longest_known_s)
+        return b"".join(request_claims.remember_line(bytes.fromhex(key), left_s) for key, left_s in known.items())
+
+    def claim_requests(self) -> None:
+        """From now on up to the predecessor's end, requests that may run only once are claimed there."""
+        claims = request_claims.PredecessorClaims(self.requests.request_ids, self.successor.tell_predecessor)
+        others = self.requests.interceptors
+        self.requests.interceptors = (claims, *others)
+        self.successor.predecessor_line = claims.handle_line
+        self.successor.predecessor_ended = claims.predecessor_ended
+
     def limit_resources(self) -> None:
         """Divides the limits of the configuration by the number of running processes of this sidecar."""
         processes = self.successor.process_count
@@ -208,6 +236,7 @@
         return {
             "list": self.discovery.export_list(self.endpoint_pool),
             "knowledge": self.load_balancer.export_state(),
+            "request_ids": self.requests.request_ids.export(monotonic(), self._longest_known_s),
         }
 
     def close(self) -> None:
--- a/tests/test_client_endings.py
+++ b/tests/test_client_endings.py
@@ -283,11 +283,11 @@
 
 def test_an_internal_error_in_an_upload_is_answered_once(monkeypatch: pytest.MonkeyPatch) -> None:
     # The request stayed open until its deadline once, as nothing more was put into its pipe.
-    async def faulty(self: BodyPipe, piece: bytes) -> None:
+    async def faulty(self: BodyPipe) -> None:
         raise RuntimeError("a fault")
 
     async def use(connections: Connections) -> None:
-        monkeypatch.setattr(BodyPipe, "put", faulty)
+        monkeypatch.setattr(BodyPipe, "wait_for_capacity", faulty)
         sock, _ = await connections.client()
         await asyncio.to_thread(sock.sendall, BIG)
         answer = await read_from(sock)
--- /dev/null
+++ b/tests/test_departed_clients.py
@@ -0,0 +1,133 @@
+"""Clients that left: what they had sent is not sent on, and their ids do not run a second time, in any process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from limenotch.net import http1
+
+from .helpers.http_peers import Reader, Writer, fetch
+from .helpers.processes import Processes, free_port, run
+
+DEADLINE_MS = 500
+SETTINGS: dict[str, Any] = {
+    "classes": [{"name": "once", "effect": "at_most_once", "target_ms": DEADLINE_MS / 2, "hard_limit_ms": DEADLINE_MS}],
+    "permissions": {"max_attempts": 3, "connect_timeout_ms": 1000.0},
+    "registry_mode": "ask",
+}
+LONG_BODY = b"l" * 200_000
+
+
+def request(name: str, path: str = "/api") -> bytes:
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: s\r\nX-Call-Id: {name}\r\nX-Call-Class: once\r\nX-Caller: a\r\n"
+        f"X-Budget: {DEADLINE_MS}m\r\nContent-Length: 0\r\n\r\n"
+    ).encode()
+
+
+class Sidecars:
+    """Processes of one sidecar before one endpoint, which counts the requests that it gets by id."""
+
+    def __init__(self, folder: Path) -> None:
+        self.ran = Counter[str]()
+        self.processes = Processes(folder)
+        self.port = free_port()
+        self.raw: dict[str, Any] = {}
+
+    async def start(self) -> asyncio.subprocess.Process:
+        if not self.raw:
+            server = await asyncio.start_server(self._respond, "127.0.0.1", 0)
+            address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            self.raw = {
+                "listen": f"127.0.0.1:{self.port}",
+                "discovery": f"127.0.0.1:{free_port()}",
+                "known": {
+                    "index": 3,
+                    "snapshot": True,
+                    "endpoints": [{"name": "a", "address": address, "zone": "a", "status": "in_service"}],
+                },
+                "settings": SETTINGS,
+            }
+        return (await self.processes.serve(self.raw))[0]
+
+    async def _respond(self, reader: Reader, writer: Writer) -> None:
+        parser = http1.RequestParser()
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                parser.feed(data)
+                while (message := parser.take()) is not None:
+                    self.ran[message.fields[b"x-call-id"].decode()] += 1
+                    if message.target == b"/long":
+                        await self._write_slowly(writer)
+                    else:
+                        writer.write(http1.write_response(200, [], b"done"))
+        writer.close()
+
+    async def _write_slowly(self, writer: Writer) -> None:
+        writer.write(http1.response_head(200, [], len(LONG_BODY), close=False))
+        for start in range(0, len(LONG_BODY), len(LONG_BODY) // 20):
+            writer.write(LONG_BODY[start : start + len(LONG_BODY) // 20])
+            await writer.drain()
+            await asyncio.sleep(0.1)
+
+
+def test_an_id_does_not_run_again_after_its_client_left_within_a_long_response(tmp_path: Path) -> None:
+    async def case() -> None:
+        sidecars = Sidecars(tmp_path)
+        await sidecars.start()
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", sidecars.port)
+            writer.write(request("r1", "/long"))
+            await reader.readexactly(1000)
+            await asyncio.sleep(2.5 * DEADLINE_MS / 1000.0)
+            writer.close()
+            await asyncio.sleep(0.1)
+            assert (await fetch(sidecars.port, request("r1"))).status == 409
+            assert sidecars.ran == {"r1": 1}
+        finally:
+            await sidecars.processes.kill_all()
+
+    run(case())
+
+
+@pytest.mark.parametrize("first", ["before the hand-over", "in the old process", "in the new process"])
+def test_an_id_does_not_run_again_in_the_other_process_of_an_upgrade(first: str, tmp_path: Path) -> None:
+    async def case() -> None:
+        sidecars = Sidecars(tmp_path)
+        old = await sidecars.start()
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", sidecars.port)
+
+            async def send_to_old() -> int:
+                writer.write(request("r1"))
+                return int((await reader.readline()).split()[1])
+
+            if first == "before the hand-over":
+                assert await send_to_old() == 200
+            else:  # the connection has to be with the old process
+                writer.write(b"GET /up HTTP/1.1\r\nHost: s\r\n\r\n")
+                await reader.readuntil(b"\r\n\r\n")
+            await sidecars.start()
+            if first == "in the old process":
+                assert await send_to_old() == 200
+            old.send_signal(signal.SIGTERM)
+            await asyncio.sleep(0.05)  # from then on new connections are with the new process
+            again = (await fetch(sidecars.port, request("r1"))).status
+            if first == "in the new process":
+                assert again == 200
+                assert await send_to_old() in (409, 502)
+            else:
+                assert again in (409, 502)
+            assert sidecars.ran == {"r1": 1}
+        finally:
+            writer.close()
+            await sidecars.processes.kill_all()
+
+    run(case())
