Notice that a client left also while unread bytes are before its end

What callers saw: a client closed its connection with much still unread, and its requests were sent on afterwards.

Cause: the check before an attempt's first byte asks the kernel for the next byte of the connection (ClientStream.peer_connected); while bytes are unread there is one, whatever comes behind it.

Change: the kernel is asked for the end itself (POLLRDHUP, which it reports before the bytes are read). Before a short request is accepted, what has arrived behind it is read ahead, for 256 turns of the event loop at most: the end may wait behind a full window.

Result: the check's test fails before.

--- a/limenotch/net/client_connection.py
+++ b/limenotch/net/client_connection.py
@@ -155,6 +155,9 @@
 
     async def _serve_request(self, message: http1.Message) -> bool:
         """Serves one request up to its response; returns whether the connection can be used again."""
+        if message.rest is None:
+            self.reader.set_mode(Mode.BUFFER_OR_DROP)
+            await self.reader.read_to_end()
         self._accept(message)
         assert self._final is not None and self._request is not None
         request = self._request
--- a/limenotch/net/read_ahead.py
+++ b/limenotch/net/read_ahead.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from collections.abc import Callable
@@ -26,6 +27,7 @@
 # Enough reads in one turn of the event loop to buffer all that may be buffered and to notice an end of the connection
 # behind it, and few enough that a flood of bytes leaves time for other connections.
 MAX_READS_PER_TURN = 4
+MAX_TURNS_AHEAD = 256
 
 
 class Mode(Enum):
@@ -48,6 +50,14 @@
 
     ended: Callable[[], None] = staticmethod(lambda: None)
 
+    def __init__(self, sock: socket.socket, budget: BufferBudget, max_buffer_size: int) -> None:
+        """See CountedStream."""
+        super().__init__(sock, budget, max_buffer_size)
+        self._polls_ends = hasattr(select, "POLLRDHUP")  # not on all systems
+        if self._polls_ends:
+            self._end_poll = select.poll()
+            self._end_poll.register(sock, select.POLLRDHUP)
+
     def close_fd(self) -> None:
         """Closes the descriptor and calls `ended` (overrides IOStream)."""
         super().close_fd()
@@ -62,8 +72,13 @@
         await write_to_reader(self, data, silence_s, self.reset, self._budget)
 
     def peer_connected(self) -> bool:
-        """Whether the client is connected as far as the kernel knows, which a busy event loop may not have noticed."""
+        """Whether the client is connected as far as the kernel knows, which a busy event loop may not have noticed.
+
+        The kernel knows the end of a connection also while unread bytes are before it.
+        """
         try:
+            if self._polls_ends and self._end_poll.poll(0):
+                return False
             return self.socket.recv(1, socket.MSG_PEEK) != b""
         except BlockingIOError:
             return True
@@ -150,6 +165,16 @@
             return not self._buffer
         return not self._pending.done() and not self._has_bytes_in_kernel()
 
+    async def read_to_end(self) -> None:
+        """Reads ahead what has arrived, so that the end of a connection behind it is noticed before it matters.
+
+        Takes MAX_TURNS_AHEAD turns of the event loop at most, as a client may send all the time.
+        """
+        for _ in range(MAX_TURNS_AHEAD):
+            if self.stream.closed() or not self._has_bytes_in_kernel():
+                return
+            await asyncio.sleep(0)
+
     async def discard(self, limit: int) -> None:
         """Reads and drops up to `limit` bytes. Raises StreamClosedError at the end of the connection."""
         self._error = None
--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import signal
+import socket
 from collections import Counter
 from pathlib import Path
 from typing import Any
@@ -12,6 +13,8 @@
 import pytest
 
 from limenotch.net import http1
+from limenotch.net.pipe import BufferBudget
+from limenotch.net.read_ahead import ClientStream
 
 from .helpers.http_peers import Reader, Writer, fetch
 from .helpers.processes import Processes, free_port, run
@@ -78,6 +81,46 @@
             await asyncio.sleep(0.1)
 
 
+def test_a_client_that_left_behind_unread_bytes_counts_as_gone() -> None:
+    async def case() -> None:
+        listener = socket.create_server(("127.0.0.1", 0))
+        client = socket.create_connection(listener.getsockname())
+        accepted, _ = listener.accept()
+        stream = ClientStream(accepted, BufferBudget(0), 1024)
+        client.sendall(b"x" * 1000)
+        assert stream.peer_connected()
+        client.close()
+        await asyncio.sleep(0.05)
+        assert not stream.peer_connected()
+        stream.close()
+        listener.close()
+
+    run(case())
+
+
+def test_requests_of_a_client_that_left_with_much_unread_are_not_sent_on(tmp_path: Path) -> None:
+    async def case() -> None:
+        sidecars = Sidecars(tmp_path)
+        process = await sidecars.start()
+        try:
+            client = socket.create_connection(("127.0.0.1", sidecars.port))
+            await asyncio.sleep(0.1)
+            process.send_signal(signal.SIGSTOP)
+            wire = b"".join(request(f"left-{number}") for number in range(4000))
+            client.setblocking(False)
+            client.send(wire)
+            client.close()
+            await asyncio.sleep(0.3)
+            process.send_signal(signal.SIGCONT)
+            assert (await fetch(sidecars.port, request("after"))).status == 200
+            await asyncio.sleep(0.3)
+            assert sidecars.ran == {"after": 1}
+        finally:
+            await sidecars.processes.kill_all()
+
+    run(case())
+
+
 def test_an_id_does_not_run_again_after_its_client_left_within_a_long_response(tmp_path: Path) -> None:
     async def case() -> None:
         sidecars = Sidecars(tmp_path)
