Do not take a new process for the one whose address it has

Cause: endpoints are known by name. While the list has both, requests for the earlier name reached the new process, which got the load of two, cold as it was; and a keyed request that was sent to the earlier name, and may have run in the zone and group of the new process, was sent again in those of the earlier one. The class: an identity that another process can have.

Change: of the endpoints at one address only the one that started last is used (AddressOwners, by what changed), and attempts sent to an earlier one count as run by both. Endpoints that share an address with the same start are all used, as before.

Not shown on real processes: an endpoint can't tell for whom a request was meant.

--- a/limenotch/net/request.py
+++ b/limenotch/net/request.py
@@ -106,7 +106,15 @@
     client_has_disconnected: bool = False
     client_connected: Callable[[], bool] = lambda: True  # whether the client is connected at this moment
     policy: RequestPolicy = RequestPolicy()
-    ran_elsewhere: SentAttempt | None = None  # an attempt sent by another sidecar, as that one reported it
+    # Attempts sent by another sidecar, as that one reported them, or run by another process than the one chosen.
+    ran_elsewhere: list[SentAttempt] = field(default_factory=list)
+
+    def count_replaced(self, old: DiscoveredEndpoint, new: DiscoveredEndpoint) -> None:
+        """Counts attempts sent to `old` as run by `new` too, which is listed at its address."""
+        for attempt in self.attempts:
+            chosen = attempt.endpoint
+            if attempt.may_have_run and chosen is not None and (chosen.name, chosen.address) == (old.name, old.address):
+                self.ran_elsewhere.append(SentAttempt(new.zone, new.group, attempt.sent_at * 1000.0))
 
     @property
     def must_not_run_again(self) -> bool:
@@ -122,9 +130,8 @@
         return self.policy.allows_retry(self.possible_executions(), endpoint.zone, endpoint.group, now_ms)
 
     def possible_executions(self) -> list[SentAttempt]:
-        """The attempts that may have run, including those in flight and the one that another sidecar reported."""
-        reported = [self.ran_elsewhere] if self.ran_elsewhere is not None else []
-        return reported + [
+        """The attempts that may have run, including those in flight and those in `ran_elsewhere`."""
+        return self.ran_elsewhere + [
             SentAttempt(attempt.endpoint.zone, attempt.endpoint.group, attempt.sent_at * 1000.0, not attempt.ended)
             for attempt in self.attempts
             if attempt.may_have_run and attempt.endpoint is not None
--- a/limenotch/net/requests.py
+++ b/limenotch/net/requests.py
@@ -160,7 +160,7 @@
         hint = request.placement_hint
         if hint is not None and hint.may_have_run:
             ran_at_ms = monotonic() * 1000.0 - hint.age_ms
-            request.ran_elsewhere = SentAttempt(hint.zone, hint.group, ran_at_ms)
+            request.ran_elsewhere.append(SentAttempt(hint.zone, hint.group, ran_at_ms))
         streamed = request.body_pipe is not None
         budget_left_s = request.budget_left_s if streamed else max(request.deadline - monotonic(), 0.0)
         self.execute(
--- a/limenotch/wiring.py
+++ b/limenotch/wiring.py
@@ -15,6 +15,7 @@
 from .load_balancer_types import DiscoveredEndpoint
 from .metrics import Metrics
 from .net import memory_limits, request_claims
+from .net.address_owners import AddressOwners, without_replaced
 from .net.admin.server import AdminServer, RequestHandler
 from .net.client_listener import ClientListener
 from .net.discovery.client import DiscoveryClient
@@ -70,6 +71,7 @@
         self.metrics.register_classes(class_names(config))
         self.requests = RequestManager(self.load_balancer, config.max_open, self.metrics)
         self.buffers = BufferBudget(0)  # its limit is set by `limit_resources`
+        self._address_owners = AddressOwners()
         self._base_bytes = 0
         self._base_endpoints = 0
         self.endpoint_pool = self._make_endpoint_pool(settings)
@@ -136,6 +138,12 @@
 
     def apply_endpoints(self, endpoints: list[DiscoveredEndpoint], complete: bool) -> None:
         """Applies a list, complete or changes."""
+        replacements = self._address_owners.apply_list(endpoints, complete)
+        for replacement in replacements:
+            log.info("endpoint replaced at its address", endpoint=replacement.old.name, by=replacement.new.name)
+            for request in self.requests.open.values():
+                request.count_replaced(replacement.old, replacement.new)
+        endpoints = without_replaced(endpoints, complete, replacements)
         # The pool first: the load balancer's commands may concern an endpoint that is new in this list.
         self.endpoint_pool.apply_list(endpoints, complete)
         self.limit_resources()
--- a/tests/test_retry_policy.py
+++ b/tests/test_retry_policy.py
@@ -140,7 +140,7 @@
 
 def test_an_execution_through_another_sidecar_counts_as_an_earlier_attempt() -> None:
     at_most_once = make_request(replace(IDEMPOTENT, effect=Effect.AT_MOST_ONCE))
-    at_most_once.ran_elsewhere = SentAttempt("a", 1, 0.0)
+    at_most_once.ran_elsewhere.append(SentAttempt("a", 1, 0.0))
     assert obstacle_to(make_attempt(at_most_once), CHOSEN_ENDPOINT, 1.0) is Obstacle.RETRY_NOT_ALLOWED
 
 
