--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -13,7 +13,8 @@
 from multiprocessing import get_context
 from pathlib import Path
 
-from tests.helpers.soak import Observations, Plan, Run, violations
+from tests.helpers.soak import Observations, Run, violations
+from tests.helpers.soak_plan import Plan
 
 
 def run_seed(seed: int) -> tuple[int, Plan, Observations]:
--- a/limenotch/net/client_listener.py
+++ b/limenotch/net/client_listener.py
@@ -35,6 +35,7 @@
 # time.
 LISTENER_PAUSE_S = 0.02
 MIN_IDLE_S = 0.5  # seconds for which a connection may be idle after a request, however many clients wait
+LOG_INTERVAL_S = 1.0
 MAX_LINGERING_FRACTION = 1 / 2  # of the connections that memory allows
 
 
@@ -73,6 +74,7 @@
         self._receiving: dict[ClientConnection, None] = {}  # a part of a request has arrived, and its rest is awaited
         self.max_active: float = math.inf  # connections that memory allows, without those that are lingering
         self.garbage = GarbageCollector()
+        self._next_log_at = 0.0  # s
         self._refused = RefusedClients(descriptors.clients.release)
         descriptors.clients.drop_idle = self._drop_idle
 
@@ -118,6 +120,7 @@
             self.descriptors.clients.release()
             return
         if self._active >= self.max_active and not self._displace():
+            self._log_shortage("client refused for want of memory")
             self._refused.refuse(sock)
             return
         limit_send_buffer(sock)
@@ -131,6 +134,13 @@
     def _active(self) -> int:
         return len(self._open) - len(self._lingering)
 
+    def _log_shortage(self, event: str) -> None:
+        """Logs that memory is short, once a second at most."""
+        now = monotonic()
+        if now >= self._next_log_at:
+            self._next_log_at = now + LOG_INTERVAL_S
+            log.warning(event, connections=len(self._open), active=self._active, buffered=self.budget.used)
+
     def _displace(self) -> bool:
         """Ends a connection that carries no complete request, for a new one; returns whether it did.
 
@@ -141,6 +151,7 @@
         slowest = min(self._receiving, key=lambda connection: connection.receiving_rate(now), default=None)
         if slowest is not None and slowest.receiving_rate(now) < math.inf:
             del self._receiving[slowest]
+            self._log_shortage("incomplete request displaced for want of memory")
             slowest.end_incomplete_request("request not complete while other clients wait for memory")
             return True
         idle = (each for each in self._by_use() if not each.used or now - self._idle[each] >= MIN_IDLE_S)
--- a/limenotch/net/endpoint_connection.py
+++ b/limenotch/net/endpoint_connection.py
@@ -85,6 +85,11 @@
             # An orderly end completes a body without length (RFC 9112, section 6.3); a reset truncates it.
             if self._head is not None and error.real_error is None and self._parser.ends_with_connection:
                 self._complete(self._head)
+            elif self._pipe is not None:
+                reason = str(error.real_error or "closed")
+                log.info(
+                    "response broken off", endpoint=self.endpoint_name, reason=reason, received=self._received_bytes
+                )
         except PipeBrokenError:
             pass  # the rest of the body is not needed
         except http1.MalformedError as error:
--- a/tests/helpers/hostile_clients.py
+++ b/tests/helpers/hostile_clients.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import os
 import socket
 import sys
 from collections import Counter
@@ -102,7 +103,7 @@
 
 def new_names(traffic_class: str, length: int) -> Callable[[], bytes]:
     """A flood of requests, each with a new and long id."""
-    numbers = count()
+    numbers = count(os.getpid() << 32)  # others than those of an earlier flood
 
     def next_piece() -> bytes:
         ids = (f"{next(numbers):x}".rjust(length, "n") for _ in range(max(FLOOD_BYTES // (length + 200), 1)))
--- a/tests/helpers/measured_sidecar.py
+++ b/tests/helpers/measured_sidecar.py
@@ -168,6 +168,14 @@
         endpoints.close()
 
 
+async def start_hostile_clients(form: str, port: int, clients: int, seconds: float) -> asyncio.subprocess.Process:
+    """Starts a crowd or a flood in a process of its own, with its output piped."""
+    command = [sys.executable, "-m", "tests.helpers.hostile_clients", form, str(port), str(clients), str(seconds)]
+    return await asyncio.create_subprocess_exec(
+        *command, cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL
+    )
+
+
 async def beside_hostile_clients(
     folder: Path, form: str, clients: int, seconds: float, memory_mb: int = LEAST_MEMORY_MB
 ) -> tuple[Measured, str]:
@@ -176,8 +184,7 @@
     async with serving(folder, memory_mb) as (process, port, _):
         measured.idle_bytes = private_bytes(process.pid)
         sampling = asyncio.create_task(sample_memory(process.pid, measured))
-        command = [sys.executable, "-m", "tests.helpers.hostile_clients", form, str(port), str(clients), str(seconds)]
-        hostile = await asyncio.create_subprocess_exec(*command, cwd=ROOT, stdout=asyncio.subprocess.PIPE)
+        hostile = await start_hostile_clients(form, port, clients, seconds)
         end = monotonic() + seconds + 1.0
         usual = [UsualClient(port, f"usual{number}", measured) for number in range(USUAL_CLIENTS)]
         await asyncio.gather(*(client.run(end) for client in usual))
--- a/tests/helpers/soak.py
+++ b/tests/helpers/soak.py
@@ -1,9 +1,7 @@
-"""Soak test: real sidecar processes under random discovery faults and signals.
+"""Soak test: real sidecar processes under random discovery faults, hostile clients and signals.
 
-What clients and endpoints observed is checked, not what the processes log. Each run is generated from its seed:
-endpoints, processes, deadlines, consecutive moves of discovery, drains, discovery requests that hang, watches that fall
-silent or end in place of sending a change, load reports of idle endpoints, and lists that for one second are empty, all
-draining, of weight 0 or with each name twice. At the end one process gets SIGTERM and is killed at the earliest moment
+What clients and endpoints observed is checked, not what the processes log, and the memory that the processes take. Each
+run is generated from its seed (`Plan`). At the end one process gets SIGTERM and is killed at the earliest moment
 allowed, while clients go on sending on their open connections.
 """
 
@@ -24,83 +22,23 @@
 
 from limenotch.net import http1
 
-from .discovery_service import Address, DiscoveryService, Entries
+from .discovery_service import Address, DiscoveryService
 from .http_peers import Reader, Writer, fetch
+from .measured_sidecar import private_bytes, start_hostile_clients
 from .processes import Processes, free_port
+from .soak_plan import LOAD_REPORTS, RUN_S, UNUSUAL_LISTS, Plan, random_plan
 
 DRAIN_GRACE_S = 0.3  # drain grace, on real sockets
 PROPAGATION_S = 6.0  # a change counts as known this long after it was made, whether or not it arrived
 LATE_RESPONSE_S = 0.5  # a response this long after its deadline earns nothing, but is not lost
 CROSSING_S = 0.05  # a close this soon after a request may have crossed the unread request
 KILL_DELAY_S = 0.7  # from SIGTERM to SIGKILL, beside the longest deadline
-RUN_S = 9.0
 REQUEST_INTERVAL_S = 0.02
 IDLE_CONNECTIONS = 60
 UNUSUAL_LIST_S = 1.0
-# Load reports; each response carries one of them.
-LOAD_REPORTS = {
-    "none": (b"",),
-    "idle": (b"TEXT util=0.00, qps=10, latency_ms=1",),
-    "mixed": (
-        b"",
-        b"TEXT util=0.00, qps=10",
-        b"TEXT util=0.30, qps=0",
-        b"TEXT util=0.50",
-        b"TEXT qps=20",
-        b"TEXT util=0.40, qps=30",
-    ),
-}
-# How complete lists may be altered for a while.
-UNUSUAL_LISTS: dict[str, Callable[[Entries], Entries]] = {
-    "empty": lambda entries: [],
-    "draining": lambda entries: [{**entry, "status": "terminating"} for entry in entries],
-    "weight 0": lambda entries: [{**entry, "weight": 0.0} for entry in entries],
-    "names twice": lambda entries: [*({**entry, "since_ms": 1.0} for entry in entries), *entries],
-}
-
-
-@dataclass
-class Plan:
-    """The randomly generated parameters of a run."""
-
-    processes: int
-    endpoints: int
-    deadline_s: float
-    list_s: float
-    idle_connections: bool
-    discovery_moves: list[float]
-    drains: list[float]
-    silent_watches: list[float]
-    hanging_requests: list[float]
-    ends_watches: bool  # a watch ends in place of sending a change
-    reports: str  # key of LOAD_REPORTS
-    cross_zone_cost: float
-    unusual_lists: list[tuple[float, str]]  # start in s and kind; each lasts UNUSUAL_LIST_S
-
-
-def random_plan(seed: int) -> Plan:
-    random = Random(seed)
-    move_times, at_s = list[float](), random.uniform(0.5, 1.5)
-    for _ in range(random.randint(0, 5)):
-        move_times.append(at_s)
-        at_s += random.uniform(0.1, 1.2)
-    return Plan(
-        processes=random.randint(1, 3),
-        endpoints=random.choice((6, 40, 400)),
-        deadline_s=random.uniform(0.5, 3.0),
-        list_s=random.choice((0.0, 0.05, 0.3)),
-        idle_connections=random.random() < 0.3,
-        discovery_moves=move_times,
-        drains=sorted(random.uniform(0.5, 3.0) for _ in range(random.randint(1, 3))),
-        silent_watches=[random.uniform(0.5, 2.0)] if random.random() < 0.4 else [],
-        hanging_requests=[random.uniform(0.5, 2.0)] if random.random() < 0.4 else [],
-        ends_watches=random.random() < 0.4,
-        reports=random.choice(tuple(LOAD_REPORTS)),
-        cross_zone_cost=random.choice((0.0, 0.05)),
-        unusual_lists=[
-            (at_s, random.choice(tuple(UNUSUAL_LISTS))) for at_s in (2.0, 4.0, 6.0) if random.random() < 0.5
-        ],
-    )
+HOSTILE_S = 2.5
+HOSTILE_CLIENTS = 60
+PLAIN_SIDECAR = "tests.helpers.plain_sidecar"
 
 
 @dataclass
@@ -275,6 +213,7 @@
                     for at_s, name in plan.unusual_lists
                 ),
                 *((at_s + UNUSUAL_LIST_S, self._service.set_list_filter) for at_s, _ in plan.unusual_lists),
+                *((at_s, partial(self._start_hostile, form)) for at_s, form in plan.hostile),
             ]
             started_at = monotonic()
             for at_s, fault in sorted(scheduled_faults, key=lambda each: each[0]):
@@ -303,10 +242,11 @@
                 "discovery": self._discovery_address.name,
                 "seed": f"{number + 1:x}",
                 "settings": settings(self.plan),
-                "limits": {"sockets": 256},
+                "limits": {"sockets": 256, "memory_mb": self.plan.memory_mb},
                 "known": {"index": 1, "snapshot": True, "endpoints": self._endpoints.entries},
             }
-            process, admin = await self._processes.serve(raw, keep_folder=False)
+            process, admin = await self._processes.serve(raw, keep_folder=False, module=PLAIN_SIDECAR)
+            self._tasks.append(asyncio.create_task(self._watch_memory(process, stop)))
             self._started.append((process, self._folder / f"{admin}.json", raw))
             for each in range(4):
                 clients.append(Client(f"n{number}-c{each}", port, self.plan.deadline_s, self.observed))
@@ -316,6 +256,25 @@
                     await asyncio.open_connection("127.0.0.1", port)
         return clients
 
+    def _start_hostile(self, form: str) -> None:
+        """Starts hostile clients of the first process."""
+        self._tasks.append(asyncio.create_task(self._run_hostile(form)))
+
+    async def _run_hostile(self, form: str) -> None:
+        listen = self._started[0][2]["listen"]
+        port = int(listen.rpartition(":")[2])
+        await (await start_hostile_clients(form, port, HOSTILE_CLIENTS, HOSTILE_S)).wait()
+
+    async def _watch_memory(self, process: asyncio.subprocess.Process, stop: asyncio.Event) -> None:
+        """Records that the process takes more memory than its limit."""
+        while not stop.is_set() and process.returncode is None:
+            with contextlib.suppress(OSError):
+                taken = private_bytes(process.pid)
+                if taken > self.plan.memory_mb * 1e6:
+                    self.observed.lost_requests.append(f"a process took {taken / 1e6:.1f} MB of {self.plan.memory_mb}")
+                    return
+            await asyncio.sleep(0.02)
+
     async def _check_internal_errors(self) -> None:
         for process, path, _ in self._started:
             if process.returncode is None:
