Accept fewer connections in a turn than may be displaced

What callers saw: among idle clients that connected at once, one with a request got 503 (too many clients).

Cause: connections that were accepted in one turn of the event loop count as idle from the next one on. With few descriptors (14 connections at 96) one turn accepted more than are allowed, none of them could be displaced, and the last one was refused.

Change: one turn accepts half of the connections that are allowed at most, so that the others can be displaced.

--- a/limenotch/net/client_listener.py
+++ b/limenotch/net/client_listener.py
@@ -94,7 +94,8 @@
         return self._listener is not None and self._has_endpoint_list()
 
     def _on_readable(self) -> None:
-        self._accept()
+        # Connections of one turn can't displace each other: they count as idle from the next turn on.
+        self._accept(int(max(min(MAX_ACCEPTS_PER_TURN, self.max_active / 2), 1)))
 
     def _accept(self, limit: int = MAX_ACCEPTS_PER_TURN) -> bool:
         """Accepts up to `limit` waiting connections; returns whether the queue is empty.
--- a/tests/test_memory_limits.py
+++ b/tests/test_memory_limits.py
@@ -137,6 +137,20 @@
     run(with_connections(use))
 
 
+def test_of_clients_that_connect_in_one_turn_the_last_one_is_served_although_few_are_allowed() -> None:
+    async def use(connections: Connections) -> None:
+        connections.listener.max_active = 6
+        idle = [socket.create_connection(("127.0.0.1", connections.port)) for _ in range(12)]
+        late = socket.create_connection(("127.0.0.1", connections.port))
+        late.settimeout(20.0)
+        late.sendall(b"GET /up HTTP/1.1\r\nHost: s\r\n\r\n")
+        assert (await read_from(late, b"\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+        for each in (*idle, late):
+            each.close()
+
+    run(with_connections(use))
+
+
 def test_garbage_is_collected_early_only_while_memory_is_short() -> None:
     used = [10]
     collector = GarbageCollector(lambda: used[0])
