Give the ids of the upgrade's tests more time than a process takes to start

Cause: tests/test_departed_clients.py used a deadline of 500 ms for all its cases. An id is known for as long; beside load the second process took longer to start, and the case before the hand-over ran the id again, as it may by then (12 of 14 runs at once failed, assert 200 in (409, 502)).

Change: 20 s for the cases of the upgrade; the long response keeps 500 ms, and sends as much budget as before or more. The assertions are as they were.

--- a/tests/test_departed_clients.py
+++ b/tests/test_departed_clients.py
@@ -20,25 +20,31 @@
 from .helpers.processes import Processes, free_port, run
 
 DEADLINE_MS = 500
-SETTINGS: dict[str, Any] = {
-    "classes": [{"name": "once", "effect": "at_most_once", "target_ms": DEADLINE_MS / 2, "hard_limit_ms": DEADLINE_MS}],
-    "permissions": {"max_attempts": 3, "connect_timeout_ms": 1000.0},
-    "registry_mode": "ask",
-}
+LONG_DEADLINE_MS = 20_000  # an id is known for so long; a process starts in less
 LONG_BODY = b"l" * 200_000
 
 
+def settings(deadline_ms: int) -> dict[str, Any]:
+    once = {"name": "once", "effect": "at_most_once", "target_ms": deadline_ms / 2, "hard_limit_ms": deadline_ms}
+    return {
+        "classes": [once],
+        "permissions": {"max_attempts": 3, "connect_timeout_ms": 1000.0},
+        "registry_mode": "ask",
+    }
+
+
 def request(name: str, path: str = "/api") -> bytes:
     return (
         f"POST {path} HTTP/1.1\r\nHost: s\r\nX-Call-Id: {name}\r\nX-Call-Class: once\r\nX-Caller: a\r\n"
-        f"X-Budget: {DEADLINE_MS}m\r\nContent-Length: 0\r\n\r\n"
+        f"X-Budget: {LONG_DEADLINE_MS}m\r\nContent-Length: 0\r\n\r\n"
     ).encode()
 
 
 class Sidecars:
     """Processes of one sidecar before one endpoint, which counts the requests that it gets by id."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, deadline_ms: int = LONG_DEADLINE_MS) -> None:
+        self.deadline_ms = deadline_ms
         self.ran = Counter[str]()
         self.processes = Processes(folder)
         self.port = free_port()
@@ -56,7 +62,7 @@
                     "snapshot": True,
                     "endpoints": [{"name": "a", "address": address, "zone": "a", "status": "in_service"}],
                 },
-                "settings": SETTINGS,
+                "settings": settings(self.deadline_ms),
             }
         return (await self.processes.serve(self.raw))[0]
 
@@ -123,7 +129,7 @@
 
 def test_an_id_does_not_run_again_after_its_client_left_within_a_long_response(tmp_path: Path) -> None:
     async def case() -> None:
-        sidecars = Sidecars(tmp_path)
+        sidecars = Sidecars(tmp_path, DEADLINE_MS)
         await sidecars.start()
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", sidecars.port)
