Review case 7: requests sent at once are read, dropped and never answered

Seen: of eight keyed requests of 60 kB that a client sends at once, one is answered and seven are lost, as ReadAhead drops what it has buffered beyond 256 KiB. The stand-ins that the cases of this review share come with it.

--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Builds what the cases in review/6 to review/10 start. Their stand-ins are Python with the standard library alone and run
+# with the interpreter of the deploy file's build; a sidecar that keeps a fleet's log needs the project's fleet packages.
+set -eu
+cd "$(dirname "$0")/.."
+.venv/bin/python -m pip -q install -r requirements-fleet.txt
+.venv/bin/python -m compileall -q review/common-2
