Leave out four more modules that asyncio and tornado import and never use

Each process of an upgrade counts against limits.memory_mb, and at 32 MB some hundred kilobytes decide whether one can be replaced.

asyncio.sslproto, html, ipaddress and logging.handlers (with pickle and others) are used by asyncio and tornado in functions alone that the sidecar never calls.

--- a/limenotch/lean_imports.py
+++ b/limenotch/lean_imports.py
@@ -1,4 +1,4 @@
-"""Keeps modules out of the process that its libraries import and it never uses: OpenSSL and curses, some 7 MB.
+"""Keeps modules out of the process that its libraries import and it never uses: OpenSSL, curses and others, some 8 MB.
 
 The sidecar speaks no TLS. Under the least memory limits that is a fifth of what the process may hold.
 """
@@ -13,6 +13,10 @@
 OPTIONAL_MODULES = ("_hashlib", "curses")
 
 
+# What asyncio and tornado import, and use in functions alone that the sidecar never calls.
+UNCALLED_MODULES = ("asyncio.sslproto", "html", "ipaddress", "logging.handlers")
+
+
 class UnavailableContextError(RuntimeError):
     """TLS was requested in a process that has none."""
 
@@ -31,9 +35,17 @@
     for name in OPTIONAL_MODULES:
         sys.modules.setdefault(name, None)  # type: ignore[arg-type]  # an import raises ImportError
     sys.modules["ssl"] = None  # type: ignore[assignment]  # asyncio goes on without it
+    left_out = [name for name in UNCALLED_MODULES if name not in sys.modules]
+    for name in left_out:
+        sys.modules[name] = ModuleType(name)
     import asyncio  # noqa: F401
 
     sys.modules["ssl"] = _placeholder()  # tornado does not
+    import tornado.escape
+    import tornado.log  # noqa: F401
+
+    for name in left_out:  # whoever else imports them gets the modules themselves
+        del sys.modules[name]
 
 
 def _placeholder() -> ModuleType:
--- a/tests/test_lean_imports.py
+++ b/tests/test_lean_imports.py
@@ -28,3 +28,9 @@
 
 def test_a_program_that_has_loaded_ssl_keeps_it() -> None:
     assert output_of(f"import ssl; {LEAN}leave(); print(ssl.OPENSSL_VERSION_INFO)").startswith("(")
+
+
+def test_modules_that_were_left_out_can_be_imported_later() -> None:
+    code = f"{LEAN}leave(); import limenotch.app, html, ipaddress, logging.handlers; "
+    printed = output_of(f"{code}print(html.escape('<'), ipaddress.ip_address('::1'), bool(logging.handlers.__file__))")
+    assert printed.split() == ["&lt;", "::1", "True"]
