Hold the limits for all processes of an upgrade together, by shares in a file

Over memory_mb the platform kills the sidecar, and what it had accepted is lost.

Cause: nothing held a place for the new process. The old one filled the whole limit with its clients, and the new one took all it needs (25 MB: interpreter, modules, components) before it asked for the hand-over; only then was the limit divided, by the number of connected processes. In a chain of upgrades each process counts only those it is connected to (1/2 + 1/3 + 1/2). The same holds without clients (50 MB resident of 32) and for descriptors.

Change: a file in $TMPDIR has a record for each process, with what it may hold. It is lowered when less is held, raised only under the file's lock by what all records leave of the limit, and what a process takes before it has a record is always left over; each process measures that of itself. A record counts until the kernel drops its process's lock, after its memory. A new process loads hardly a module until it has room. Where two that serve don't fit, it stands by: it has the listener, the old process has checked its configuration and answers its operators, and it goes on at the old one's end. Not taken: to divide by the number of processes earlier, as the old one can't know of the new one's first instruction; to fork from the old process, as the platform ends that and keeps the new one.

--- a/limenotch/app.py
+++ b/limenotch/app.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import gc
+import logging
+import os
 import signal
+import socket
 from time import monotonic
 
 from tornado.ioloop import PeriodicCallback
@@ -13,9 +16,10 @@
 from .config import Config, host_port
 from .load_balancer import LoadBalancer
 from .net.discovery.client import DiscoveryClient
-from .net.successor import InheritedState
+from .net.successor import InheritedState, adopted_socket
 from .operator_ejections import CHECK_INTERVAL_S
-from .reload import ConfigurationReloader
+from .process_start import ProcessStart
+from .reload import ConfigurationReloader, configuration_fault
 from .settings import Settings
 from .shutdown import ShutdownRequest, shut_down
 from .wiring import Components, is_pushed
@@ -28,18 +32,28 @@
 AGENT_TIMEOUT_S = 3.0
 
 
-async def serve(config: Config, settings: Settings = Settings()) -> None:  # noqa: B008 (frozen)
+async def serve(
+    config: Config,
+    settings: Settings = Settings(),  # noqa: B008 (frozen)
+    start: ProcessStart | None = None,
+) -> None:
     """Serves until SIGTERM or SIGINT, then finishes the accepted requests.
 
-    Raises OSError if an address to listen on can't be bound.
+    `start`: what the first step of the process found out; None: it shares its limits with no other process. Raises
+    OSError if an address to listen on can't be bound.
     """
-    components = Components(config, settings)
+    inheritance = start.inheritance if start is not None else None
+    components = Components(config, settings, start)
     reloader = ConfigurationReloader(components)
+    components.successor.standbys.configuration_fault = configuration_fault
     shutdown = ShutdownRequest()
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reloader.reload)
     shutdown.install()
     components.requests.execute(components.load_balancer.start())
-    inherited = await components.successor.request_handover()
+    if inheritance is not None:
+        inherited = components.successor.adopt(inheritance)
+    else:
+        inherited = await components.successor.request_handover()
     if inherited is not None:
         components.set_process_count(components.successor.process_count)
         import_inherited_state(inherited, components.discovery, components.load_balancer)
@@ -48,12 +62,21 @@
     components.ejections.load()
     ejections_poll = PeriodicCallback(components.ejections.reload_if_changed, CHECK_INTERVAL_S * 1000.0)
     components.discovery.watch()  # also if the load balancer has not requested it by a command
-    start_listening(components, inherited, ejections_poll)
+    admin_listener = adopted_socket(inheritance.admin) if inheritance is not None else None
+    start_listening(components, inherited, ejections_poll, admin_listener)
     await components.successor.confirm_serving()
     components.is_serving = True
-    await shut_down(components, await shutdown.wait())
+    standby_waits = await shut_down(components, await shutdown.wait())
     ejections_poll.stop()
     components.close()
+    if standby_waits:
+        end_process_at_once()
+
+
+def end_process_at_once() -> None:
+    """Ends the process with exit code 0; its tasks are not cancelled first, which takes long with many connections."""
+    logging.shutdown()
+    os._exit(0)
 
 
 def import_inherited_state(inherited: InheritedState, discovery: DiscoveryClient, load_balancer: LoadBalancer) -> None:
@@ -80,7 +103,8 @@
         components.requests.request_ids.import_keys(exported, monotonic())
     except (ValueError, TypeError) as error:
         log.warning("predecessor's ids of requests rejected", error=str(error))
-    components.claim_requests()
+    if components.successor.has_predecessor:
+        components.claim_requests()
 
 
 def use_known_list(components: Components) -> None:
@@ -94,14 +118,19 @@
         components.discovery.use_known_list(known_list)
 
 
-def start_listening(components: Components, inherited: InheritedState | None, ejections_poll: PeriodicCallback) -> None:
+def start_listening(
+    components: Components,
+    inherited: InheritedState | None,
+    ejections_poll: PeriodicCallback,
+    admin_listener: socket.socket | None,
+) -> None:
     """Opens the operators' address, the client listener and the fleet's sockets.
 
-    Raises OSError if an address can't be bound.
+    `admin_listener`: the operators' listener if there is one already. Raises OSError if an address can't be bound.
     """
     config = components.config
     if config.admin is not None:  # first: a process that can't start must not have accepted clients
-        components.admin.listen(config.admin)
+        components.admin.listen(config.admin, admin_listener)
         ejections_poll.start()
     listener = components.clients.listen(config.listen, inherited.listener if inherited is not None else None)
     components.successor.offer_listener(listener)
@@ -113,7 +142,6 @@
     )
     if components.fleet_node is not None:
         components.fleet_node.start()
-    components.measure_base()
-    components.check_memory_limit()
+    components.limits.start()
     components.memory.start()
     gc.freeze()  # the garbage collector need not examine the objects that exist until the end of the process
--- a/limenotch/cli/__init__.py
+++ b/limenotch/cli/__init__.py
@@ -6,11 +6,10 @@
 from __future__ import annotations
 
 import importlib
+import os
 import sys
 
-from docopt import docopt
-
-from ..lean_imports import leave_out_unused_modules
+from .. import process_start
 
 USAGE = """A sidecar that balances calls over the providers of one tier, and its laboratory.
 
@@ -37,6 +36,8 @@
     `modules`: by the sub-command, the name of its module in `package`. `prefix`: the commands before `argv`, as the
     usage text of a sub-command includes them.
     """
+    from docopt import docopt
+
     try:
         arguments = docopt(usage, [*prefix, *argv], options_first=True)
     except SystemExit as end:
@@ -51,6 +52,8 @@
         print(f"limenotch: {name}: no such command; there are {known}", file=sys.stderr)
         return 2
     if name in LEAN_COMMANDS:
+        from ..lean_imports import leave_out_unused_modules
+
         leave_out_unused_modules()
     module = importlib.import_module(f"{package}.{modules[name]}")
     try:
@@ -69,4 +72,18 @@
 
 def main(argv: list[str] | None = None) -> int:
     """Runs the command line `argv`, by default that of the process, and returns the exit code."""
-    return dispatch(USAGE, MODULES, __package__ or "limenotch.cli", sys.argv[1:] if argv is None else argv)
+    arguments = sys.argv[1:] if argv is None else argv
+    if arguments[:1] == ["serve"] and not {"-h", "--help"} & set(arguments):
+        # Before anything else is imported: another process of this sidecar may hold what that takes.
+        process_start.begin(os.environ, option_value(arguments, "--settings"))
+    return dispatch(USAGE, MODULES, __package__ or "limenotch.cli", arguments)
+
+
+def option_value(arguments: list[str], option: str) -> str:
+    """The value of an option that is given as two arguments or as `OPTION=VALUE`; "" without it."""
+    for argument, following in zip(arguments, [*arguments[1:], ""], strict=True):
+        if argument == option:
+            return following
+        if argument.startswith(f"{option}="):
+            return argument.partition("=")[2]
+    return ""
--- a/limenotch/cli/check_config.py
+++ b/limenotch/cli/check_config.py
@@ -20,7 +20,7 @@
 from docopt import docopt
 
 from ..config import Config, ConfigError, host_port, load
-from ..idle_memory import idle_bytes
+from ..idle_memory import idle_memory
 from ..settings_file import check_as, effective, load_settings
 from ..toml import FaultError
 
@@ -44,18 +44,24 @@
     )
 
 
-def check_memory(config: Config) -> None:
-    """Raises ConfigError if the limit is too small for the process itself, by what a process like it takes here."""
-    from ..net.memory_limits import ENDPOINT_BYTES, needed_bytes
+def check_memory(config: Config) -> list[str]:
+    """What the limit is too small for beside the process itself, in lines for humans; measured here.
+
+    Raises ConfigError if it is too small for the process itself.
+    """
+    from ..net.memory_limits import ENDPOINT_BYTES, process_needs
 
     try:
-        base_bytes = idle_bytes()
+        idle = idle_memory()
     except (OSError, SubprocessError) as error:
         raise ConfigError(f"limits.memory_mb: what a sidecar takes can't be measured here: {error}") from error
+    limit_bytes = config.memory_mb * BYTES_PER_MB
     endpoints = len(config.known_list.get("endpoints") or [])
-    needed_mb = ceil(needed_bytes(base_bytes + endpoints * ENDPOINT_BYTES) / BYTES_PER_MB)
-    if needed_mb > config.memory_mb:
+    needs = process_needs(limit_bytes, idle.base + endpoints * ENDPOINT_BYTES, idle.standby, idle.standby_private)
+    if needs.alone > limit_bytes:
+        needed_mb = ceil(needs.alone / BYTES_PER_MB)
         raise ConfigError(f"limits.memory_mb: {config.memory_mb:g} is too small, the process itself needs {needed_mb}")
+    return [f"{text}: {ceil(needed / BYTES_PER_MB)} MB are needed" for text, needed in needs.beyond(limit_bytes)]
 
 
 def command(arguments: list[str]) -> int:
@@ -65,8 +71,8 @@
         settings = load_settings(options["--settings"], os.environ)
         config = load(os.environ)
         check_as(settings, config.name)
-        check_memory(config)
-        print(describe(config))
+        warnings = check_memory(config)
+        print("\n".join([describe(config), *warnings]))
     except (ConfigError, FaultError) as error:
         print(f"limenotch: {error}", file=sys.stderr)
         return 2
--- a/limenotch/cli/serve.py
+++ b/limenotch/cli/serve.py
@@ -21,6 +21,7 @@
 import msgspec
 from docopt import docopt
 
+from .. import process_start
 from ..config import ConfigError, load
 from ..logs import FORMS, configure
 from ..settings_file import check_as, load_settings
@@ -47,7 +48,7 @@
     from ..app import serve  # only here, as other commands do not need the modules of the network
 
     try:
-        asyncio.run(serve(config, settings))
+        asyncio.run(serve(config, settings, process_start.started))
     except OSError as error:
         print(f"limenotch: listen: {error}", file=sys.stderr)
         return 1
--- a/limenotch/config.py
+++ b/limenotch/config.py
@@ -7,7 +7,6 @@
 
 import json
 import math
-import os
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
@@ -15,6 +14,7 @@
 from .balancing.settings import read_settings
 from .balancing.types import BalancerSettings
 from .errors import LimenotchError
+from .handover_paths import state_path
 
 # A numeric host and a port.
 Address = tuple[str, int]
@@ -100,17 +100,6 @@
         raise ConfigError(f"seed: expected a hexadecimal number, not {value!r}") from None
 
 
-def _state_path(folder: str | None, listen: Address) -> str | None:
-    """The prefix of hand-over paths: with the address, as several sidecars may share the folder.
-
-    None without a folder, and for a sidecar whose port the kernel chooses, as it has no successor.
-    """
-    host, port = listen
-    if not folder or not port:
-        return None
-    return os.path.join(folder, f"limenotch-{host.replace(':', '_')}-{port}")
-
-
 def _balancer_settings(raw_settings: dict[str, Any]) -> BalancerSettings:
     try:
         return read_settings(raw_settings)
@@ -154,7 +143,7 @@
         raw_settings=raw_settings,
         known_list=_object(raw, "known", "known"),
         admin=None if admin is None else address(admin, admin_key),
-        state_path=_state_path(environ.get("TMPDIR"), listen),
+        state_path=state_path(environ.get("TMPDIR"), *listen),
         memory_mb=_number(limits, "memory_mb", "limits.memory_mb", DEFAULT_MEMORY_MB, 8),
         sockets=int(_number(limits, "sockets", "limits.sockets", DEFAULT_SOCKETS, 64)),
         max_open=int(permission("max_open", DEFAULT_MAX_OPEN)),
--- a/limenotch/net/admin/server.py
+++ b/limenotch/net/admin/server.py
@@ -43,8 +43,9 @@
 class _Connection:
     """One operator's connection."""
 
-    def __init__(self, stream: IOStream) -> None:
+    def __init__(self, stream: IOStream, of_standby: bool) -> None:
         self.stream = stream
+        self.of_standby = of_standby  # made to the address of a process on standby
         self.request_pending = True  # whether the request is still incomplete
 
 
@@ -57,22 +58,29 @@
         stats: Callable[[], bytes],
         set_ejected: EjectionHandler,
         extra: Mapping[str, RequestHandler] = {},  # noqa: B006 (read only)
+        standby_stats: Callable[[], bytes] | None = None,
     ) -> None:
         """`extra`: handlers of further paths, for all methods. A path that ends in `/` includes all paths below it.
 
-        `ready` decides the response to a health check, `stats` returns the metrics.
+        `ready` decides the response to a health check, `stats` returns the metrics, and `standby_stats` those of a
+        process on standby.
         """
         self._ready = ready
         self._stats = stats
+        self._standby_stats = standby_stats or stats
         self._set_ejected = set_ejected
         self._extra = extra
         self._loop = IOLoop.current()
         self._listener: Listener | None = None
         self._connections: dict[_Connection, asyncio.Task[None]] = {}  # with the tasks that serve them, oldest first
 
-    def listen(self, address: Address) -> None:
-        """Starts to accept connections. Raises OSError if the address can't be bound."""
-        self._listener = Listener(bind_sockets(address[1], address[0], backlog=BACKLOG)[0], self._accept)
+    def listen(self, address: Address, inherited: socket.socket | None = None) -> None:
+        """Starts to accept connections, on a listener that the process has already if it is `inherited`.
+
+        Raises OSError if the address can't be bound.
+        """
+        listener = inherited or bind_sockets(address[1], address[0], backlog=BACKLOG)[0]
+        self._listener = Listener(listener, self._accept)
         limit_receive_buffer(self._listener.socket)
 
     def close(self) -> None:
@@ -90,10 +98,14 @@
     def _log_accept_error(self, error: OSError) -> None:
         log.warning("accepting an operator's connection failed", error=str(error))
 
-    def _open_connection(self, sock: socket.socket) -> None:
+    def take_over(self, sock: socket.socket) -> None:
+        """Serves a connection that was made to the address of a process on standby."""
+        self._open_connection(sock, of_standby=True)
+
+    def _open_connection(self, sock: socket.socket, of_standby: bool = False) -> None:
         while len(self._connections) >= MAX_OPERATOR_CONNECTIONS:
             self._drop_one()
-        connection = _Connection(IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES))
+        connection = _Connection(IOStream(sock, max_buffer_size=MAX_BUFFER_BYTES), of_standby)
         self._connections[connection] = asyncio.get_running_loop().create_task(self._serve(connection))
 
     def _drop_one(self) -> None:
@@ -124,7 +136,7 @@
     async def _respond(self, connection: _Connection) -> bytes:
         """Reads the connection's request and returns the response. Raises StreamClosedError if the connection ends."""
         try:
-            return await self._handle(await self._read_request(connection))
+            return await self._handle(await self._read_request(connection), connection.of_standby)
         except http1.MalformedError as error:
             return text_response(error.status, str(error))
         except StreamClosedError:
@@ -158,23 +170,24 @@
         await asyncio.sleep(0)  # clients come between, also while an operator sends all the time
         return await data
 
-    async def _handle(self, request: http1.Message) -> bytes:
+    async def _handle(self, request: http1.Message, of_standby: bool) -> bytes:
         path = request.target.partition(b"?")[0].decode("latin-1")
         if path == HEALTH:
-            return self._health() if request.method == b"GET" else method_not_allowed(b"GET")
+            return self._health(of_standby) if request.method == b"GET" else method_not_allowed(b"GET")
         if path == STATS:
-            return self._metrics() if request.method == b"GET" else method_not_allowed(b"GET")
+            return self._metrics(of_standby) if request.method == b"GET" else method_not_allowed(b"GET")
         if path.startswith(ENDPOINTS) and path.rpartition("/")[2] in EJECTING_ACTIONS:
             return await self._eject(path) if request.method == b"POST" else method_not_allowed(b"POST")
         handler = self._extra.get(path) or self._extra.get(path[: path.rfind("/") + 1])
         return await handler(request) if handler is not None else text_response(404, "no such path")
 
-    def _health(self) -> bytes:
-        return text_response(200, "ready") if self._ready() else text_response(503, "not ready")
+    def _health(self, of_standby: bool) -> bytes:
+        return text_response(200, "ready") if of_standby or self._ready() else text_response(503, "not ready")
 
-    def _metrics(self) -> bytes:
+    def _metrics(self, of_standby: bool) -> bytes:
+        stats = self._standby_stats if of_standby else self._stats
         content_type = (b"Content-Type", b"text/plain; charset=utf-8")
-        return http1.write_response(200, [content_type], self._stats(), close=True)
+        return http1.write_response(200, [content_type], stats(), close=True)
 
     async def _eject(self, path: str) -> bytes:
         """Ejects the endpoint named in the path, or ends its ejection, and returns the response."""
--- a/limenotch/net/client_listener.py
+++ b/limenotch/net/client_listener.py
@@ -103,6 +103,12 @@
         if self._listener is not None and self._buffers.sockets is not None:
             limit_receive_buffer(self._listener.socket, self._buffers.sockets.receive)
 
+    def set_max_active(self, connections: float) -> None:
+        """Sets how many connections memory allows from now on; some beyond that are displaced."""
+        self.max_active = connections
+        self.limit_socket_buffers()
+        self._shed()
+
     def ready(self) -> bool:
         """Whether clients can connect and an endpoint list is known."""
         return self._listener is not None and self._has_endpoint_list()
@@ -278,22 +284,24 @@
             return True
         return False
 
-    async def shut_down(self, handed_over: bool = False, requested_at: float | None = None) -> None:
+    async def shut_down(
+        self, handed_over: bool = False, requested_at: float | None = None, standby: bool = False
+    ) -> None:
         """Shuts down gracefully: stops accepting connections, and returns when every request is answered.
 
         Open connections are served as long as the schedule allows, since their clients may have no other sidecar. If
         the listener was `handed_over` they have: then each connection ends after its next response, and the next
         process accepts those in the queue. `requested_at`: when SIGTERM arrived, in seconds of `time.monotonic`; None:
-        now.
+        now. `standby`: the next process serves as soon as this one has ended, and accepts those in the queue.
         """
         started_at = monotonic() if requested_at is None else requested_at
         longest_deadline_s = max(cls.deadline_ms for cls in self.load_balancer.classes) / 1000.0
-        times = schedule(longest_deadline_s, self.settings.accept_s, self.settings.keep_s, handed_over)
+        times = schedule(longest_deadline_s, self.settings.accept_s, self.settings.keep_s, handed_over, standby)
         self.shutting_down = True
         self.draining = handed_over
         self.requests.finish_by(started_at + times.answer_s)
         await sleep(started_at + times.accept_s - monotonic())
-        if not handed_over:
+        if not handed_over and not standby:
             self._accept_all()
         self._stop_listening()
         await self._wait_until(started_at + times.close_s)
--- a/limenotch/net/memory_control.py
+++ b/limenotch/net/memory_control.py
@@ -96,6 +96,10 @@
             self._file_bytes = self.files()
         return self._measure() + self._file_bytes + self._budget.gauge.measure()
 
+    def estimated_bytes(self) -> int:
+        """As `held_bytes`, with files and the kernel's buffers as they were last measured."""
+        return self._measure() + self._file_bytes + self._budget.gauge.bytes
+
     def _lower(self, held_bytes: int, now: float) -> None:
         self._budget.shortage = True
         self._budget.severe_shortage = held_bytes > self.severe_bytes
--- a/limenotch/net/memory_limits.py
+++ b/limenotch/net/memory_limits.py
@@ -27,6 +27,7 @@
 MAX_SEND_BUFFER_BYTES = 128 * 1024
 KERNEL_FACTOR = 2
 LARGEST_SEGMENT_BYTES = 64 * 1024  # that the kernel queues beyond a send buffer
+SERVING_FRACTION = 1 / 8  # of the limit, for the clients of each of two processes that serve at once
 DOCUMENT_FRACTION = 1 / 16  # of what is free at the start, for one document of discovery
 MIN_DOCUMENT_BYTES = 256 * 1024
 
@@ -63,6 +64,44 @@
     return base_bytes + clients + MIN_MARGIN_BYTES
 
 
+class ProcessNeeds(NamedTuple):
+    """What the processes of a sidecar need of its limit, in bytes."""
+
+    alone: float  # a process that serves
+    serving: float  # each of two processes that serve at once
+    reserved: float  # is left over for a process that starts and has not been granted more
+    replaceable: float  # least limit at which the process can be replaced, pages of files counted once for all
+    replaceable_strictly: float  # the same, by the sum of the resident sets
+    both: float  # least limit at which two processes can serve at once, by the sum of the resident sets
+
+    def beyond(self, limit_bytes: float) -> list[tuple[str, float]]:
+        """What can't be done within the limit, and the least limit with which it can be."""
+        told = [
+            ("limits.memory_mb is too small to replace the process", self.replaceable),
+            ("limits.memory_mb does not hold for the sum of resident sets in an upgrade", self.replaceable_strictly),
+            ("limits.memory_mb is too small for two processes at once; an upgrade waits for the old one", self.both),
+        ]
+        return [(text, needed) for text, needed in told if needed > limit_bytes]
+
+
+def process_needs(limit_bytes: float, base_bytes: int, standby_bytes: int, standby_private_bytes: int) -> ProcessNeeds:
+    """What processes need that take `base_bytes` without clients, and a process that waits for its turn.
+
+    `standby_bytes`: its resident set; `standby_private_bytes`: the same without pages of files. The sum of the
+    resident sets is kept within the limit if that is possible, else pages of files count once.
+    """
+    alone = needed_bytes(base_bytes)
+    strictly = alone + standby_bytes
+    return ProcessNeeds(
+        alone=alone,
+        serving=alone + limit_bytes * SERVING_FRACTION,
+        reserved=standby_bytes if strictly <= limit_bytes else standby_private_bytes,
+        replaceable=alone + standby_private_bytes,
+        replaceable_strictly=strictly,
+        both=(2 * alone + standby_bytes) / (1 - 2 * SERVING_FRACTION),
+    )
+
+
 def divide(limit_bytes: float, base_bytes: int, more_endpoints: int = 0) -> MemoryLimits:
     """Divides `limit_bytes`, of which the process took `base_bytes` before it accepted clients.
 
--- a/limenotch/net/shutdown_schedule.py
+++ b/limenotch/net/shutdown_schedule.py
@@ -10,6 +10,8 @@
 KILL_GRACE_S = 0.7
 ANSWER_MARGIN_S = 0.2
 END_MARGIN_S = 0.1
+STANDBY_MARGIN_S = 0.2  # in addition, for the state that the process on standby takes over
+STANDBY_ANSWER_S = 1.0  # for the requests that were accepted last, while connections wait for the next process
 
 
 class Schedule(NamedTuple):
@@ -22,11 +24,15 @@
     wait_s: float  # requests accepted before SIGTERM, and responses that have begun, are awaited until then
 
 
-def schedule(longest_deadline_s: float, accept_s: float, keep_s: float, handed_over: bool = False) -> Schedule:
+def schedule(
+    longest_deadline_s: float, accept_s: float, keep_s: float, handed_over: bool = False, standby: bool = False
+) -> Schedule:
     """The schedule for request classes whose longest deadline is `longest_deadline_s`.
 
     `accept_s` and `keep_s` are the operator's upper limits for accepting and keeping connections. The last request that
     is accepted still has half of the longest deadline. If the listener was `handed_over`, no connection is accepted.
+    If the next process is on `standby`, this one serves for as long as it can, and ends soon after the last connection
+    that it accepts: until then new ones wait.
     """
     counted_s = min(longest_deadline_s, MAX_KILL_DELAY_S)
     kill_s = counted_s + KILL_GRACE_S
@@ -34,6 +40,10 @@
     latest_s = answer_s - counted_s / 2
     last_accept_s = 0.0 if handed_over else min(accept_s, latest_s)
     end_s = kill_s - END_MARGIN_S
+    if standby:
+        answer_s, end_s = answer_s - STANDBY_MARGIN_S, end_s - STANDBY_MARGIN_S
+        stop_s = answer_s - min(counted_s / 2, STANDBY_ANSWER_S)
+        return Schedule(accept_s=stop_s, close_s=stop_s, answer_s=answer_s, end_s=end_s, wait_s=end_s)
     return Schedule(
         accept_s=last_accept_s,
         close_s=max(last_accept_s, min(keep_s, latest_s)),
--- a/limenotch/net/sockets.py
+++ b/limenotch/net/sockets.py
@@ -117,6 +117,16 @@
         self.endpoints = DescriptorQuota()
         self.set_limit(limit)
 
+    @property
+    def least(self) -> int:
+        """The least limit with which the process can serve."""
+        return self._tuning.reserve + self._reserved + MIN_SHARED_DESCRIPTORS
+
+    @property
+    def used(self) -> int:
+        """What is in use, with all that is reserved."""
+        return self._tuning.reserve + self._reserved + self.clients.used + self.endpoints.used
+
     def set_limit(self, limit: int, max_endpoint_connections: float = math.inf) -> None:
         """Sets the limit of the process, also at runtime; memory may allow fewer connections to endpoints.
 
--- a/limenotch/net/successor.py
+++ b/limenotch/net/successor.py
@@ -12,7 +12,8 @@
 import json
 import os
 import socket
-from collections.abc import Callable, Coroutine, Iterator
+import struct
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -22,19 +23,22 @@
 
 from .. import logs
 from ..config import Address
+from ..handover_paths import SOCKET_SUFFIX, socket_address
 from .sockets import Listener
+from .standby import REQUEST as STANDBY_REQUEST
+from .standby import Inheritance
+from .standby_connections import StandbyConnections
 
 log = logs.get(__name__)
 
-SOCKET_SUFFIX = ".sock"  # appended to the prefix of all paths of this sidecar
 VERSION = 1  # of the hand-over's protocol
 HANDOVER_TIMEOUT_S = 2.0  # for a complete hand-over: a predecessor that hangs must not delay the start for longer
 MAX_STATE_BYTES = 4 * 1024 * 1024  # of the line of JSON
 MAX_MESSAGE_BYTES = 128  # of the other lines
-MAX_REQUEST_BUFFER_BYTES = 4096  # for what the successor sends
+MAX_REQUEST_BUFFER_BYTES = 64 * 1024  # for what the successor sends
 SERVING = b"serving\n"
 SERVING_ACK = b"noted\n"
-MAX_SOCKET_PATH_BYTES = 100  # of a Unix socket's address
+CREDENTIALS = struct.Struct("3i")  # Linux, `struct ucred`: process, user and group
 SOCKET_BACKLOG = 4  # connections
 MAX_FILE_DESCRIPTORS = 4  # accepted with the first byte; one is expected
 
@@ -47,17 +51,22 @@
     state: dict[str, Any]
 
 
-@contextlib.contextmanager
-def _address(path: Path) -> Iterator[str]:
-    """The path of a Unix socket as its address, shortened by way of an open descriptor of its folder if too long."""
-    if len(os.fsencode(path)) <= MAX_SOCKET_PATH_BYTES:
-        yield str(path)
-        return
-    folder = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
+def adopted_socket(descriptor: int) -> socket.socket | None:
+    """The open socket with this descriptor; None if that is negative."""
+    if descriptor < 0:
+        return None
+    sock = socket.socket(fileno=descriptor)
+    sock.setblocking(False)
+    return sock
+
+
+def _peer_process_id(stream: IOStream) -> int:
+    """The process at the other end of a Unix socket; 0 if it is closed."""
     try:
-        yield f"/proc/self/fd/{folder}/{path.name}"
-    finally:
-        os.close(folder)
+        credentials = stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, CREDENTIALS.size)
+    except (OSError, AttributeError):
+        return 0
+    return int(CREDENTIALS.unpack(credentials)[0])
 
 
 def _retrieve_error(future: asyncio.Future[None]) -> None:
@@ -101,6 +110,7 @@
         self.first_lines: Callable[[], bytes] = lambda: b""  # sent to a successor that serves
         self.answer_successor: Callable[[bytes], bytes | None] = lambda line: None
         self._successors: dict[IOStream, bool] = {}  # and whether each serves
+        self.standbys = StandbyConnections()
         self._tasks: set[asyncio.Task[None]] = set()
 
     @property
@@ -108,6 +118,16 @@
         """Whether a later process has taken over this process's listener and serves requests."""
         return any(self._successors.values())
 
+    @property
+    def has_predecessor(self) -> bool:
+        """Whether the process that this one has taken over from still runs."""
+        return self._predecessor is not None
+
+    def peer_process_ids(self) -> list[int]:
+        """The process ids of the processes that `process_count` counts, without this one."""
+        streams = [*([self._predecessor] if self._predecessor is not None else []), *self._successors]
+        return [_peer_process_id(stream) for stream in streams]
+
     @property
     def process_count(self) -> int:
         """How many processes of this sidecar run: this one and those it is connected to."""
@@ -139,7 +159,7 @@
         """
         assert self._path is not None
         loop = asyncio.get_running_loop()
-        with _address(self._path) as path:
+        with socket_address(str(self._path)) as path:
             await loop.sock_connect(sock, path)
         await loop.sock_sendall(sock, b"%d\n" % VERSION)
         readable = loop.create_future()
@@ -220,7 +240,7 @@
             sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
             sock.setblocking(False)
             own_path = self._path.with_name(f"{self._path.name}.{os.getpid()}")
-            with _address(own_path) as path:
+            with socket_address(str(own_path)) as path:
                 with contextlib.suppress(FileNotFoundError):
                     os.unlink(path)
                 sock.bind(path)
@@ -247,9 +267,14 @@
         timer = self._loop.call_later(HANDOVER_TIMEOUT_S, stream.close)
         try:
             version = await stream.read_until(b"\n", max_bytes=MAX_MESSAGE_BYTES)
-            if version != b"%d\n" % VERSION or self._client_listener is None or self._client_listener.fileno() < 0:
+            if self._client_listener is None or self._client_listener.fileno() < 0:
+                return
+            if version == STANDBY_REQUEST:
+                await self.standbys.add(stream, self._client_listener)
+                return
+            if version != b"%d\n" % VERSION:
                 return
-            state = json.dumps({"version": VERSION, **self._state_to_hand_over()}).encode() + b"\n"
+            state = self._state_line()
             socket.send_fds(stream.socket, [b"L"], [self._client_listener.fileno()])
             await stream.write(state)
             self._loop.remove_timeout(timer)
@@ -271,6 +296,35 @@
                     # The successor that ended may have replaced our Unix socket by its own.
                     self.offer_listener(self._client_listener)
 
+    def _state_line(self) -> bytes:
+        return json.dumps({"version": VERSION, **self._state_to_hand_over()}).encode() + b"\n"
+
+    async def send_final_state(self) -> None:
+        """Sends the state to the processes on standby, which take over when this process has ended."""
+        if self.standbys:
+            await self.standbys.send_state(self._state_line())
+
+    def adopt(self, inheritance: Inheritance) -> InheritedState | None:
+        """What a predecessor that has ended left; None if that is not a listener of ours. Invalid state is left out."""
+        listener = adopted_socket(inheritance.listener)
+        if listener is None:
+            return None
+        try:
+            self._check_listener([listener])
+        except (OSError, ValueError) as error:
+            log.warning("the predecessor's listener can't be used", error=str(error))
+            listener.close()
+            return None
+        listener.setblocking(False)
+        try:
+            state = json.loads(inheritance.state or b"{}")
+        except ValueError as error:
+            log.warning("the predecessor's state can't be used", error=str(error))
+            state = {}
+        if not isinstance(state, dict) or state.get("version") != VERSION:
+            state = {}
+        return InheritedState(listener, state)
+
     async def _handle_successor_line(self, stream: IOStream, line: bytes) -> None:
         if line == SERVING:
             self._successors[stream] = True
@@ -311,6 +365,7 @@
     def close(self) -> None:
         """Closes the Unix socket and the connections to the other processes."""
         self._stop_listening()
+        self.standbys.close()
         predecessor = self._predecessor
         self._predecessor = None
         for stream in [*self._successors, *([predecessor] if predecessor is not None else [])]:
--- a/limenotch/reload.py
+++ b/limenotch/reload.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import os
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
 from . import logs
 from .config import Config, ConfigError, host_port, load
+from .settings_file import check_as, load_settings
+from .toml import FaultError
 from .wiring import Components, class_names, is_pushed
 
 if TYPE_CHECKING:
@@ -17,6 +19,15 @@
 log = logs.get(__name__)
 
 
+def configuration_fault(environ: Mapping[str, str]) -> str | None:
+    """What is wrong with the configuration that a process with this environment would load; None: nothing."""
+    try:
+        check_as(load_settings(None, environ), load(environ).name)
+    except (ConfigError, FaultError) as error:
+        return str(error)
+    return None
+
+
 class ActiveConfiguration:
     """Applies a configuration, the file's or the one the fleet agreed on, to the components that depend on it."""
 
@@ -119,7 +130,7 @@
             sockets=config.sockets,
             classes=list(class_names(config)),
         )
-        components.limit_resources()
+        components.limits.update()
         if self._applier is not None:
             self._applier.file_reloaded(config)
         else:
--- a/limenotch/shutdown.py
+++ b/limenotch/shutdown.py
@@ -38,14 +38,22 @@
         return self._requested_at
 
 
-async def shut_down(components: Components, requested_at: float) -> None:
+async def shut_down(components: Components, requested_at: float) -> bool:
     """Leaves the fleet, and returns when the accepted requests are answered and clients' connections are closed.
 
-    `requested_at`: when the first signal arrived, in seconds of `time.monotonic`.
+    `requested_at`: when the first signal arrived, in seconds of `time.monotonic`. Returns whether a process on standby
+    waits for the end of this one.
     """
+    successor = components.successor
     log.info(
-        "shutting down", open_requests=len(components.requests.open), handed_over=components.successor.successor_serves
+        "shutting down",
+        open_requests=len(components.requests.open),
+        handed_over=successor.successor_serves,
+        standby=bool(successor.standbys),
     )
     if components.fleet_node is not None:
-        components.fleet_node.leave(components.successor.successor_serves)
-    await components.clients.shut_down(components.successor.successor_serves, requested_at)
+        components.fleet_node.leave(successor.successor_serves)
+    standby = bool(successor.standbys) and not successor.successor_serves
+    await components.clients.shut_down(successor.successor_serves, requested_at, standby)
+    await successor.send_final_state()
+    return standby
--- a/limenotch/wiring.py
+++ b/limenotch/wiring.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import os
 from collections.abc import Iterable, Mapping
 from functools import partial
@@ -18,20 +17,21 @@
 from .load_balancer import LoadBalancer
 from .load_balancer_types import DiscoveredEndpoint
 from .metrics import Metrics
-from .net import memory_limits, request_claims
+from .net import request_claims
 from .net.address_owners import AddressOwners, without_replaced
 from .net.admin.server import AdminServer, RequestHandler
 from .net.client_listener import ClientListener
 from .net.discovery.client import DiscoveryClient
-from .net.discovery.json_stream import MAX_DOCUMENT_BYTES
 from .net.endpoint_pool import EndpointPool
 from .net.memory_control import MemoryControl
 from .net.pipe import BufferBudget
-from .net.process_memory import file_bytes, resident_bytes
+from .net.process_memory import file_bytes
 from .net.requests import RequestManager
 from .net.sockets import DescriptorLimits
 from .net.successor import Successor
 from .operator_ejections import OperatorEjections
+from .process_start import ProcessStart
+from .resource_limits import ResourceLimits
 from .settings import Settings
 
 if TYPE_CHECKING:
@@ -39,11 +39,6 @@
 
 log = logs.get(__name__)
 
-MB = 1e6  # bytes
-ACTIVE_FRACTION = 3 / 4  # of clients' descriptors; the others are for those that read why they are refused
-STREAM_FRACTION = 3 / 4  # of the clients, that may receive long responses at once
-HEDGED_FRACTION = 1 / 4  # more connections to endpoints than clients: hedged attempts, and idle ones
-
 
 def is_pushed(config: Config) -> bool:
     """Whether, by the settings, discovery is a nearby agent that has the endpoint list and pushes it."""
@@ -65,8 +60,11 @@
     `config` is the file's configuration in force; a reload replaces it.
     """
 
-    def __init__(self, config: Config, settings: Settings) -> None:
-        """Raises toml.FaultError if the fleet's settings can't be used."""
+    def __init__(self, config: Config, settings: Settings, start: ProcessStart | None = None) -> None:
+        """`start`: what the first step of this process found out; None: it shares its limits with no other process.
+
+        Raises toml.FaultError if the fleet's settings can't be used.
+        """
         self.config = config
         self.is_serving = False
         self.has_endpoint_list = asyncio.Event()
@@ -77,12 +75,10 @@
         self.metrics = Metrics()
         self.metrics.register_classes(class_names(config))
         self.requests = RequestManager(self.load_balancer, config.max_open, self.metrics)
-        self.buffers = BufferBudget(0)  # its limit is set by `limit_resources`
+        self.buffers = BufferBudget(0)  # its limit is set by `limits`
         self.memory = MemoryControl(self.buffers)
         self.memory.files = partial(file_bytes, config.state_path, folder_in_memory(settings))
         self._address_owners = AddressOwners()
-        self._base_bytes = 0
-        self._base_endpoints = 0
         self.endpoint_pool = self._make_endpoint_pool(settings)
         self.discovery = self._make_discovery_client(settings)
         self.requests.attempt_runner = self.endpoint_pool
@@ -103,8 +99,16 @@
         self.requests.request_ids.notify = self._notify_successors
         if self.fleet_node is not None:
             self._connect_fleet_node(self.fleet_node)
-        self.measure_base()
-        self.admin = AdminServer(self.is_ready, self.render_metrics, self.request_ejection, self._admin_paths())
+        self.limits = ResourceLimits(self, start or ProcessStart())
+        self.limits.measure_base()
+        self.admin = AdminServer(
+            self.is_ready,
+            self.render_metrics,
+            self.request_ejection,
+            self._admin_paths(),
+            self.render_standby_metrics,
+        )
+        self.successor.standbys.operator_connected = self.admin.take_over
 
     def _make_endpoint_pool(self, settings: Settings) -> EndpointPool:
         return EndpointPool(
@@ -156,7 +160,7 @@
         endpoints = without_replaced(endpoints, complete, replacements)
         # The pool first: the load balancer's commands may concern an endpoint that is new in this list.
         self.endpoint_pool.apply_list(endpoints, complete)
-        self.limit_resources()
+        self.limits.update()
         self.has_endpoint_list.set()
         self.requests.execute(self.load_balancer.endpoints_listed(endpoints, complete, self.discovery.silence_ms()))
 
@@ -198,25 +202,14 @@
         }
         return self.metrics.render(gauges, {"internal_errors": self.load_balancer.internal_errors.count})
 
-    # The other processes of this sidecar
+    def render_standby_metrics(self) -> bytes:
+        """The same of a process on standby, which has counted nothing yet."""
+        metrics = Metrics()
+        metrics.register_classes(class_names(self.config))
+        gauges = {"cluster_size": len(self.endpoint_pool), "cluster_unhealthy": self.load_balancer.excluded_count()}
+        return metrics.render({"current": 0, **gauges}, {"internal_errors": 0})
 
-    def measure_base(self) -> None:
-        """Measures what the process takes without clients, and divides the rest of its memory between them."""
-        self._base_bytes = resident_bytes()
-        self._base_endpoints = len(self.endpoint_pool)
-        self.limit_resources()
-
-    def check_memory_limit(self) -> None:
-        """Logs an error if the limit is too small for the process itself, whatever its clients do."""
-        processes = self.successor.process_count
-        needed_bytes = memory_limits.needed_bytes(self._base_bytes)
-        if needed_bytes > self.config.memory_mb * MB / processes:
-            log.error(
-                "limits.memory_mb is too small for the process itself",
-                memory_mb=self.config.memory_mb,
-                needed_mb=math.ceil(needed_bytes * processes / MB),
-                processes=processes,
-            )
+    # The other processes of this sidecar
 
     @property
     def _longest_known_s(self) -> float:
@@ -241,30 +234,9 @@
         self.successor.predecessor_line = claims.handle_line
         self.successor.predecessor_ended = claims.predecessor_ended
 
-    def limit_resources(self) -> None:
-        """Divides the limits of the configuration by the number of running processes of this sidecar."""
-        processes = self.successor.process_count
-        memory = memory_limits.divide(
-            self.config.memory_mb * MB / processes, self._base_bytes, len(self.endpoint_pool) - self._base_endpoints
-        )
-        self.descriptors.set_limit(self.config.sockets // processes, memory.clients * (1 + HEDGED_FRACTION))
-        clients_limit = self.descriptors.clients.limit
-        max_clients = min(memory.clients, int(clients_limit * ACTIVE_FRACTION))
-        self.clients.max_active = max_clients
-        self.memory.high_bytes = memory.high_bytes
-        self.memory.severe_bytes = memory.severe_bytes
-        self.buffers.limit = memory.buffer_bytes
-        self.discovery.max_document_bytes = min(memory.document_bytes, MAX_DOCUMENT_BYTES)
-        self.buffers.sockets = memory.sockets
-        self.clients.limit_socket_buffers()
-        most_streams = min(max_clients, self.descriptors.endpoints.limit) * STREAM_FRACTION
-        self.requests.max_streams = max(int(min(most_streams, memory.streams)), 1)
-        self.requests.request_ids.limit = memory.request_ids
-
     def set_process_count(self, processes: int) -> None:
         """Sets how many processes of this sidecar run from now on, this one included."""
-        self.limit_resources()
-        self.check_memory_limit()
+        self.limits.update()
         self.requests.execute(self.load_balancer.set_process_count(processes))
 
     def export_state(self) -> dict[str, Any]:
@@ -277,6 +249,7 @@
 
     def close(self) -> None:
         """Closes the remaining sockets, once all requests are answered."""
+        self.limits.stop()
         self.memory.stop()
         self.admin.close()
         self.successor.close()
--- a/tests/helpers/measured_sidecar.py
+++ b/tests/helpers/measured_sidecar.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import os
 import sys
 from collections import Counter
 from collections.abc import AsyncIterator, Sequence
@@ -14,6 +15,7 @@
 from typing import Any
 
 from limenotch.net import http1
+from limenotch.net.shutdown_schedule import KILL_GRACE_S, MAX_KILL_DELAY_S
 
 from .endpoint_process import LONG_PATH as LONG_PATH
 from .endpoint_process import SHORT_PATH as SHORT_PATH
@@ -49,6 +51,8 @@
     reasons: Counter[str] = field(default_factory=Counter)  # the texts of errors
     latencies_s: list[float] = field(default_factory=list)
     peak: MemorySample = MemorySample()
+    peak_own: int = 0  # bytes of anonymous pages of all processes, and of pages of files once for all of them
+    peak_descriptors: int = 0  # of all processes together
     at_rest: MemorySample = MemorySample()
 
     @property
@@ -125,9 +129,16 @@
     for number in count():
         with_sockets = number % SAMPLES_A_SOCKET_SAMPLE == 0
         samples = []
+        descriptors = 0
         for process in processes.all:
             with contextlib.suppress(FileNotFoundError, ProcessLookupError):
                 samples.append((sample_with_sockets if with_sockets else sample)(process.pid, None))
+                descriptors += len(os.listdir(f"/proc/{process.pid}/fd"))
+        if not samples:
+            return
+        in_files = max(each.resident - each.private for each in samples)
+        measured.peak_own = max(measured.peak_own, in_files + sum(each.private for each in samples))
+        measured.peak_descriptors = max(measured.peak_descriptors, descriptors)
         together = MemorySample(*map(sum, zip(*(each.values() for each in samples), strict=True)))
         measured.peak = measured.peak.peak(together.with_files(files_bytes(folder)))
         await asyncio.sleep(SAMPLE_S)
@@ -142,11 +153,17 @@
     port: int
     environment: dict[str, str]
 
-    async def start_process(self) -> asyncio.subprocess.Process:
-        """Starts a process, which takes over from the one that runs; returns it when it serves."""
-        process, _ = await self.processes.serve(self.raw, module=PLAIN_SIDECAR, environment=self.environment)
+    async def start_process(self, module: str = PLAIN_SIDECAR) -> asyncio.subprocess.Process:
+        """Starts a process, which takes over from the one that runs; returns it when it is ready."""
+        process, _ = await self.processes.serve(self.raw, module=module, environment=self.environment)
         return process
 
+    async def replace_process(self) -> None:
+        """Replaces the process as the platform does: the old one is killed some time after SIGTERM."""
+        before = self.processes.all[-1]
+        await self.start_process()
+        await end_process(before)
+
     async def upgrade(self) -> None:
         """Replaces the process by another one."""
         before = self.processes.all[-1]
@@ -155,6 +172,17 @@
         await before.wait()
 
 
+async def end_process(process: asyncio.subprocess.Process) -> None:
+    """Ends a process as the platform does."""
+    process.terminate()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(MAX_KILL_DELAY_S + KILL_GRACE_S):
+            await process.wait()
+            return
+    process.kill()
+    await process.wait()
+
+
 @contextlib.asynccontextmanager
 async def serving(folder: Path, memory_mb: int, sockets: int) -> AsyncIterator[Sidecar]:
     """Runs a sidecar with two endpoints; `folder` is for its files."""
--- a/tests/helpers/plain_sidecar.py
+++ b/tests/helpers/plain_sidecar.py
@@ -9,7 +9,7 @@
 
 sys.modules["rich"] = None  # type: ignore[assignment]
 
-from limenotch.cli import main  # noqa: E402 (after rich is hidden)
+from limenotch.cli import main as main  # noqa: E402 (after rich is hidden)
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -54,6 +54,14 @@
     assert schedule(longest, 0.5, 1.8, handed_over=True) == pytest.approx(expected._replace(accept_s=0.0))
 
 
+@pytest.mark.parametrize("longest", [0.5, 1.0, 3.0, 20.0])
+def test_a_process_with_another_on_standby_serves_for_long_and_ends_well_before_the_kill(longest: float) -> None:
+    times = schedule(longest, 0.5, 1.8, standby=True)
+    kill_s = min(longest, MAX_KILL_DELAY_S) + KILL_GRACE_S
+    assert 0.0 < times.accept_s == times.close_s < times.answer_s < times.end_s == times.wait_s <= kill_s - 0.3
+    assert times.answer_s - times.accept_s == pytest.approx(min(longest / 2, 1.0))
+
+
 @given(st.floats(0.001, 3600.0), st.floats(0.001, 3600.0), st.floats(0.0, 3600.0), st.booleans())
 def test_the_shutdown_ends_before_the_kill_whatever_the_settings(
     longest: float, accept: float, more: float, handed_over: bool
