Keep to the share, and wait for nothing, while another process has the lock

One that is stopped in the microseconds in which it has the lock of the file of shares kept the others from dividing their share at all at their start, and held up the event loop of one that serves for 20 ms every 50 ms.

Change: a process that serves tries the lock once. Without it, it divides its share as it stands, and may lower it; only a raise needs the lock.

Found by reading; the new test holds the lock beside a sidecar that serves and one that starts.

--- a/limenotch/net/process_shares.py
+++ b/limenotch/net/process_shares.py
@@ -142,9 +142,9 @@
                 found.append(Record(*RECORD.unpack(values)))
         return found
 
-    def lock(self) -> bool:
-        """Locks the file against all that raise their records; False if that takes too long. See `unlock`."""
-        until = time.monotonic() + LOCK_TIMEOUT_S
+    def lock(self, timeout_s: float = LOCK_TIMEOUT_S) -> bool:
+        """Locks the file against all that raise their records; False if that takes longer than this. See `unlock`."""
+        until = time.monotonic() + timeout_s
         while not _lock(self._descriptor, LOCKS_OFFSET + MAX_PROCESSES):
             if time.monotonic() >= until:
                 return False
--- a/limenotch/resource_limits.py
+++ b/limenotch/resource_limits.py
@@ -100,23 +100,26 @@
             config, processes = self._components.config, self._components.successor.process_count
             self._divide(config.memory_mb * MB / processes, config.sockets // processes)
             return
-        if not self._shares.lock():
-            return
+        locked = self._shares.lock(0.0)
         try:
-            self._update_record(self._shares.own, self._shares.others())
+            self._update_record(self._shares.own, self._shares.others(), locked)
             self._shares.publish()
         except OSError as error:
             log.warning("the file of the processes' shares can't be used", error=str(error))
         finally:
-            self._shares.unlock()
+            if locked:
+                self._shares.unlock()
 
     def _foreign_processes(self, others: Sequence[Record]) -> int:
         """How many connected processes have no record: they are of an earlier version and take an even part."""
         known = {other.process_id for other in others}
         return sum(process_id not in known for process_id in self._components.successor.peer_process_ids())
 
-    def _update_record(self, own: Record, others: Sequence[Record]) -> None:
-        """Sets the own record by what the others hold, and divides what this process may hold from now on."""
+    def _update_record(self, own: Record, others: Sequence[Record], may_raise: bool) -> None:
+        """Sets the own record by what the others hold, and divides what this process may hold from now on.
+
+        `may_raise`: the file is locked; without that the process may only give up something.
+        """
         components = self._components
         needs = self.needs
         processes = 1 + self._foreign_processes(others)
@@ -135,6 +138,8 @@
         if components.successor.successor_serves:
             memory = min(memory, own.memory, held_memory + 2 * int(memory_limits.margin_bytes(held_memory)))
             descriptors = min(descriptors, own.descriptors, held_descriptors + ENDING_DESCRIPTORS)
+        if not may_raise:
+            memory, descriptors = min(memory, own.memory), min(descriptors, own.descriptors)
         self._divide(memory, descriptors)
         own.memory = lowered(own.memory, memory, held_memory)
         own.descriptors = lowered(own.descriptors, descriptors, held_descriptors)
--- a/tests/test_upgrade_limits.py
+++ b/tests/test_upgrade_limits.py
@@ -16,6 +16,7 @@
 
 from limenotch.idle_memory import idle_memory
 from limenotch.net.memory_limits import process_needs
+from limenotch.net.process_shares import ProcessShares
 
 from .helpers.hostile_clients import MIXED, head
 from .helpers.http_peers import GET_HEALTH, fetch
@@ -33,6 +34,7 @@
 )
 from .helpers.processes import ROOT, free_port, run
 from .test_admin_server import GET_STATS, metrics_of, post
+from .test_hostile_clients import OBJECTIVE_S
 
 CLIENTS = 400
 BEFORE_S = 1.5  # that the crowd has before the first upgrade
@@ -196,6 +198,24 @@
     run(case())
 
 
+def test_a_process_that_is_stopped_while_it_has_the_lock_holds_up_neither_requests_nor_a_start(tmp_path: Path) -> None:
+    async def case() -> None:
+        async with serving(tmp_path, TWO_AT_ONCE_MB, SOCKETS) as sidecar:
+            shares = ProcessShares.join(str(next((tmp_path / "tmp").glob("*.shares-1"))))
+            assert shares is not None and shares.lock()
+            measured = Measured()
+            await UsualClient(sidecar.port, "usual", measured).run(monotonic() + 1.0)
+            assert set(measured.statuses) == {"200"} and measured.latency(1.0) <= OBJECTIVE_S
+            begun = monotonic()
+            await sidecar.start_process()
+            assert monotonic() - begun <= START_LIMIT_S
+            shares.close()
+            await end_process(sidecar.processes.all[0])
+            assert (await fetch(sidecar.port, head("a") + b"\r\n")).status == 200
+
+    run(case())
+
+
 @pytest.mark.parametrize("modules", [(PLAIN_SIDECAR, UNSHARED_SIDECAR), (UNSHARED_SIDECAR, PLAIN_SIDECAR)])
 def test_a_process_and_one_of_an_earlier_version_take_over_from_each_other(
     modules: tuple[str, str], tmp_path: Path
