Leave over for the next process what the others reckon with, not only the own measure

What callers saw: in the second of two upgrades the new process waited 2 s for room and then stood by, though the limit had room; in one such chain one of 1,325 requests got 503.

Cause: a process that starts reckons with the most that any process says it takes before it has a record; a process that serves left over what it had measured itself. The two differ by some kilobytes from process to process, so in half of the chains room was short by that for good.

The new test has one process that measured more than the other.

--- a/limenotch/resource_limits.py
+++ b/limenotch/resource_limits.py
@@ -38,6 +38,11 @@
     return max(left if left >= serving else room, least)
 
 
+def left_over(own: Record, others: Sequence[Record]) -> int:
+    """Bytes that are left for one more process: the most that any process says, as that one reckons with it."""
+    return max([own.standby_memory, *(other.standby_memory for other in others if other.running)])
+
+
 def lowered(granted: int, target: int, held: int) -> int:
     """What may be granted to this process from now on, which is to hold `target` and still holds `held`."""
     return target if held <= target else min(granted, held)
@@ -128,7 +133,7 @@
         own.least_memory = int(needs.serving)
         own.least_descriptors = components.descriptors.least
         own.standby_memory = int(needs.reserved)
-        room = own.limit_memory / processes - sum(other.memory for other in others) - needs.reserved
+        room = own.limit_memory / processes - sum(other.memory for other in others) - left_over(own, others)
         wanted = sum(max(other.wanted_memory - other.memory, 0) for other in others)
         memory = int(fitting_share(room, wanted, needs.serving, needs.alone))
         room = own.limit_descriptors // processes - sum(other.descriptors for other in others) - STANDBY_DESCRIPTORS
--- a/tests/test_process_shares.py
+++ b/tests/test_process_shares.py
@@ -16,7 +16,7 @@
     UNLIMITED,
     ProcessShares,
 )
-from limenotch.resource_limits import fitting_share, lowered
+from limenotch.resource_limits import fitting_share, left_over, lowered
 
 from .helpers.processes import run_command
 
@@ -121,6 +121,17 @@
     assert fitting_share(room=20, wanted=0, serving=60, least=40) == 40
 
 
+def test_what_a_process_leaves_over_is_enough_for_the_next_one_if_others_measured_more(tmp_path: Path) -> None:
+    old, new = running(tmp_path, 40 * MB, 150 * MB), join(tmp_path)
+    assert new.try_start()
+    new.own.limit_memory, new.own.limit_descriptors, new.own.standby_memory = 150 * MB, 1024, 9 * MB
+    new.own.memory = 150 * MB - old.own.memory - 30 * MB - left_over(new.own, new.others())
+    new.publish()
+    old.own.descriptors = 400
+    old.publish()
+    assert join(tmp_path).try_start()
+
+
 def test_a_share_is_given_up_only_when_it_is_not_held_any_more() -> None:
     assert lowered(granted=100, target=50, held=80) == 80
     assert lowered(granted=70, target=50, held=80) == 70
