Do not take clients' room from a process that still serves beside its successor

Callers got 503 "too many clients" in upgrades at 192 MB: from the moment the successor served, the old one's share was cut to what it held, and divided so, though it accepts up to SIGTERM.

--- a/limenotch/resource_limits.py
+++ b/limenotch/resource_limits.py
@@ -141,11 +141,14 @@
         descriptors = int(fitting_share(room, wanted, own.least_descriptors, own.least_descriptors))
         held_memory, held_descriptors = components.memory.estimated_bytes(), components.descriptors.used
         if components.successor.successor_serves:
-            memory = min(memory, own.memory, held_memory + 2 * int(memory_limits.margin_bytes(held_memory)))
-            descriptors = min(descriptors, own.descriptors, held_descriptors + ENDING_DESCRIPTORS)
+            may_raise = False
         if not may_raise:
             memory, descriptors = min(memory, own.memory), min(descriptors, own.descriptors)
         self._divide(memory, descriptors)
+        if components.successor.successor_serves and components.clients.shutting_down:
+            # It accepts nobody, so the rest is given up, but not taken from the clients that it still has.
+            memory = min(memory, held_memory + int(own.limit_memory * memory_limits.SERVING_FRACTION))
+            descriptors = min(descriptors, held_descriptors + ENDING_DESCRIPTORS)
         own.memory = lowered(own.memory, memory, held_memory)
         own.descriptors = lowered(own.descriptors, descriptors, held_descriptors)
         if self._start_bytes:
