Know the needs of a start also when the process that measured them has ended

With one that hangs in its start, a further one stood by for ever once the old one had ended, and nobody served. Found by reading; the new test failed before.

--- a/limenotch/net/process_shares.py
+++ b/limenotch/net/process_shares.py
@@ -77,7 +77,8 @@
     __slots__ = ("descriptors", "limit_descriptors", "limit_memory", "memory", "reserved_memory")
 
     def __init__(self, others: list[Record]) -> None:
-        running = [other for other in others if other.running]
+        # One that is starting, or hangs there, has not measured anything yet.
+        running = [other for other in others if other.running and other.limit_memory]
         self.limit_memory = min((other.limit_memory for other in running), default=0)  # bytes; 0: not known yet
         self.limit_descriptors = min((other.limit_descriptors for other in running), default=0)
         self.memory = max((other.start_memory for other in running), default=0)  # bytes; 0: not known yet
@@ -106,6 +107,7 @@
         self._descriptor = descriptor
         self._slot = slot
         self.own = Record(os.getpid())
+        self._last_needs: Needs | None = None
 
     @classmethod
     def join(cls, path: str) -> ProcessShares | None:
@@ -167,7 +169,7 @@
             if not any(other.running for other in others):
                 self._start(UNLIMITED, UNLIMITED)
                 return True
-            needs = Needs(others)
+            needs = self._needs(others)
             memory = sum(other.memory for other in others)
             descriptors = sum(other.descriptors for other in others)
             if needs.known and needs.fit_beside(memory, descriptors):
@@ -178,6 +180,13 @@
         finally:
             self.unlock()
 
+    def _needs(self, others: list[Record]) -> Needs:
+        """What a start needs; as it was known last if those that had measured it have ended."""
+        needs = Needs(others)
+        if needs.known or self._last_needs is None:
+            self._last_needs = needs
+        return self._last_needs
+
     def _start(self, memory: int, descriptors: int) -> None:
         self.own.running = 1
         self.own.memory = memory
@@ -200,7 +209,7 @@
     def may_ever_start(self) -> bool:
         """Whether this process could start beside the others if they held as little as they can."""
         others = self.others()
-        needs = Needs(others)
+        needs = self._needs(others)
         least_memory = sum(other.least_memory for other in others)
         least_descriptors = sum(other.least_descriptors for other in others)
         return not needs.known or needs.fit_beside(least_memory, least_descriptors)
--- a/tests/test_process_shares.py
+++ b/tests/test_process_shares.py
@@ -150,3 +150,12 @@
         assert len(beyond(int(needed / MB))) == 3 - number and len(beyond(int(needed / MB) + 1)) == 2 - number
     both_fit = process_needs(both, base_mb * MB, 10 * MB, 4 * MB)
     assert 2 * both_fit.serving + both_fit.reserved <= both * 1.0001
+
+
+def test_a_process_starts_beside_one_that_hangs_in_its_start_when_the_one_that_knew_the_needs_has_ended(
+    tmp_path: Path,
+) -> None:
+    old, hanging, third = running(tmp_path, 60 * MB, 150 * MB), join(tmp_path), join(tmp_path)
+    assert hanging.try_start() and not third.try_start()
+    old.close()
+    assert third.try_start() and third.own.memory == 30 * MB
